--- /dev/null
+++ b/command/codec.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode writes the command as deterministic CBOR.
+func Encode(c *Command) ([]byte, error) {
+	b, err := encMode.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("command: encode: %w", err)
+	}
+	return b, nil
+}
+
+// Decode reads a command that Encode wrote.
+func Decode(b []byte) (*Command, error) {
+	var c Command
+	if err := cbor.Unmarshal(b, &c); err != nil {
+		return nil, fmt.Errorf("command: decode: %w", err)
+	}
+	return &c, nil
+}
--- /dev/null
+++ b/ids/doc.go
@@ -0,0 +1,2 @@
+// Package ids defines the identifiers that damaskbridge processes exchange.
+package ids
--- /dev/null
+++ b/wire/doc.go
@@ -0,0 +1,3 @@
+// Package wire defines the messages that damaskbridge processes exchange over
+// package transport, as CBOR with integer keys.
+package wire
