Add stream and membership cores

Cause: the entry VM needs token assembly and a view of upstreams first. Ruled out: trusting an engine's resume offset blindly; a resumed attempt sends two tokens again, which are compared. Before: nothing. Conclusion: others can build against the interfaces.

--- /dev/null
+++ b/membership/entry.go
@@ -0,0 +1,36 @@
+package membership
+
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/settings"
+)
+
+// entry is the tracker's record of one address.
+type entry struct {
+	member Member
+	// listed says that the newest list holds the address as live.
+	listed bool
+	// leftAt is when the upstream was seen leaving; zero if it is not.
+	leftAt time.Time
+	// listedLeaving says that a list has confirmed that it is leaving.
+	listedLeaving bool
+
+	refusedAt    time.Time
+	refusedUntil time.Time
+	refusals     int
+	succeededAt  time.Time
+	trustFrom    time.Time
+	unlisted     bool
+
+	// ownSign is what this VM has seen and tells the others.
+	ownSign   settings.SignState
+	ownSignAt time.Time
+}
+
+func (e *entry) leaving() bool { return !e.leftAt.IsZero() }
+
+// failedSince says whether own observation shows the upstream gone after t.
+func (e *entry) failedSince(t time.Time) bool {
+	return !e.leftAt.Before(t) || !e.refusedAt.Before(t)
+}
--- /dev/null
+++ b/stream/doc.go
@@ -0,0 +1,18 @@
+// Package stream assembles the numbered tokens of one completion from one or
+// more attempts of an engine call, so that the reader sees every token exactly
+// once and in order, whatever fails and resumes.
+//
+// Assembler is pure: time is passed in and it starts nothing. It is not safe
+// for concurrent use; Shared wraps it with a mutex for a writer and several
+// readers.
+//
+// Example:
+//
+//	a := stream.NewAssembler(stream.DefaultOptions())
+//	resume := a.Begin(1, now)                 // send as Damask-Resume-Tokens
+//	tok, verdict, err := a.Append(1, "to", now) // for each chunk
+//	if a.Stalled(1, now) { ... }              // fail attempt 1, begin attempt 2
+//	resume = a.Begin(2, now)                  // a little before the last token
+//	end, err := a.Finish(2, completionTokens, now)
+//	tokens, err := a.After(lastEventID)       // replay for a resumed caller
+package stream
