--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -125,7 +125,9 @@
 }
 
 func (t *Tracker) applyRefusedSign(e *entry, at time.Time) {
-	if e.succeededAt.After(at) || !at.After(e.refusedAt) {
+	// The same sign comes with each Renew and its age is rounded, so one that
+	// falls into the present hold tells nothing new.
+	if e.succeededAt.After(at) || !at.After(e.refusedUntil) {
 		return
 	}
 	t.counts.SignsApplied++
--- /dev/null
+++ b/routing/errors.go
@@ -0,0 +1,22 @@
+package routing
+
+import (
+	"fmt"
+	"time"
+)
+
+// NoCandidateError reports that no upstream can take the request.
+type NoCandidateError struct {
+	Pool string
+	// Known is the number of upstreams in the pool.
+	Known int
+	// Dropped counts the candidates by the filter that dropped them.
+	Dropped map[string]int
+	// RetryAfter is when the next probe is due; 0 if none is.
+	RetryAfter time.Duration
+}
+
+func (e *NoCandidateError) Error() string {
+	return fmt.Sprintf("routing: none of the %d upstreams of pool %q can take the request, dropped by %v; retry after %v or check the pool's upstreams",
+		e.Known, e.Pool, e.Dropped, e.RetryAfter)
+}
--- /dev/null
+++ b/routing/filter_region.go
@@ -0,0 +1,19 @@
+package routing
+
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+// regionFilter drops upstreams of other regions where settings forbid them.
+type regionFilter struct {
+	region  ids.Region
+	allowed bool
+}
+
+func (regionFilter) Name() string { return "region" }
+
+func (f regionFilter) Keep(_ *Request, c *Candidate, _ time.Time) bool {
+	return f.allowed || c.Upstream.Region == f.region
+}
