Add admission, retry and budget cores

Cause: requests need limits, a fair queue, attempts and a divided deadline. Ruled out: a token bucket of fixed rate for admission; capacity is not known and differs between entry VMs. Before: nothing.

--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,355 @@
+package admission
+
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/problem"
+)
+
+const (
+	// holdGain is the weight of a new sample in the mean time that a request
+	// holds its place.
+	holdGain = 0.1
+	// laneDepth is the number of waiting requests that a workspace always keeps
+	// in overload, whatever the estimate of the wait says.
+	laneDepth = 2
+	// hintSpread divides the retry hints of consecutive rejections, so that the
+	// callers don't come back together.
+	hintSpread = 8
+)
+
+// Gate admits requests to one pool.
+type Gate struct {
+	opts    Options
+	limiter *Limiter
+	classes [classCount]*class
+	waiting map[Ticket]*item
+	expiry  expiry
+	granted map[Ticket]grant
+	next    Ticket
+	batch   int
+	// holdMean is the mean time in nanoseconds that a request holds its place.
+	holdMean float64
+	// busySince is when the queue was last empty; zero while it is.
+	busySince time.Time
+	events    []Event
+	counts    Counts
+	hints     uint64
+}
+
+// grant is a request under way.
+type grant struct {
+	since time.Time
+	batch bool
+}
+
+// NewGate gives a gate with an empty queue. Options are as checked by Check.
+func NewGate(opts Options) *Gate {
+	g := &Gate{
+		opts:    opts,
+		limiter: NewLimiter(opts.Limiter),
+		waiting: map[Ticket]*item{},
+		granted: map[Ticket]grant{},
+	}
+	g.counts.Rejected = map[Reason]uint64{}
+	for i := range g.classes {
+		g.classes[i] = newClass()
+	}
+	return g
+}
+
+// Offer takes a request. The event that ends its wait is given by Events, often
+// right after this call.
+func (g *Gate) Offer(req Request, now time.Time) Ticket {
+	g.next++
+	it := &item{ticket: g.next, req: req, since: now}
+	g.Advance(now)
+	switch {
+	case req.late(0, now):
+		g.reject(it.ticket, &req, DeadlineTooShort)
+	case len(g.waiting) == 0 && g.fits(&req):
+		g.grant(it, now)
+	case req.late(g.expectedWait(&req, now), now):
+		g.reject(it.ticket, &req, WaitTooLong)
+	default:
+		g.enqueue(it, now)
+	}
+	return it.ticket
+}
+
+// Release ends a granted request.
+func (g *Gate) Release(t Ticket, s Sample, now time.Time) {
+	gr, ok := g.granted[t]
+	if !ok {
+		return
+	}
+	g.limiter.Observe(s, len(g.granted), now)
+	delete(g.granted, t)
+	if gr.batch {
+		g.batch--
+	}
+	if s.Outcome == OK {
+		g.observeHold(now.Sub(gr.since))
+	}
+	g.Advance(now)
+}
+
+// Cancel gives a request up, whether it waits or was granted.
+func (g *Gate) Cancel(t Ticket, now time.Time) {
+	if it, ok := g.waiting[t]; ok {
+		g.take(it)
+		g.Advance(now)
+		return
+	}
+	g.Release(t, Sample{Outcome: Ignored}, now)
+}
+
+// Advance sheds what can't meet its deadline any more and grants what fits.
+// Call it regularly while requests wait.
+func (g *Gate) Advance(now time.Time) {
+	g.shedLate(now)
+	for {
+		it := g.choose(now)
+		if it == nil {
+			break
+		}
+		g.take(it)
+		g.grant(it, now)
+	}
+	if len(g.waiting) == 0 {
+		g.busySince = time.Time{}
+	}
+}
+
+// Events gives what has happened since the last call.
+func (g *Gate) Events() []Event {
+	events := g.events
+	g.events = nil
+	return events
+}
+
+// Limit gives the present concurrency limit, InFlight the requests under way
+// and Waiting those in the queue.
+func (g *Gate) Limit() int    { return g.limiter.Limit() }
+func (g *Gate) InFlight() int { return len(g.granted) }
+func (g *Gate) Waiting() int  { return len(g.waiting) }
+
+// Counts gives the counters. The map must not be changed.
+func (g *Gate) Counts() Counts { return g.counts }
+
+// Wait estimates how long a request would wait now. Ask it of the later stages'
+// gates before a request is started.
+func (g *Gate) Wait(req Request, now time.Time) time.Duration {
+	if len(g.waiting) == 0 && g.fits(&req) {
+		return 0
+	}
+	return g.expectedWait(&req, now)
+}
+
+func (g *Gate) fits(req *Request) bool {
+	limit := g.limiter.Limit()
+	if len(g.granted) >= limit {
+		return false
+	}
+	if req.Priority == Batch && !req.Started {
+		return g.batch < max(1, int(g.opts.BatchCap*float64(limit)))
+	}
+	return true
+}
+
+func (g *Gate) grant(it *item, now time.Time) {
+	c := g.classes[it.req.class()]
+	c.charge(&it.req)
+	g.settle(it.req.class())
+	batch := it.req.Priority == Batch && !it.req.Started
+	if batch {
+		g.batch++
+	}
+	g.granted[it.ticket] = grant{since: now, batch: batch}
+	g.counts.Granted++
+	g.events = append(g.events, Event{Ticket: it.ticket})
+}
+
+func (g *Gate) enqueue(it *item, now time.Time) {
+	if len(g.waiting) >= g.opts.Queue && !g.displace(it) {
+		g.reject(it.ticket, &it.req, QueueFull)
+		return
+	}
+	if len(g.waiting) == 0 {
+		g.busySince = now
+	}
+	g.counts.Queued++
+	g.waiting[it.ticket] = it
+	g.expiry.add(it)
+	g.classes[it.req.class()].push(it)
+	g.trim(it.lane, it.req.class(), now)
+	g.Advance(now)
+}
+
+func (g *Gate) take(it *item) {
+	delete(g.waiting, it.ticket)
+	g.expiry.remove(it)
+	g.classes[it.req.class()].drop(it)
+}
+
+// overloaded says that the queue has stood for too long to be a mere burst.
+func (g *Gate) overloaded(now time.Time) bool {
+	return !g.busySince.IsZero() && now.Sub(g.busySince) >= g.opts.OverloadAfter
+}
+
+// choose gives the waiting item to grant next, nil if none fits.
+func (g *Gate) choose(now time.Time) *item {
+	if len(g.waiting) == 0 || len(g.granted) >= g.limiter.Limit() {
+		return nil
+	}
+	newestFirst := g.overloaded(now)
+	if it := g.guaranteed(newestFirst); it != nil {
+		return it
+	}
+	for _, c := range g.classes {
+		if it := c.next(newestFirst); it != nil && g.fits(&it.req) {
+			return it
+		}
+	}
+	return nil
+}
+
+// guaranteed gives an item of a class that has missed its part of the grants.
+func (g *Gate) guaranteed(newestFirst bool) *item {
+	for _, i := range []int{batchClass, normalClass} {
+		c := g.classes[i]
+		if c.credit < 1 {
+			continue
+		}
+		if it := c.next(newestFirst); it != nil && g.fits(&it.req) {
+			return it
+		}
+	}
+	return nil
+}
+
+// settle counts a grant for the guarantees: each waiting class gains its part
+// and the served one pays. A class without waiting requests keeps no credit.
+func (g *Gate) settle(served int) {
+	g.earn(normalClass, g.opts.NormalGuarantee, served)
+	g.earn(batchClass, g.opts.BatchGuarantee, served)
+}
+
+func (g *Gate) earn(i int, part float64, served int) {
+	c := g.classes[i]
+	switch {
+	case i == served:
+		c.credit = max(0, c.credit-1)
+	case c.live == 0:
+		c.credit = 0
+	default:
+		c.credit = min(c.credit+part/(1-part), 2)
+	}
+}
+
+func (g *Gate) observeHold(d time.Duration) {
+	if g.holdMean == 0 {
+		g.holdMean = float64(d)
+		return
+	}
+	g.holdMean += holdGain * (float64(d) - g.holdMean)
+}
+
+// interval is the expected time between two grants.
+func (g *Gate) interval() time.Duration {
+	return time.Duration(g.holdMean / float64(max(1, g.limiter.Limit())))
+}
+
+// expectedWait estimates the wait of a new request: behind the requests of
+// higher classes, and behind those of its own class or, in overload, behind one
+// of each workspace that waits there.
+func (g *Gate) expectedWait(req *Request, now time.Time) time.Duration {
+	ahead := 1
+	for i := range req.class() {
+		ahead += g.ahead(g.classes[i], now)
+	}
+	ahead += g.ahead(g.classes[req.class()], now)
+	return time.Duration(ahead) * g.interval()
+}
+
+func (g *Gate) ahead(c *class, now time.Time) int {
+	if g.overloaded(now) {
+		return len(c.active)
+	}
+	return c.live
+}
+
+// shedLate rejects what can't meet its deadline even if it were granted now.
+func (g *Gate) shedLate(now time.Time) {
+	for len(g.expiry) > 0 && g.expiry[0].req.late(0, now) {
+		it := g.expiry[0]
+		g.take(it)
+		g.reject(it.ticket, &it.req, Expired)
+	}
+}
+
+// trim rejects at once, in overload, the oldest requests of a lane that newer
+// ones will be served before until their time is out.
+func (g *Gate) trim(l *lane, class int, now time.Time) {
+	if !g.overloaded(now) || class == startedClass {
+		return
+	}
+	for l.live > laneDepth {
+		it := l.oldest()
+		lanes := len(g.classes[class].active)
+		wait := time.Duration(l.live*lanes) * g.interval()
+		if !it.req.late(wait, now) {
+			return
+		}
+		g.take(it)
+		g.reject(it.ticket, &it.req, WaitTooLong)
+	}
+}
+
+// displace makes room in a full queue: the oldest request of the lowest class
+// and, in the same class, of the longest lane gives way.
+func (g *Gate) displace(it *item) bool {
+	for i := classCount - 1; i > startedClass && i >= it.req.class(); i-- {
+		l := longest(g.classes[i])
+		if l == nil {
+			continue
+		}
+		if i == it.req.class() && l.workspace == it.req.Workspace && !g.overloaded(it.since) {
+			return false
+		}
+		old := l.oldest()
+		g.take(old)
+		g.reject(old.ticket, &old.req, Displaced)
+		return true
+	}
+	return false
+}
+
+func longest(c *class) *lane {
+	var found *lane
+	for _, l := range c.active {
+		if found == nil || l.live > found.live {
+			found = l
+		}
+	}
+	return found
+}
+
+func (g *Gate) reject(t Ticket, req *Request, reason Reason) {
+	g.counts.Rejected[reason]++
+	state := problem.NotRun
+	if req.Started {
+		state = problem.Ran
+	}
+	r := &Rejection{Reason: reason, RetryAfter: g.hint(), State: state}
+	g.events = append(g.events, Event{Ticket: t, Rejection: r})
+}
+
+// hint is the time in which the present queue is served, spread over the
+// rejections.
+func (g *Gate) hint() time.Duration {
+	g.hints++
+	drain := time.Duration(len(g.waiting)+1) * g.interval()
+	drain = min(g.opts.RetryMax, max(g.opts.RetryMin, drain))
+	return drain + drain*time.Duration(g.hints%hintSpread)/hintSpread
+}
--- /dev/null
+++ b/admission/limiter.go
@@ -0,0 +1,127 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// limitGain is the weight of a new limit against the present one.
+	limitGain = 0.3
+	// gradientFloor bounds how far one window lowers the limit.
+	gradientFloor = 0.5
+	// windowCap bounds the samples kept for one window's median.
+	windowCap = 128
+)
+
+// Outcome says how a request ended, as far as it concerns the limit.
+type Outcome uint8
+
+// Outcomes of a granted request.
+const (
+	// OK is a response with a valid latency.
+	OK Outcome = iota
+	// Dropped is a 429 or a timeout: the pool is overloaded.
+	Dropped
+	// Ignored says nothing about the pool, as with a caller that has gone.
+	Ignored
+)
+
+// Sample is what a granted request tells the limiter.
+type Sample struct {
+	// Latency must be comparable between the requests of a pool: for engines
+	// the time to the first token, else the whole time at the upstream.
+	Latency time.Duration
+	Outcome Outcome
+}
+
+// Limiter is an adaptive concurrency limit. Once for each window it compares
+// the median latency with a long-term minimum and lowers the limit by their
+// ratio or raises it by about its square root.
+type Limiter struct {
+	opts     LimiterOptions
+	limit    float64
+	baseline float64
+	window   []float64
+	samples  int
+	drops    int
+	peak     int
+	started  time.Time
+}
+
+// NewLimiter gives a limiter at its initial limit.
+func NewLimiter(opts LimiterOptions) *Limiter {
+	return &Limiter{opts: opts, limit: opts.Initial}
+}
+
+// Limit gives the number of requests that may be under way.
+func (l *Limiter) Limit() int { return int(l.limit) }
+
+// Baseline gives the long-term minimum of the window's median latency.
+func (l *Limiter) Baseline() time.Duration { return time.Duration(l.baseline) }
+
+// Observe takes a sample of a request that ended while inFlight requests were
+// under way, itself included.
+func (l *Limiter) Observe(s Sample, inFlight int, now time.Time) {
+	if l.started.IsZero() {
+		l.started = now
+	}
+	l.peak = max(l.peak, inFlight)
+	switch s.Outcome {
+	case Ignored:
+		return
+	case Dropped:
+		l.drops++
+	case OK:
+		if len(l.window) < windowCap {
+			l.window = append(l.window, float64(s.Latency))
+		}
+	}
+	l.samples++
+	if l.samples >= l.opts.WindowSamples && now.Sub(l.started) >= l.opts.Window {
+		l.adjust(now)
+	}
+}
+
+func (l *Limiter) adjust(now time.Time) {
+	busy := float64(l.peak) >= l.limit/2
+	if len(l.window) > 0 {
+		l.follow(l.median(), busy, now)
+	}
+	if float64(l.drops) > l.opts.DropTolerance*float64(l.samples) {
+		l.set(l.limit * l.opts.Backoff)
+	}
+	l.window = l.window[:0]
+	l.samples, l.drops, l.peak = 0, 0, 0
+	l.started = now
+}
+
+// follow updates the baseline and the limit from a window's median latency.
+func (l *Limiter) follow(latency float64, busy bool, now time.Time) {
+	if l.baseline == 0 || latency < l.baseline {
+		l.baseline = latency
+	} else {
+		life := l.opts.BaselineIdle
+		if busy {
+			life = l.opts.BaselineRise
+		}
+		elapsed := float64(now.Sub(l.started)) / float64(life)
+		l.baseline += (latency - l.baseline) * min(1, elapsed)
+	}
+	gradient := min(1, max(gradientFloor, l.opts.Tolerance*l.baseline/latency))
+	target := l.limit*gradient + math.Sqrt(l.limit)
+	if target > l.limit && (!busy || l.drops > 0) {
+		return
+	}
+	l.set(l.limit + limitGain*(target-l.limit))
+}
+
+func (l *Limiter) set(limit float64) {
+	l.limit = min(l.opts.Max, max(l.opts.Min, limit))
+}
+
+func (l *Limiter) median() float64 {
+	slices.Sort(l.window)
+	return l.window[len(l.window)/2]
+}
--- /dev/null
+++ b/budget/histogram.go
@@ -0,0 +1,116 @@
+package budget
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// bucketCount and bucketsPerDoubling give buckets from bucketBase up to
+	// 262 s, each 19% wider than the one before.
+	bucketCount        = 80
+	bucketsPerDoubling = 4
+	bucketBase         = 250 * time.Microsecond
+	// decaySteps is the number of times per half-life that weights are reduced.
+	decaySteps = 16
+)
+
+// Histogram is a latency distribution of fixed size in which old samples lose
+// weight. The zero value is empty.
+type Histogram struct {
+	weights [bucketCount]float32
+	total   float64
+	decayed time.Time
+}
+
+// Observe adds a sample.
+func (h *Histogram) Observe(d, halfLife time.Duration, now time.Time) {
+	h.decay(halfLife, now)
+	h.weights[bucketOf(d)]++
+	h.total++
+}
+
+// decay reduces the weights by the time that has passed.
+func (h *Histogram) decay(halfLife time.Duration, now time.Time) {
+	if h.decayed.IsZero() {
+		h.decayed = now
+		return
+	}
+	elapsed := now.Sub(h.decayed)
+	if elapsed < halfLife/decaySteps {
+		return
+	}
+	h.decayed = now
+	factor := math.Exp2(-float64(elapsed) / float64(halfLife))
+	h.total = 0
+	for i := range h.weights {
+		h.weights[i] *= float32(factor)
+		h.total += float64(h.weights[i])
+	}
+}
+
+// Weight gives the weight of all samples, at most their number.
+func (h *Histogram) Weight() float64 { return h.total }
+
+// Quantile gives the latency below which the part q of the samples lies, 0 for
+// an empty histogram. The error is at most one bucket, 19%.
+func (h *Histogram) Quantile(q float64) time.Duration {
+	if h.total <= 0 {
+		return 0
+	}
+	left := q * h.total
+	last := 0
+	for i := range h.weights {
+		w := float64(h.weights[i])
+		if w <= 0 {
+			continue
+		}
+		last = i
+		if left <= w {
+			return lerp(lower(i), lower(i+1), left/w)
+		}
+		left -= w
+	}
+	return lower(last + 1)
+}
+
+// Below gives the part of the samples up to d.
+func (h *Histogram) Below(d time.Duration) float64 {
+	if h.total <= 0 || d <= 0 {
+		return 0
+	}
+	at := bucketOf(d)
+	sum := 0.0
+	for i := range at {
+		sum += float64(h.weights[i])
+	}
+	from, to := lower(at), lower(at+1)
+	part := min(1, float64(d-from)/float64(to-from))
+	return min(1, (sum+part*float64(h.weights[at]))/h.total)
+}
+
+// bucketOf gives the bucket of a latency; those beyond the ends go to the end
+// buckets.
+func bucketOf(d time.Duration) int {
+	if d <= bucketBase {
+		return 0
+	}
+	i := 1 + int(bucketsPerDoubling*math.Log2(float64(d)/float64(bucketBase)))
+	return min(i, bucketCount-1)
+}
+
+// lower gives the lower bound of a bucket.
+func lower(i int) time.Duration { return bounds[i] }
+
+var bounds = makeBounds()
+
+func makeBounds() (b [bucketCount + 1]time.Duration) {
+	for i := 1; i <= bucketCount; i++ {
+		b[i] = time.Duration(float64(bucketBase) * math.Exp2(float64(i-1)/bucketsPerDoubling))
+	}
+	return b
+}
+
+func lerp(a, b time.Duration, part float64) time.Duration {
+	return a + time.Duration(part*float64(b-a))
+}
--- /dev/null
+++ b/retry/failure.go
@@ -0,0 +1,26 @@
+package retry
+
+// Failure says how an attempt failed.
+type Failure string
+
+// Failures of an attempt. Each has a counter.
+const (
+	// Refused means that no connection was made, so nothing was sent.
+	Refused Failure = "refused"
+	// NotExecuted is a response that says that nothing was executed:
+	// Damask-Not-Executed with 503 or 429.
+	NotExecuted Failure = "not_executed"
+	// Broken is a connection that ended before a complete response.
+	Broken Failure = "broken"
+	// Stalled is an attempt without progress.
+	Stalled Failure = "stalled"
+	// ServerError is a 5xx response without Damask-Not-Executed.
+	ServerError Failure = "server_error"
+	// Mismatch is a response that belongs to another attempt.
+	Mismatch Failure = "mismatch"
+	// Rejected is a 4xx response: the same call would fail again.
+	Rejected Failure = "rejected"
+)
+
+// retryable says whether another upstream may do better.
+func (f Failure) retryable() bool { return f != Rejected }
