--- a/membership/apply.go
+++ b/membership/apply.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -21,26 +22,29 @@
 	t.seq = list.Seq
 	first := !t.started
 	t.started = true
-	listed := liveByAddress(list)
+	suspects := t.suspects(list)
 	t.add(list, now, first)
-	if t.shrinksByHalf(listed) {
-		return t.holdSuspect(list, listed, now)
-	}
-	t.suspect = suspicion{}
-	t.drop(list, listed, now)
-	return ListApplied
-}
-
-func liveByAddress(list List) map[string]bool {
-	listed := make(map[string]bool, len(list.Members))
+	marks := make(map[string]ListState, len(list.Members))
 	for _, m := range list.Members {
-		if m.State == ListLive {
-			listed[m.Address] = true
+		marks[m.Address] = m.State
+	}
+	for _, pool := range t.poolNames() {
+		if suspects[pool] {
+			t.hold(pool, marks, now)
+			continue
 		}
+		delete(t.suspicions, pool)
+		t.drop(pool, marks, now)
 	}
-	return listed
+	t.confirm(now)
+	if len(t.suspicions) > 0 {
+		return ListSuspect
+	}
+	return ListApplied
 }
 
+func (t *Tracker) poolNames() []string { return slices.Sorted(maps.Keys(t.members)) }
+
 // add takes new and returning upstreams of the list.
 func (t *Tracker) add(list List, now time.Time, first bool) {
 	for _, m := range list.Members {
@@ -67,7 +71,7 @@
 }
 
 func (t *Tracker) insert(m Member, now time.Time, first bool) {
-	e := &entry{member: m, listed: true}
+	e := &entry{member: m}
 	if !first {
 		e.trustFrom = now
 	}
@@ -81,7 +85,6 @@
 // seen leaving returns if a list has shown it leaving in between, or after
 // LeavingHold: until then the list may simply lag.
 func (t *Tracker) relist(e *entry, now time.Time) {
-	e.listed = true
 	if e.unlisted {
 		e.unlisted = false
 		t.touch(e)
@@ -101,19 +104,15 @@
 	t.touch(e)
 }
 
-// drop acts on upstreams that a trusted list lacks or shows as leaving.
-func (t *Tracker) drop(list List, listed map[string]bool, now time.Time) {
-	leaving := map[string]bool{}
-	for _, m := range list.Members {
-		if m.State == ListLeaving {
-			leaving[m.Address] = true
-		}
-	}
-	for address, e := range t.entries {
-		switch {
-		case listed[address]:
-		case leaving[address]:
-			e.listed, e.listedLeaving = false, true
+// drop acts on upstreams of a pool that a trusted list lacks or shows as
+// leaving.
+func (t *Tracker) drop(pool string, marks map[string]ListState, now time.Time) {
+	for _, address := range slices.Clone(t.members[pool]) {
+		e := t.entries[address]
+		switch marks[address] {
+		case ListLive:
+		case ListLeaving:
+			e.listedLeaving = true
 			t.markLeaving(e, now)
 		default:
 			t.remove(e)
@@ -129,24 +128,23 @@
 	t.touch(e)
 }
 
-// View gives the present view. It rebuilds only the pools that changed.
+// View gives the present view. It copies only the pools that changed and makes
+// new records only of the upstreams that changed.
 func (t *Tracker) View() *View {
-	if len(t.stale) == 0 {
+	if len(t.dirty) == 0 && len(t.reindex) == 0 {
 		return t.view
 	}
-	for name := range t.stale {
+	for name := range t.reindex {
 		t.rebuild(name)
 	}
-	clear(t.stale)
+	t.patch()
+	clear(t.dirty)
 	clear(t.reindex)
-	pools := make(map[string]*poolView, len(t.pools))
-	for name, p := range t.pools {
-		pools[name] = p
-	}
-	t.view = &View{pools: pools, version: t.view.version + 1}
+	t.view = &View{pools: maps.Clone(t.pools), version: t.view.version + 1}
 	return t.view
 }
 
+// rebuild makes a pool's view after its set of addresses changed.
 func (t *Tracker) rebuild(name string) {
 	addresses := t.members[name]
 	if len(addresses) == 0 {
@@ -154,44 +152,50 @@
 		delete(t.members, name)
 		return
 	}
-	old := t.pools[name]
-	p := &poolView{upstreams: make([]*Upstream, len(addresses))}
-	if t.reindex[name] || old == nil {
-		slices.Sort(addresses)
-		p.index = make(map[string]int32, len(addresses))
-		for i, a := range addresses {
-			p.index[a] = int32(i)
-		}
-	} else {
-		p.index = old.index
-	}
+	slices.Sort(addresses)
+	p := &poolView{upstreams: make([]*Upstream, len(addresses)), index: make(map[string]int32, len(addresses))}
 	for i, a := range addresses {
-		p.upstreams[i] = t.upstream(old, a)
+		p.index[a] = int32(i)
+		p.upstreams[i] = t.record(t.entries[a])
 	}
 	t.pools[name] = p
 }
 
-// upstream reuses the record of the old view if nothing in it changed.
-func (t *Tracker) upstream(old *poolView, address string) *Upstream {
-	e := t.entries[address]
-	u := Upstream{
-		VM:           e.member.VM,
-		Address:      address,
-		Pool:         e.member.Pool,
-		Region:       e.member.Region,
-		Unlisted:     e.unlisted,
-		leaving:      e.leaving(),
-		refusedUntil: e.refusedUntil,
-		trustFrom:    e.trustFrom,
-		slowStart:    t.opts.SlowStart,
-		trustFloor:   t.opts.TrustFloor,
-	}
-	if old != nil {
-		if i, ok := old.index[address]; ok && *old.upstreams[i] == u {
-			return old.upstreams[i]
+// patch replaces the records of changed upstreams in copies of their pools.
+func (t *Tracker) patch() {
+	copied := map[string]bool{}
+	for e := range t.dirty {
+		name := e.member.Pool
+		if t.reindex[name] {
+			continue
+		}
+		if !copied[name] {
+			old := t.pools[name]
+			t.pools[name] = &poolView{upstreams: slices.Clone(old.upstreams), index: old.index}
+			copied[name] = true
+		}
+		p := t.pools[name]
+		p.upstreams[p.index[e.member.Address]] = t.record(e)
+	}
+}
+
+// record gives the immutable form of an entry.
+func (t *Tracker) record(e *entry) *Upstream {
+	if e.published == nil {
+		e.published = &Upstream{
+			VM:           e.member.VM,
+			Address:      e.member.Address,
+			Pool:         e.member.Pool,
+			Region:       e.member.Region,
+			Unlisted:     e.unlisted,
+			leaving:      e.leaving(),
+			refusedUntil: e.refusedUntil,
+			trustFrom:    e.trustFrom,
+			slowStart:    t.opts.SlowStart,
+			trustFloor:   t.opts.TrustFloor,
 		}
 	}
-	return &u
+	return e.published
 }
 
 func sortSigns(signs []settings.Sign) {
--- a/membership/entry.go
+++ b/membership/entry.go
@@ -9,8 +9,6 @@
 // entry is the tracker's record of one address.
 type entry struct {
 	member Member
-	// listed says that the newest list holds the address as live.
-	listed bool
 	// leftAt is when the upstream was seen leaving; zero if it is not.
 	leftAt time.Time
 	// listedLeaving says that a list has confirmed that it is leaving.
@@ -26,6 +24,9 @@
 	// ownSign is what this VM has seen and tells the others.
 	ownSign   settings.SignState
 	ownSignAt time.Time
+
+	// published is the entry's record in the newest view; nil if that is old.
+	published *Upstream
 }
 
 func (e *entry) leaving() bool { return !e.leftAt.IsZero() }
--- a/membership/options.go
+++ b/membership/options.go
@@ -9,14 +9,13 @@
 
 // Defaults of Options. All are chosen, not measured.
 const (
-	DefaultSlowStart     = 10 * time.Second
-	DefaultTrustFloor    = 0.1
-	DefaultRefusedHold   = 500 * time.Millisecond
-	DefaultRefusedMax    = 8 * time.Second
-	DefaultLeavingHold   = 60 * time.Second
-	DefaultSignLifetime  = 5 * time.Second
-	DefaultSignAgeMax    = 30 * time.Second
-	DefaultShrinkMinimum = 2
+	DefaultSlowStart    = 10 * time.Second
+	DefaultTrustFloor   = 0.1
+	DefaultRefusedHold  = 500 * time.Millisecond
+	DefaultRefusedMax   = 8 * time.Second
+	DefaultLeavingHold  = 60 * time.Second
+	DefaultSignLifetime = 5 * time.Second
+	DefaultSignAgeMax   = 30 * time.Second
 )
 
 // Options set a Tracker's times and bounds.
@@ -39,23 +38,19 @@
 	SignLifetime time.Duration
 	// SignAgeMax bounds the age of a sign that is still applied.
 	SignAgeMax time.Duration
-	// ShrinkMinimum is the smallest pool for which the loss of half of its
-	// upstreams makes a list suspect.
-	ShrinkMinimum int
 }
 
 // DefaultOptions gives the defaults.
 func DefaultOptions(self ids.VMID) Options {
 	return Options{
-		Self:          self,
-		SlowStart:     DefaultSlowStart,
-		TrustFloor:    DefaultTrustFloor,
-		RefusedHold:   DefaultRefusedHold,
-		RefusedMax:    DefaultRefusedMax,
-		LeavingHold:   DefaultLeavingHold,
-		SignLifetime:  DefaultSignLifetime,
-		SignAgeMax:    DefaultSignAgeMax,
-		ShrinkMinimum: DefaultShrinkMinimum,
+		Self:         self,
+		SlowStart:    DefaultSlowStart,
+		TrustFloor:   DefaultTrustFloor,
+		RefusedHold:  DefaultRefusedHold,
+		RefusedMax:   DefaultRefusedMax,
+		LeavingHold:  DefaultLeavingHold,
+		SignLifetime: DefaultSignLifetime,
+		SignAgeMax:   DefaultSignAgeMax,
 	}
 }
 
@@ -70,8 +65,6 @@
 		return errors.New("membership: RefusedHold must be positive and at most RefusedMax")
 	case o.LeavingHold <= 0 || o.SignLifetime <= 0 || o.SignAgeMax <= 0:
 		return errors.New("membership: LeavingHold, SignLifetime and SignAgeMax must be positive")
-	case o.ShrinkMinimum < 1:
-		return errors.New("membership: ShrinkMinimum is below 1; set at least 1")
 	}
 	return nil
 }
--- a/membership/suspect.go
+++ b/membership/suspect.go
@@ -10,86 +10,92 @@
 	confirmDivisor = 4
 )
 
-// suspicion is the state of a list that shrank too far.
+// suspicion is the state of a pool that shrank too far in the list.
 type suspicion struct {
 	// lists counts the consecutive lists that showed the shrink.
 	lists int
 	// since is when the first of them arrived.
 	since time.Time
-	// last is the newest of them.
-	last   List
-	listed map[string]bool
+	// marks are the members of the newest of them.
+	marks map[string]ListState
 }
 
-// shrinksByHalf says whether the list takes away at least half of the live
-// upstreams of any pool. Upstreams that this VM has seen leaving or refusing do
-// not count, since their loss is no surprise.
-func (t *Tracker) shrinksByHalf(listed map[string]bool) bool {
-	have := map[string]int{}
-	lost := map[string]int{}
-	for address, e := range t.entries {
-		if e.leaving() || e.refusals > 0 {
-			continue
+// suspects gives the pools of which the list leaves at most half of the
+// upstreams, or none live. Upstreams that the list itself shows as leaving are
+// not missing: those marks act at once, unless they would take the whole pool.
+func (t *Tracker) suspects(list List) map[string]bool {
+	present := map[string]int{}
+	live := map[string]int{}
+	for _, m := range list.Members {
+		present[m.Pool]++
+		if m.State == ListLive {
+			live[m.Pool]++
 		}
-		have[e.member.Pool]++
-		if !listed[address] {
-			lost[e.member.Pool]++
+	}
+	pools := map[string]bool{}
+	for pool, before := range t.active() {
+		if live[pool] == 0 || before >= 2*present[pool] {
+			pools[pool] = true
 		}
 	}
-	for pool, n := range lost {
-		if have[pool] >= t.opts.ShrinkMinimum && 2*n >= have[pool] {
-			return true
+	return pools
+}
+
+// active counts the upstreams by pool, without those that are leaving.
+func (t *Tracker) active() map[string]int {
+	n := map[string]int{}
+	for _, e := range t.entries {
+		if !e.leaving() {
+			n[e.member.Pool]++
 		}
 	}
-	return false
+	return n
 }
 
-// holdSuspect keeps the upstreams that a suspect list lacks.
-func (t *Tracker) holdSuspect(list List, listed map[string]bool, now time.Time) ListResult {
+// hold keeps the upstreams of a pool that a suspect list lacks.
+func (t *Tracker) hold(pool string, marks map[string]ListState, now time.Time) {
 	t.counts.SuspectLists++
-	if t.suspect.lists == 0 {
-		t.suspect.since = now
+	s := t.suspicions[pool]
+	if s == nil {
+		s = &suspicion{since: now}
+		t.suspicions[pool] = s
 	}
-	t.suspect.lists++
-	t.suspect.last = list
-	t.suspect.listed = listed
-	for address, e := range t.entries {
-		if !listed[address] {
-			e.listed = false
+	s.lists++
+	s.marks = marks
+	for _, address := range t.members[pool] {
+		if e := t.entries[address]; marks[address] != ListLive && !e.unlisted {
 			e.unlisted = true
 			t.touch(e)
 		}
 	}
-	if t.confirm(now) {
-		return ListApplied
-	}
-	return ListSuspect
 }
 
-// confirm applies a suspect list once two lists agree and this VM has itself
-// seen a part of the missing upstreams gone and none of them alive since.
-func (t *Tracker) confirm(now time.Time) bool {
-	if t.suspect.lists < listsToConfirm {
-		return false
+// confirm applies the suspect lists of pools for which two lists agree and this
+// VM has itself seen a part of the missing upstreams gone and none of them
+// alive since.
+func (t *Tracker) confirm(now time.Time) {
+	for pool, s := range t.suspicions {
+		if s.lists >= listsToConfirm && t.seenGone(pool, s) {
+			delete(t.suspicions, pool)
+			t.counts.ConfirmedLists++
+			t.drop(pool, s.marks, now)
+		}
 	}
+}
+
+func (t *Tracker) seenGone(pool string, s *suspicion) bool {
 	missing, gone := 0, 0
-	for address, e := range t.entries {
-		if t.suspect.listed[address] {
+	for _, address := range t.members[pool] {
+		e := t.entries[address]
+		if s.marks[address] == ListLive {
 			continue
 		}
 		missing++
-		if e.failedSince(t.suspect.since) {
+		if e.failedSince(s.since) {
 			gone++
-		} else if e.succeededAt.After(t.suspect.since) {
+		} else if e.succeededAt.After(s.since) {
 			return false
 		}
 	}
-	if gone < max(1, missing/confirmDivisor) {
-		return false
-	}
-	s := t.suspect
-	t.suspect = suspicion{}
-	t.counts.ConfirmedLists++
-	t.drop(s.last, s.listed, now)
-	return true
+	return gone >= max(1, missing/confirmDivisor)
 }
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -15,11 +15,12 @@
 	entries map[string]*entry
 	seq     uint64
 	started bool
-	suspect suspicion
-	pools   map[string]*poolView
-	// stale marks pools whose upstreams changed; reindex those whose set of
-	// addresses changed.
-	stale   map[string]bool
+	// suspicions holds the pools whose shrink waits for confirmation.
+	suspicions map[string]*suspicion
+	pools      map[string]*poolView
+	// dirty holds the entries that changed since the last View, and reindex the
+	// pools whose set of addresses changed.
+	dirty   map[*entry]bool
 	reindex map[string]bool
 	members map[string][]string
 	view    *View
@@ -35,13 +36,14 @@
 // NewTracker gives a tracker with an empty view.
 func NewTracker(opts Options) *Tracker {
 	return &Tracker{
-		opts:    opts,
-		entries: map[string]*entry{},
-		pools:   map[string]*poolView{},
-		stale:   map[string]bool{},
-		reindex: map[string]bool{},
-		members: map[string][]string{},
-		view:    &View{pools: map[string]*poolView{}},
+		opts:       opts,
+		entries:    map[string]*entry{},
+		suspicions: map[string]*suspicion{},
+		pools:      map[string]*poolView{},
+		dirty:      map[*entry]bool{},
+		reindex:    map[string]bool{},
+		members:    map[string][]string{},
+		view:       &View{pools: map[string]*poolView{}},
 	}
 }
 
@@ -54,6 +56,7 @@
 	t.counts.Draining++
 	e.ownSign, e.ownSignAt = settings.SignLeaving, now
 	t.markLeaving(e, now)
+	t.confirm(now)
 }
 
 // ObserveRefused records that the upstream refused a connection.
@@ -140,7 +143,6 @@
 	}
 	e.leftAt = at
 	t.touch(e)
-	t.confirm(at)
 }
 
 func (t *Tracker) markRefused(e *entry, at time.Time) {
@@ -152,9 +154,6 @@
 	// Work returns slowly once the hold is over.
 	e.trustFrom = e.refusedUntil
 	t.touch(e)
-	if e.unlisted && t.suspect.lists >= listsToConfirm {
-		t.remove(e)
-	}
 }
 
 // Signs gives what this VM has seen lately, to be sent with Renew. Each sign is
@@ -181,4 +180,8 @@
 // Counts gives the counters.
 func (t *Tracker) Counts() Counts { return t.counts }
 
-func (t *Tracker) touch(e *entry) { t.stale[e.member.Pool] = true }
+// touch makes the next View publish the entry anew.
+func (t *Tracker) touch(e *entry) {
+	e.published = nil
+	t.dirty[e] = true
+}
