routing: let load reports expire within two service times

Cause: eight VMs that saw the same 500 ms old reports all chose the same upstreams. Conclusion: a report's life follows from the pool's median latency.

--- /dev/null
+++ b/routing/experiment_test.go
@@ -0,0 +1,306 @@
+package routing
+
+import (
+	"container/heap"
+	"flag"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"damaskbridge.example/damaskbridge/membership"
+)
+
+var experimentSeeds = flag.Int("experiment.seeds", 1, "seeds of each run of the routing experiment")
+
+// The model: entry VMs with unequal shares send to runners with a few slots and
+// a FIFO queue each. Load reports lag. Time is virtual.
+const (
+	modelRunners  = 20
+	modelSlots    = 4
+	modelService  = 50 * time.Millisecond
+	modelSpread   = 0.5 // sigma of the log-normal service time
+	modelLag      = 500 * time.Millisecond
+	modelPeriod   = 250 * time.Millisecond
+	modelTime     = 8 * time.Second
+	modelDeadline = 400 * time.Millisecond
+)
+
+var modelShares = []float64{0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05}
+
+type scenario struct {
+	name string
+	// rate gives the load relative to capacity, and slow a runner's factor on
+	// its service times.
+	rate func(at time.Duration) float64
+	slow func(runner int, at time.Duration) float64
+	// liar reports no load, ever.
+	liar int
+}
+
+func flat(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+func even(int, time.Duration) float64 { return 1 }
+
+var scenarios = []scenario{
+	{name: "steady 0.7", rate: flat(0.7), slow: even, liar: -1},
+	{name: "burst 3x", rate: func(at time.Duration) float64 {
+		if at > 2*time.Second && at < 2500*time.Millisecond {
+			return 1.8
+		}
+		return 0.6
+	}, slow: even, liar: -1},
+	{name: "straggler", rate: flat(0.6), slow: func(r int, at time.Duration) float64 {
+		if r == 0 && at > 2*time.Second {
+			return 10
+		}
+		return 1
+	}, liar: -1},
+	{name: "liar", rate: flat(0.7), slow: even, liar: 0},
+	{name: "slow liar", rate: flat(0.6), slow: func(r int, _ time.Duration) float64 {
+		if r == 0 {
+			return 4
+		}
+		return 1
+	}, liar: 0},
+}
+
+// policy is one VM's way to choose.
+type policy interface {
+	choose(now time.Time) (runner int, done func(latency time.Duration, now time.Time))
+	report(runner int, l Load, now time.Time)
+}
+
+type randomPolicy struct{ rng *rand.Rand }
+
+func (p randomPolicy) choose(time.Time) (int, func(time.Duration, time.Time)) {
+	return p.rng.IntN(modelRunners), func(time.Duration, time.Time) {}
+}
+func (randomPolicy) report(int, Load, time.Time) {}
+
+type roundRobin struct{ next *int }
+
+func (p roundRobin) choose(time.Time) (int, func(time.Duration, time.Time)) {
+	*p.next++
+	return *p.next % modelRunners, func(time.Duration, time.Time) {}
+}
+func (roundRobin) report(int, Load, time.Time) {}
+
+// leastOutstanding takes the runner with the fewest own requests.
+type leastOutstanding struct {
+	own [modelRunners]int
+	rng *rand.Rand
+}
+
+func (p *leastOutstanding) choose(time.Time) (int, func(time.Duration, time.Time)) {
+	best := p.rng.IntN(modelRunners)
+	for i := range modelRunners {
+		if p.own[i] < p.own[best] {
+			best = i
+		}
+	}
+	p.own[best]++
+	return best, func(time.Duration, time.Time) { p.own[best]-- }
+}
+func (*leastOutstanding) report(int, Load, time.Time) {}
+
+// leastReported takes the runner with the least reported load.
+type leastReported struct{ load [modelRunners]int }
+
+func (p *leastReported) choose(time.Time) (int, func(time.Duration, time.Time)) {
+	best := 0
+	for i := range p.load {
+		if p.load[i] < p.load[best] {
+			best = i
+		}
+	}
+	return best, func(time.Duration, time.Time) {}
+}
+
+func (p *leastReported) report(r int, l Load, _ time.Time) { p.load[r] = l.Running + l.Waiting }
+
+type chain struct {
+	r     *Router
+	view  *membership.View
+	index map[string]int
+}
+
+func (p chain) choose(now time.Time) (int, func(time.Duration, time.Time)) {
+	c, err := p.r.Choose(p.view, Request{Pool: "p"}, now)
+	if err != nil {
+		return 0, func(time.Duration, time.Time) {}
+	}
+	return p.index[c.Upstream.Address], func(d time.Duration, now time.Time) {
+		p.r.Done(c.Ticket, Outcome{Latency: d}, now)
+	}
+}
+
+func (p chain) report(r int, l Load, now time.Time) { p.r.ObserveLoad(address(r), l, now) }
+
+var policies = []struct {
+	name string
+	make func(seed uint64) policy
+}{
+	{"random", func(seed uint64) policy { return randomPolicy{rand.New(rand.NewPCG(seed, 2))} }},
+	{"round robin", func(seed uint64) policy { n := int(seed); return roundRobin{&n} }},
+	{"least outstanding", func(seed uint64) policy { return &leastOutstanding{rng: rand.New(rand.NewPCG(seed, 2))} }},
+	{"least reported", func(uint64) policy { return &leastReported{} }},
+	{"chain", func(seed uint64) policy {
+		index := map[string]int{}
+		for i := range modelRunners {
+			index[address(i)] = i
+		}
+		return chain{r: router(seed), view: pool(modelRunners).View(), index: index}
+	}},
+}
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	n := len(*h)
+	e := (*h)[n-1]
+	*h = (*h)[:n-1]
+	return e
+}
+
+type clock struct {
+	now   time.Duration
+	queue events
+	n     int
+}
+
+func (c *clock) after(d time.Duration, do func()) {
+	c.n++
+	heap.Push(&c.queue, event{c.now + d, c.n, do})
+}
+
+func (c *clock) run() {
+	for len(c.queue) > 0 {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.do()
+	}
+}
+
+type runner struct {
+	running int
+	queue   []func()
+}
+
+// simulate gives the latencies of all requests, in order. Arrivals and service
+// demands depend on the seed alone.
+func simulate(sc scenario, mk func(uint64) policy, seed uint64) []time.Duration {
+	c := &clock{}
+	rng := rand.New(rand.NewPCG(seed, 3))
+	runners := make([]runner, modelRunners)
+	vms := make([]policy, len(modelShares))
+	for i := range vms {
+		vms[i] = mk(seed*100 + uint64(i))
+	}
+	var latencies []time.Duration
+	serve := func(r int, demand time.Duration, done func()) {
+		var begin func()
+		begin = func() {
+			runners[r].running++
+			c.after(time.Duration(float64(demand)*sc.slow(r, c.now)), func() {
+				runners[r].running--
+				if q := runners[r].queue; len(q) > 0 {
+					runners[r].queue = q[1:]
+					q[0]()
+				}
+				done()
+			})
+		}
+		if runners[r].running < modelSlots {
+			begin()
+		} else {
+			runners[r].queue = append(runners[r].queue, begin)
+		}
+	}
+	var arrive func()
+	arrive = func() {
+		at := c.now
+		demand := time.Duration(float64(modelService) * math.Exp(modelSpread*rng.NormFloat64()-modelSpread*modelSpread/2))
+		x, vm := rng.Float64(), 0
+		for ; vm < len(vms)-1 && x > modelShares[vm]; vm++ {
+			x -= modelShares[vm]
+		}
+		r, done := vms[vm].choose(start.Add(at))
+		serve(r, demand, func() {
+			latencies = append(latencies, c.now-at)
+			done(c.now-at, start.Add(c.now))
+		})
+		perSecond := sc.rate(at) * modelRunners * modelSlots / modelService.Seconds()
+		if gap := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)); at+gap < modelTime {
+			c.after(gap, arrive)
+		}
+	}
+	c.after(0, arrive)
+	for i := range modelRunners {
+		var measure func()
+		measure = func() {
+			l := Load{Running: runners[i].running, Waiting: len(runners[i].queue), At: start.Add(c.now)}
+			if i == sc.liar {
+				l.Running, l.Waiting = 0, 0
+			}
+			c.after(modelLag, func() {
+				for _, vm := range vms {
+					vm.report(i, l, start.Add(c.now))
+				}
+			})
+			if c.now < modelTime {
+				c.after(modelPeriod, measure)
+			}
+		}
+		c.after(modelPeriod*time.Duration(i)/modelRunners, measure)
+	}
+	c.run()
+	slices.Sort(latencies)
+	return latencies
+}
+
+func attainment(latencies []time.Duration) float64 {
+	within, _ := slices.BinarySearch(latencies, modelDeadline+1)
+	return float64(within) / float64(len(latencies))
+}
+
+// Guards the routing policy against falling behind its baselines: on the same
+// arrivals its attainment is at least that of the best of them, less 0.5%.
+func TestExperiment(t *testing.T) {
+	for _, sc := range scenarios {
+		best, own := 0.0, 0.0
+		for _, p := range policies {
+			var att, p50, p99 float64
+			for seed := range *experimentSeeds {
+				l := simulate(sc, p.make, uint64(seed+1))
+				att += attainment(l) / float64(*experimentSeeds)
+				p50 += l[len(l)/2].Seconds() * 1000 / float64(*experimentSeeds)
+				p99 += l[len(l)*99/100].Seconds() * 1000 / float64(*experimentSeeds)
+			}
+			t.Logf("%-12s %-18s attainment %.4f  p50 %4.0f ms  p99 %5.0f ms", sc.name, p.name, att, p50, p99)
+			if p.name == "chain" {
+				own = att
+			} else {
+				best = max(best, att)
+			}
+		}
+		if own < best-0.005 {
+			t.Errorf("%s: attainment %.4f, the best baseline has %.4f", sc.name, own, best)
+		}
+	}
+}
--- a/routing/poolstat.go
+++ b/routing/poolstat.go
@@ -11,6 +11,9 @@
 	slowFactor = 1.5
 	// medianPeriod bounds how often a pool's median is computed anew.
 	medianPeriod = 100 * time.Millisecond
+	// reportServices is the number of median service times that a load report is
+	// good for.
+	reportServices = 2
 	// meanGain is the weight of a new report in the pool's means.
 	meanGain = 0.05
 )
@@ -41,6 +44,14 @@
 	p.meanTotal += meanGain * (total - p.meanTotal)
 }
 
+// reportLife gives the time in nanoseconds in which a report loses its weight by
+// 1/e. After a few service times the requests that it counted have ended, and
+// VMs that still believed it would all choose the same upstreams.
+func (p *poolStat) reportLife() float64 {
+	services := reportServices * p.medianMS * float64(time.Millisecond)
+	return min(float64(p.opts.ReportLife), services)
+}
+
 // refresh computes the median latency over the upstreams with samples.
 func (p *poolStat) refresh(now time.Time) {
 	if !p.medianAt.IsZero() && now.Sub(p.medianAt) < medianPeriod {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -246,7 +246,11 @@
 			events = append(events, CacheEvent{Seq: uint64(i + 1), Stored: true, Prefix: p, At: start})
 		}
 		r.ObserveCache(address(2), events)
-		Expect(choose(Request{Prefix: prefix}, start).Upstream.Address).To(Equal(address(2)))
+		for range 20 {
+			c := choose(Request{Prefix: prefix}, start)
+			Expect(c.Upstream.Address).To(Equal(address(2)))
+			r.Done(c.Ticket, Outcome{Result: Cancelled}, start)
+		}
 		for n := range 4 {
 			r.ObserveModels(address(n), []string{fmt.Sprint("m", n)}, nil)
 		}
--- a/routing/stat.go
+++ b/routing/stat.go
@@ -147,7 +147,7 @@
 		return own + s.pool.meanOthers
 	}
 	age := max(0, now.Sub(s.load.At))
-	weight := s.credibility * math.Exp(-float64(age)/float64(s.pool.opts.ReportLife))
+	weight := s.credibility * math.Exp(-float64(age)/s.pool.reportLife())
 	return own + weight*s.others + (1-weight)*s.pool.meanOthers
 }
 
