routing: count candidates within 10% of the cheapest as equal

Cause: a margin of 25% gives up a part of what the costs know. Conclusion: Slots keeps its meaning, the true number of slots of an upstream.

--- a/routing/experiment_test.go
+++ b/routing/experiment_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/membership"
 )
 
@@ -25,8 +26,12 @@
 	modelPeriod   = 250 * time.Millisecond
 	modelTime     = 8 * time.Second
 	modelDeadline = 400 * time.Millisecond
+	// modelCross is the round trip between regions.
+	modelCross = 60 * time.Millisecond
 )
 
+var modelRegions = []ids.Region{"lagos", "abuja", "onitsha"}
+
 var modelShares = []float64{0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05}
 
 type scenario struct {
@@ -37,6 +42,16 @@
 	slow func(runner int, at time.Duration) float64
 	// liar reports no load, ever.
 	liar int
+	// regions spreads VMs and runners over three regions.
+	regions bool
+}
+
+// region gives the region of the nth VM or runner.
+func (s scenario) region(n int) ids.Region {
+	if s.regions {
+		return modelRegions[n%len(modelRegions)]
+	}
+	return modelRegions[0]
 }
 
 func flat(rate float64) func(time.Duration) float64 {
@@ -66,6 +81,8 @@
 		}
 		return 1
 	}, liar: 0},
+	{name: "regions 0.6", rate: flat(0.6), slow: even, liar: -1, regions: true},
+	{name: "regions 0.85", rate: flat(0.85), slow: even, liar: -1, regions: true},
 }
 
 // policy is one VM's way to choose.
@@ -142,18 +159,25 @@
 
 var policies = []struct {
 	name string
-	make func(seed uint64) policy
+	make func(seed uint64, sc scenario, vm int) policy
 }{
-	{"random", func(seed uint64) policy { return randomPolicy{rand.New(rand.NewPCG(seed, 2))} }},
-	{"round robin", func(seed uint64) policy { n := int(seed); return roundRobin{&n} }},
-	{"least outstanding", func(seed uint64) policy { return &leastOutstanding{rng: rand.New(rand.NewPCG(seed, 2))} }},
-	{"least reported", func(uint64) policy { return &leastReported{} }},
-	{"chain", func(seed uint64) policy {
+	{"random", func(seed uint64, _ scenario, _ int) policy { return randomPolicy{rand.New(rand.NewPCG(seed, 2))} }},
+	{"round robin", func(seed uint64, _ scenario, _ int) policy { n := int(seed); return roundRobin{&n} }},
+	{"least outstanding", func(seed uint64, _ scenario, _ int) policy {
+		return &leastOutstanding{rng: rand.New(rand.NewPCG(seed, 2))}
+	}},
+	{"least reported", func(uint64, scenario, int) policy { return &leastReported{} }},
+	{"chain", func(seed uint64, sc scenario, vm int) policy {
 		index := map[string]int{}
 		for i := range modelRunners {
 			index[address(i)] = i
 		}
-		return chain{r: router(seed), view: pool(modelRunners).View(), index: index}
+		regions := modelRegions[:1]
+		if sc.regions {
+			regions = modelRegions
+		}
+		r := NewRouter(DefaultOptions(sc.region(vm)), rand.New(rand.NewPCG(seed, 1)))
+		return chain{r: r, view: pool(modelRunners, regions...).View(), index: index}
 	}},
 }
 
@@ -202,17 +226,18 @@
 	queue   []func()
 }
 
-// simulate gives the latencies of all requests, in order. Arrivals and service
-// demands depend on the seed alone.
-func simulate(sc scenario, mk func(uint64) policy, seed uint64) []time.Duration {
+// simulate gives the latencies of all requests, in order, and the part that
+// went to another region. Arrivals and service demands depend on the seed alone.
+func simulate(sc scenario, mk func(uint64, scenario, int) policy, seed uint64) ([]time.Duration, float64) {
 	c := &clock{}
 	rng := rand.New(rand.NewPCG(seed, 3))
 	runners := make([]runner, modelRunners)
 	vms := make([]policy, len(modelShares))
 	for i := range vms {
-		vms[i] = mk(seed*100 + uint64(i))
+		vms[i] = mk(seed*100+uint64(i), sc, i)
 	}
 	var latencies []time.Duration
+	crossed := 0
 	serve := func(r int, demand time.Duration, done func()) {
 		var begin func()
 		begin = func() {
@@ -241,9 +266,18 @@
 			x -= modelShares[vm]
 		}
 		r, done := vms[vm].choose(start.Add(at))
-		serve(r, demand, func() {
-			latencies = append(latencies, c.now-at)
-			done(c.now-at, start.Add(c.now))
+		var way time.Duration
+		if sc.region(vm) != sc.region(r) {
+			crossed++
+			way = modelCross / 2
+		}
+		c.after(way, func() {
+			serve(r, demand, func() {
+				c.after(way, func() {
+					latencies = append(latencies, c.now-at)
+					done(c.now-at, start.Add(c.now))
+				})
+			})
 		})
 		perSecond := sc.rate(at) * modelRunners * modelSlots / modelService.Seconds()
 		if gap := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)); at+gap < modelTime {
@@ -271,7 +305,7 @@
 	}
 	c.run()
 	slices.Sort(latencies)
-	return latencies
+	return latencies, float64(crossed) / float64(len(latencies))
 }
 
 func attainment(latencies []time.Duration) float64 {
@@ -285,14 +319,15 @@
 	for _, sc := range scenarios {
 		best, own := 0.0, 0.0
 		for _, p := range policies {
-			var att, p50, p99 float64
+			var att, p50, p99, cross float64
 			for seed := range *experimentSeeds {
-				l := simulate(sc, p.make, uint64(seed+1))
+				l, x := simulate(sc, p.make, uint64(seed+1))
+				cross += x / float64(*experimentSeeds)
 				att += attainment(l) / float64(*experimentSeeds)
 				p50 += l[len(l)/2].Seconds() * 1000 / float64(*experimentSeeds)
 				p99 += l[len(l)*99/100].Seconds() * 1000 / float64(*experimentSeeds)
 			}
-			t.Logf("%-12s %-18s attainment %.4f  p50 %4.0f ms  p99 %5.0f ms", sc.name, p.name, att, p50, p99)
+			t.Logf("%-12s %-18s attainment %.4f  p50 %4.0f ms  p99 %5.0f ms  other region %.2f", sc.name, p.name, att, p50, p99, cross)
 			if p.name == "chain" {
 				own = att
 			} else {
--- a/routing/options.go
+++ b/routing/options.go
@@ -12,7 +12,7 @@
 	DefaultSlots            = 4
 	DefaultReportLife       = time.Second
 	DefaultLatencyLife      = 10 * time.Second
-	DefaultNearEqual        = 0.25
+	DefaultNearEqual        = 0.1
 	DefaultNearEqualMS      = 1
 	DefaultMaxScored        = 64
 	DefaultRegionPenaltyMS  = 60
