routing: compare an upstream's latency with its peers of the same region

Cause: in a pool of 5 ms calls the 60 ms round trip made every upstream of another region an outlier, which was ejected. Ruled out: taking the round trip off the samples; the core does not know it. Before: the new spec fails with medians over the whole pool. After: passes. Conclusion: medians are kept per region.

--- a/routing/ejection.go
+++ b/routing/ejection.go
@@ -50,7 +50,7 @@
 // slow says whether the upstream's latency is an outlier. A probe is judged by
 // its own latency, since the mean still holds the samples from before.
 func (r *Router) slow(s *stat, o Outcome) bool {
-	limit := r.opts.Ejection.Latency * s.pool.medianMS
+	limit := r.opts.Ejection.Latency * s.region.medianMS
 	if s.ejection.shut {
 		return o.Result == Success && float64(o.Latency)/float64(time.Millisecond) > limit
 	}
--- a/routing/poolstat.go
+++ b/routing/poolstat.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"damaskbridge.example/damaskbridge/ids"
 )
 
 const (
@@ -30,10 +32,28 @@
 	meanOthers float64
 	meanTotal  float64
 	scratch    []float64
+	regions    map[ids.Region]*regionStat
+}
+
+// regionStat is the median latency of a pool's upstreams in one region. An
+// upstream is compared with its peers there: in a pool of short calls the round
+// trip to another region would make every upstream of that region an outlier.
+type regionStat struct {
+	medianMS float64
+	known    bool
 }
 
 func newPoolStat(opts *Options) *poolStat {
-	return &poolStat{opts: opts, medianMS: opts.InitialLatencyMS}
+	return &poolStat{opts: opts, medianMS: opts.InitialLatencyMS, regions: map[ids.Region]*regionStat{}}
+}
+
+func (p *poolStat) region(name ids.Region) *regionStat {
+	r := p.regions[name]
+	if r == nil {
+		r = &regionStat{medianMS: p.medianMS}
+		p.regions[name] = r
+	}
+	return r
 }
 
 func (p *poolStat) observeOthers(others float64) {
@@ -52,23 +72,40 @@
 	return min(float64(p.opts.ReportLife), services)
 }
 
-// refresh computes the median latency over the upstreams with samples.
+// refresh computes the median latencies over the upstreams with samples. A
+// region without samples takes the pool's median.
 func (p *poolStat) refresh(now time.Time) {
 	if !p.medianAt.IsZero() && now.Sub(p.medianAt) < medianPeriod {
 		return
 	}
 	p.medianAt = now
+	if m, ok := p.median(nil); ok {
+		p.medianMS = m
+	}
+	for _, r := range p.regions {
+		m, ok := p.median(r)
+		if !ok && !r.known {
+			m = p.medianMS
+		} else if !ok {
+			continue
+		}
+		r.medianMS, r.known = m, ok
+	}
+}
+
+// median gives the median latency in a region, or in all for nil.
+func (p *poolStat) median(r *regionStat) (float64, bool) {
 	p.scratch = p.scratch[:0]
 	for _, s := range p.stats {
-		if s.samples > 0 {
+		if s.samples > 0 && (r == nil || s.region == r) {
 			p.scratch = append(p.scratch, s.latencyMS)
 		}
 	}
 	if len(p.scratch) == 0 {
-		return
+		return 0, false
 	}
 	slices.Sort(p.scratch)
-	p.medianMS = p.scratch[(len(p.scratch)-1)/2]
+	return p.scratch[(len(p.scratch)-1)/2], true
 }
 
 // prune forgets upstreams that have left the view. One with requests under way
--- a/routing/router.go
+++ b/routing/router.go
@@ -282,7 +282,8 @@
 func (r *Router) stat(u *membership.Upstream) *stat {
 	s := r.stats[u.Address]
 	if s == nil {
-		s = &stat{address: u.Address, pool: r.pool(u.Pool), credibility: 1}
+		p := r.pool(u.Pool)
+		s = &stat{address: u.Address, pool: p, region: p.region(u.Region), credibility: 1}
 		r.stats[u.Address] = s
 		s.pool.stats = append(s.pool.stats, s)
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -220,6 +220,20 @@
 		Expect(r.Counts().Ejections).To(BeEquivalentTo(1))
 	})
 
+	It("does not eject the upstreams of another region for the round trip to it", func() {
+		tr = pool(6, "lagos", "lagos", "abuja")
+		for i := range 15 {
+			for n := range 6 {
+				latency := 5 * time.Millisecond
+				if n%3 == 2 {
+					latency = 65 * time.Millisecond
+				}
+				serve(n, Success, latency, start.Add(time.Duration(i)*time.Second))
+			}
+		}
+		Expect(r.Counts().Ejections).To(BeZero())
+	})
+
 	It("opens the circuit after connect failures and says when a probe is due", func() {
 		tr = pool(1)
 		for range DefaultConnectFailures {
--- a/routing/stat.go
+++ b/routing/stat.go
@@ -28,6 +28,7 @@
 type stat struct {
 	address string
 	pool    *poolStat
+	region  *regionStat
 
 	inFlight []flight
 	history  [historyLength]pastLoad
@@ -128,7 +129,7 @@
 func (s *stat) judge(total, own int) {
 	short := total+lieSlack < own
 	slow := s.samples >= s.pool.opts.Ejection.Samples &&
-		s.latencyMS > slowFactor*s.pool.medianMS &&
+		s.latencyMS > slowFactor*s.region.medianMS &&
 		float64(total) < s.pool.meanTotal
 	s.pool.observeTotal(float64(total))
 	if short || slow {
@@ -164,11 +165,11 @@
 }
 
 // expectedLatencyMS gives the latency that the next request can expect. It
-// falls back to the pool's median with time, so that an upstream that was slow
+// falls back to its region's median with time, so that an upstream that was slow
 // is tried again, and it rises at once with the age of the oldest request under
 // way, before any response shows that the upstream is slow.
 func (s *stat) expectedLatencyMS(now time.Time) float64 {
-	median := s.pool.medianMS
+	median := s.region.medianMS
 	expected := median
 	if s.samples > 0 {
 		age := max(0, now.Sub(s.sampledAt))
