--- /dev/null
+++ b/admission/experiment_test.go
@@ -0,0 +1,262 @@
+package admission
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+var experimentSeeds = flag.Int("experiment.seeds", 1, "seeds of each run of the admission experiment")
+
+// The model: eight entry VMs with unequal shares send to one pool, a station
+// with a number of slots and a FIFO queue. Time is virtual.
+const (
+	modelSlots    = 80
+	modelService  = 50 * time.Millisecond
+	modelSpread   = 0.5 // sigma of the log-normal service time
+	modelTime     = 6 * time.Second
+	modelDeadline = 500 * time.Millisecond
+	modelTick     = 5 * time.Millisecond
+)
+
+var (
+	modelShares = []float64{0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05}
+	// One workspace of five sends half of the requests; weights are equal.
+	modelWorkspaces = []float64{0.5, 0.2, 0.1, 0.1, 0.1}
+	modelPriorities = []float64{0.3, 0.5, 0.2}
+)
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	n := len(*h)
+	e := (*h)[n-1]
+	*h = (*h)[:n-1]
+	return e
+}
+
+type clock struct {
+	now   time.Duration
+	queue events
+	n     int
+}
+
+func (c *clock) after(d time.Duration, do func()) {
+	c.n++
+	heap.Push(&c.queue, event{c.now + d, c.n, do})
+}
+
+func (c *clock) run() {
+	for len(c.queue) > 0 {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.do()
+	}
+}
+
+func pick(shares []float64, x float64) int {
+	i := 0
+	for ; i < len(shares)-1 && x > shares[i]; i++ {
+		x -= shares[i]
+	}
+	return i
+}
+
+type outcome struct {
+	offered, rejected, good int
+	capacity                float64
+	latencies               []time.Duration
+	// byWorkspace and byPriority count good answers and offers.
+	byWorkspace, offersW []int
+	byPriority, offersP  []int
+	limits               []int
+}
+
+func (o *outcome) goodput() float64 { return float64(o.good) / o.capacity }
+
+// simulate runs one load. With gated false every request is sent at once.
+func simulate(load func(at time.Duration) float64, gated bool, seed uint64) *outcome {
+	c := &clock{}
+	rng := rand.New(rand.NewPCG(seed, 3))
+	o := &outcome{
+		byWorkspace: make([]int, 5), offersW: make([]int, 5),
+		byPriority: make([]int, 3), offersP: make([]int, 3),
+		capacity: modelSlots * modelTime.Seconds() / modelService.Seconds(),
+	}
+	running := 0
+	var queue []func()
+	serve := func(demand time.Duration, done func()) {
+		begin := func() {
+			running++
+			c.after(demand, func() {
+				running--
+				if len(queue) > 0 {
+					next := queue[0]
+					queue = queue[1:]
+					next()
+				}
+				done()
+			})
+		}
+		if running < modelSlots {
+			begin()
+		} else {
+			queue = append(queue, begin)
+		}
+	}
+	gates := make([]*Gate, len(modelShares))
+	granted := make([]map[Ticket]func(), len(gates))
+	for i := range gates {
+		gates[i] = NewGate(DefaultOptions())
+		granted[i] = map[Ticket]func(){}
+	}
+	drain := func(vm int) {
+		for _, e := range gates[vm].Events() {
+			run := granted[vm][e.Ticket]
+			delete(granted[vm], e.Ticket)
+			if e.Rejection != nil {
+				o.rejected++
+				continue
+			}
+			run()
+		}
+	}
+	var arrive func()
+	arrive = func() {
+		at := c.now
+		demand := time.Duration(float64(modelService) * math.Exp(modelSpread*rng.NormFloat64()-modelSpread*modelSpread/2))
+		vm, ws, prio := pick(modelShares, rng.Float64()), pick(modelWorkspaces, rng.Float64()), pick(modelPriorities, rng.Float64())
+		o.offered++
+		o.offersW[ws]++
+		o.offersP[prio]++
+		answer := func() {
+			o.latencies = append(o.latencies, c.now-at)
+			if c.now-at <= modelDeadline {
+				o.good++
+				o.byWorkspace[ws]++
+				o.byPriority[prio]++
+			}
+		}
+		if gated {
+			g := gates[vm]
+			granted[vm][g.next+1] = func() {}
+			var t Ticket
+			run := func() {
+				sent := c.now
+				serve(demand, func() {
+					answer()
+					g.Release(t, Sample{Latency: c.now - sent}, start.Add(c.now))
+					drain(vm)
+				})
+			}
+			granted[vm][g.next+1] = run
+			t = g.Offer(Request{
+				Workspace: fmt.Sprint("w", ws), Priority: Priority(prio),
+				Deadline: start.Add(at + modelDeadline), Need: modelService,
+			}, start.Add(at))
+			drain(vm)
+		} else {
+			serve(demand, answer)
+		}
+		perSecond := load(at) * modelSlots / modelService.Seconds()
+		if gap := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)); at+gap < modelTime {
+			c.after(gap, arrive)
+		}
+	}
+	c.after(0, arrive)
+	if gated {
+		var tick func()
+		tick = func() {
+			for vm, g := range gates {
+				g.Advance(start.Add(c.now))
+				drain(vm)
+			}
+			if c.now < modelTime+time.Second {
+				c.after(modelTick, tick)
+			}
+		}
+		c.after(0, tick)
+	}
+	c.run()
+	slices.Sort(o.latencies)
+	for _, g := range gates {
+		o.limits = append(o.limits, g.Limit())
+	}
+	return o
+}
+
+func flat(load float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return load }
+}
+
+// Guards against collapse past saturation, refusals below it, and a workspace
+// that takes the shares of others.
+func TestExperiment(t *testing.T) {
+	burst := func(at time.Duration) float64 {
+		if at > 2*time.Second && at < 3*time.Second {
+			return 2.1
+		}
+		return 0.7
+	}
+	loads := []struct {
+		name string
+		load func(time.Duration) float64
+	}{
+		{"0.5", flat(0.5)},
+		{"0.8", flat(0.8)},
+		{"1.0", flat(1)},
+		{"1.25", flat(1.25)},
+		{"1.5", flat(1.5)},
+		{"2.0", flat(2)},
+		{"3.0", flat(3)},
+		{"burst 3x", burst},
+	}
+	peak := 0.0
+	for _, l := range loads {
+		for _, gated := range []bool{false, true} {
+			var goodput, att, rejected float64
+			var last *outcome
+			n := float64(*experimentSeeds)
+			for seed := range *experimentSeeds {
+				last = simulate(l.load, gated, uint64(seed+1))
+				goodput += last.goodput() / n
+				att += float64(last.good) / float64(last.offered) / n
+				rejected += float64(last.rejected) / float64(last.offered) / n
+			}
+			p := func(q int) float64 { return last.latencies[len(last.latencies)*q/100].Seconds() * 1000 }
+			t.Logf("%-8s gated=%-5v goodput %.3f attainment %.3f rejected %.3f p50 %4.0f p99 %5.0f ms  by workspace %v of %v by priority %v of %v limits %v",
+				l.name, gated, goodput, att, rejected, p(50), p(99), last.byWorkspace, last.offersW, last.byPriority, last.offersP, last.limits)
+			if !gated {
+				continue
+			}
+			switch l.name {
+			case "0.5", "0.8":
+				if att < 0.995 {
+					t.Errorf("load %s: attainment %.3f below saturation", l.name, att)
+				}
+			case "1.5", "2.0", "3.0":
+				if goodput < 0.9*peak {
+					t.Errorf("load %s: goodput %.3f, was %.3f at saturation", l.name, goodput, peak)
+				}
+			}
+			peak = max(peak, goodput)
+		}
+	}
+}
