admission: let a VM's limit grow by its demand

Cause: all VMs see the same latency, so a constant step makes their limits equal whatever their shares; VMs with much traffic rejected lookups while others served batch. Conclusion: the step is 30% of the demand at the long-term latency.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -63,6 +63,7 @@
 func (g *Gate) Offer(req Request, now time.Time) Ticket {
 	g.next++
 	it := &item{ticket: g.next, req: req, since: now}
+	g.limiter.Offer()
 	g.Advance(now)
 	switch {
 	case req.late(0, now):
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -38,7 +38,9 @@
 
 // Limiter is an adaptive concurrency limit. Once for each window it compares
 // the median latency with a long-term minimum and lowers the limit by their
-// ratio or raises it by about its square root.
+// ratio. What it adds follows the VM's own demand while latency is high: all
+// VMs see the same latency, so with a constant step their limits would become
+// equal, whatever their shares of the traffic.
 type Limiter struct {
 	opts     LimiterOptions
 	limit    float64
@@ -48,6 +50,8 @@
 	drops    int
 	peak     int
 	started  time.Time
+	// offered counts the requests offered in the window.
+	offered int
 }
 
 // NewLimiter gives a limiter at its initial limit.
@@ -58,6 +62,9 @@
 // Limit gives the number of requests that may be under way.
 func (l *Limiter) Limit() int { return int(l.limit) }
 
+// Offer counts a request that asks for a place, whether or not it gets one.
+func (l *Limiter) Offer() { l.offered++ }
+
 // Baseline gives the long-term minimum of the window's median latency.
 func (l *Limiter) Baseline() time.Duration { return time.Duration(l.baseline) }
 
@@ -93,7 +100,7 @@
 		l.set(l.limit * l.opts.Backoff)
 	}
 	l.window = l.window[:0]
-	l.samples, l.drops, l.peak = 0, 0, 0
+	l.samples, l.drops, l.peak, l.offered = 0, 0, 0, 0
 	l.started = now
 }
 
@@ -110,13 +117,28 @@
 		l.baseline += (latency - l.baseline) * min(1, elapsed)
 	}
 	gradient := min(1, max(gradientFloor, l.opts.Tolerance*l.baseline/latency))
-	target := l.limit*gradient + math.Sqrt(l.limit)
+	step := 1 + l.opts.DemandPart*l.demand(now)
+	if gradient == 1 {
+		step = max(step, math.Sqrt(l.limit))
+	}
+	target := l.limit*gradient + step
 	if target > l.limit && (!busy || l.drops > 0) {
 		return
 	}
 	l.set(l.limit + limitGain*(target-l.limit))
 }
 
+// demand gives the places that the offered requests would hold at once at the
+// long-term latency. With the present latency, the limit would feed on the
+// congestion that it causes.
+func (l *Limiter) demand(now time.Time) float64 {
+	elapsed := float64(now.Sub(l.started))
+	if elapsed <= 0 {
+		return 0
+	}
+	return float64(l.offered) / elapsed * l.baseline
+}
+
 func (l *Limiter) set(limit float64) {
 	l.limit = min(l.opts.Max, max(l.opts.Min, limit))
 }
--- a/admission/options.go
+++ b/admission/options.go
@@ -15,6 +15,7 @@
 	DefaultWindowSamples   = 8
 	DefaultBaselineRise    = 5 * time.Minute
 	DefaultBaselineIdle    = 10 * time.Second
+	DefaultDemandPart      = 0.3
 	DefaultBackoff         = 0.9
 	DefaultDropTolerance   = 0.02
 	DefaultQueue           = 1024
@@ -58,6 +59,9 @@
 	// a higher latency while the limit is in use, and BaselineIdle that while
 	// less than half of it is in use.
 	BaselineRise, BaselineIdle time.Duration
+	// DemandPart is the part of the VM's demand, in places, that each window may
+	// add to the limit while latency is above Tolerance.
+	DemandPart float64
 	// Backoff multiplies the limit once for each window with drops (429s and
 	// timeouts) above DropTolerance, a part of the window's samples.
 	Backoff       float64
@@ -76,6 +80,7 @@
 			WindowSamples: DefaultWindowSamples,
 			BaselineRise:  DefaultBaselineRise,
 			BaselineIdle:  DefaultBaselineIdle,
+			DemandPart:    DefaultDemandPart,
 			Backoff:       DefaultBackoff,
 			DropTolerance: DefaultDropTolerance,
 		},
