admission: warm the experiment up at half load before it counts

Cause: a run that began in overload took its long-term latency from the first eight samples, so it measured the start and not the policy. Conclusion: the limiter stays as it is.

--- a/admission/experiment_test.go
+++ b/admission/experiment_test.go
@@ -16,10 +16,12 @@
 // The model: eight entry VMs with unequal shares send to one pool, a station
 // with a number of slots and a FIFO queue. Time is virtual.
 const (
-	modelSlots    = 80
-	modelService  = 50 * time.Millisecond
-	modelSpread   = 0.5 // sigma of the log-normal service time
-	modelTime     = 6 * time.Second
+	modelSlots   = 80
+	modelService = 50 * time.Millisecond
+	modelSpread  = 0.5 // sigma of the log-normal service time
+	// modelWarm is a time at half load from which nothing is counted.
+	modelWarm     = 2 * time.Second
+	modelTime     = 8 * time.Second
 	modelDeadline = 500 * time.Millisecond
 	modelTick     = 5 * time.Millisecond
 )
@@ -98,7 +100,7 @@
 	o := &outcome{
 		byWorkspace: make([]int, 5), offersW: make([]int, 5),
 		byPriority: make([]int, 3), offersP: make([]int, 3),
-		capacity: modelSlots * modelTime.Seconds() / modelService.Seconds(),
+		capacity: modelSlots * (modelTime - modelWarm).Seconds() / modelService.Seconds(),
 	}
 	running := 0
 	var queue []func()
@@ -131,11 +133,11 @@
 		for _, e := range gates[vm].Events() {
 			run := granted[vm][e.Ticket]
 			delete(granted[vm], e.Ticket)
-			if e.Rejection != nil {
+			if e.Rejection == nil {
+				run()
+			} else if c.now > modelWarm {
 				o.rejected++
-				continue
 			}
-			run()
 		}
 	}
 	var arrive func()
@@ -143,10 +145,15 @@
 		at := c.now
 		demand := time.Duration(float64(modelService) * math.Exp(modelSpread*rng.NormFloat64()-modelSpread*modelSpread/2))
 		vm, ws, prio := pick(modelShares, rng.Float64()), pick(modelWorkspaces, rng.Float64()), pick(modelPriorities, rng.Float64())
-		o.offered++
-		o.offersW[ws]++
-		o.offersP[prio]++
+		if at >= modelWarm {
+			o.offered++
+			o.offersW[ws]++
+			o.offersP[prio]++
+		}
 		answer := func() {
+			if at < modelWarm {
+				return
+			}
 			o.latencies = append(o.latencies, c.now-at)
 			if c.now-at <= modelDeadline {
 				o.good++
@@ -175,7 +182,11 @@
 		} else {
 			serve(demand, answer)
 		}
-		perSecond := load(at) * modelSlots / modelService.Seconds()
+		relative := 0.5
+		if at >= modelWarm {
+			relative = load(at)
+		}
+		perSecond := relative * modelSlots / modelService.Seconds()
 		if gap := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)); at+gap < modelTime {
 			c.after(gap, arrive)
 		}
@@ -210,7 +221,7 @@
 // that takes the shares of others.
 func TestExperiment(t *testing.T) {
 	burst := func(at time.Duration) float64 {
-		if at > 2*time.Second && at < 3*time.Second {
+		if at > 4*time.Second && at < 5*time.Second {
 			return 2.1
 		}
 		return 0.7
