admission: count a workspace's shares over all priorities

Cause: shares were kept per priority, so a workspace that marks all its requests as interactive took the capacity of the others' normal requests. Ruled out: shares before priorities without a burst; a lookup would then wait for the batch of a workspace that is a few requests behind. Conclusion: above its share by 20 requests, a workspace's requests go one priority later.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -208,6 +208,23 @@
 		Expect(served).To(BeNumerically("~", 10, 1))
 	})
 
+	It("does not let a workspace take the others' shares by marking all as interactive", func() {
+		g := NewGate(fixed(1))
+		first := g.Offer(Request{Workspace: "x"}, start)
+		normal := map[Ticket]bool{}
+		for range 200 {
+			g.Offer(Request{Workspace: "loud", Priority: Interactive}, start)
+			normal[g.Offer(Request{Workspace: "quiet", Priority: Normal}, start)] = true
+		}
+		served := 0
+		for _, t := range cycle(g, first, 200, start) {
+			if normal[t] {
+				served++
+			}
+		}
+		Expect(served).To(BeNumerically("~", 100, DefaultShareBurst))
+	})
+
 	It("leaves room for lookups beside long batch requests", func() {
 		g := NewGate(fixed(10))
 		backlog(g, Batch, 20)
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -23,6 +23,7 @@
 	opts    Options
 	limiter *Limiter
 	classes [classCount]*class
+	shares  *shares
 	waiting map[Ticket]*item
 	expiry  expiry
 	granted map[Ticket]grant
@@ -48,12 +49,13 @@
 	g := &Gate{
 		opts:    opts,
 		limiter: NewLimiter(opts.Limiter),
+		shares:  newShares(),
 		waiting: map[Ticket]*item{},
 		granted: map[Ticket]grant{},
 	}
 	g.counts.Rejected = map[Reason]uint64{}
 	for i := range g.classes {
-		g.classes[i] = newClass()
+		g.classes[i] = &class{number: i}
 	}
 	return g
 }
@@ -159,8 +161,7 @@
 }
 
 func (g *Gate) grant(it *item, now time.Time) {
-	c := g.classes[it.req.class()]
-	c.charge(&it.req)
+	g.shares.charge(&it.req, &g.classes)
 	g.settle(it.req.class())
 	batch := it.req.Priority == Batch && !it.req.Started
 	if batch {
@@ -182,7 +183,7 @@
 	g.counts.Queued++
 	g.waiting[it.ticket] = it
 	g.expiry.add(it)
-	g.classes[it.req.class()].push(it)
+	g.classes[it.req.class()].push(it, g.shares.account(it.req.Workspace))
 	g.trim(it.lane, it.req.class(), now)
 	g.Advance(now)
 }
@@ -207,12 +208,28 @@
 	if it := g.guaranteed(newestFirst); it != nil {
 		return it
 	}
-	for _, c := range g.classes {
-		if it := c.next(newestFirst); it != nil && g.fits(&it.req) {
+	return g.byClass(newestFirst)
+}
+
+// byClass gives the next item in the order of the classes. Where every waiting
+// workspace of a class is above its share, the next lower class goes before it.
+func (g *Gate) byClass(newestFirst bool) *item {
+	var demoted *item
+	for i, c := range g.classes {
+		it := c.next(newestFirst)
+		if it != nil && !g.fits(&it.req) {
+			it = nil
+		}
+		above := it != nil && i != startedClass && g.shares.over(it.lane.account, g.opts.ShareBurst)
+		if it != nil && !above {
 			return it
 		}
+		if demoted != nil {
+			return demoted
+		}
+		demoted = it
 	}
-	return nil
+	return demoted
 }
 
 // guaranteed gives an item of a class that has missed its part of the grants.
@@ -315,7 +332,7 @@
 		if l == nil {
 			continue
 		}
-		if i == it.req.class() && l.workspace == it.req.Workspace && !g.overloaded(it.since) {
+		if i == it.req.class() && l.account.workspace == it.req.Workspace && !g.overloaded(it.since) {
 			return false
 		}
 		old := l.oldest()
--- a/admission/options.go
+++ b/admission/options.go
@@ -22,6 +22,7 @@
 	DefaultOverloadAfter   = 200 * time.Millisecond
 	DefaultNormalGuarantee = 0.10
 	DefaultBatchGuarantee  = 0.05
+	DefaultShareBurst      = 20
 	DefaultBatchCap        = 0.8
 	DefaultRetryMin        = 100 * time.Millisecond
 	DefaultRetryMax        = 30 * time.Second
@@ -38,6 +39,10 @@
 	// NormalGuarantee and BatchGuarantee are the parts of the grants that these
 	// priorities get while they wait, whatever the load of higher ones.
 	NormalGuarantee, BatchGuarantee float64
+	// ShareBurst is the number of requests, for a workspace of weight 1, by
+	// which a workspace may exceed its share before requests of the next lower
+	// priority of other workspaces go before its own.
+	ShareBurst float64
 	// BatchCap is the part of the limit that batch requests may occupy, so that
 	// long reports leave room for lookups.
 	BatchCap float64
@@ -88,6 +93,7 @@
 		OverloadAfter:   DefaultOverloadAfter,
 		NormalGuarantee: DefaultNormalGuarantee,
 		BatchGuarantee:  DefaultBatchGuarantee,
+		ShareBurst:      DefaultShareBurst,
 		BatchCap:        DefaultBatchCap,
 		RetryMin:        DefaultRetryMin,
 		RetryMax:        DefaultRetryMax,
@@ -110,6 +116,8 @@
 		return errors.New("admission: Queue is negative; set 0 for none")
 	case o.NormalGuarantee < 0 || o.BatchGuarantee < 0 || o.NormalGuarantee+o.BatchGuarantee >= 1:
 		return errors.New("admission: the guarantees must be at least 0 and together below 1")
+	case o.ShareBurst < 0:
+		return errors.New("admission: ShareBurst is negative; set 0 or more")
 	case o.BatchCap <= 0 || o.BatchCap > 1:
 		return errors.New("admission: BatchCap must be above 0 and at most 1")
 	case o.RetryMin <= 0 || o.RetryMax < o.RetryMin:
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// laneSweep is the number of lanes at which idle ones are removed.
-const laneSweep = 4096
-
 // Classes of the queue. Requests that have begun come first.
 const (
 	startedClass = iota
@@ -30,15 +27,25 @@
 	place int
 }
 
-// lane is the queue of one workspace in one class.
-type lane struct {
+// account is what a workspace has had of the pool, over all classes.
+type account struct {
 	workspace string
-	items     []*item
-	live      int
-	// start is the lane's virtual time: the service it has had, divided by its
-	// weight. The lane with the least goes next.
+	// start is the workspace's virtual time: the service it has had, divided by
+	// its weight. The workspace with the least goes next.
 	start float64
-	index int
+	// lanes are its queues by class; nil where none wait.
+	lanes [classCount]*lane
+}
+
+// idle says that no request of the workspace waits.
+func (a *account) idle() bool { return a.lanes == [classCount]*lane{} }
+
+// lane is the queue of one workspace in one class.
+type lane struct {
+	account *account
+	items   []*item
+	live    int
+	index   int
 }
 
 // oldest gives the oldest waiting item and drops those that are gone.
@@ -67,39 +74,25 @@
 
 // class is one priority's queue: start-time fair queueing over its lanes.
 type class struct {
-	lanes   map[string]*lane
-	active  laneHeap
-	virtual float64
-	live    int
+	number int
+	active laneHeap
+	live   int
 	// credit counts grants that a guaranteed class has missed.
 	credit float64
 }
 
-func newClass() *class { return &class{lanes: map[string]*lane{}} }
-
-func (c *class) lane(workspace string) *lane {
-	l := c.lanes[workspace]
+// push adds a waiting item of the account's workspace.
+func (c *class) push(it *item, a *account) {
+	l := a.lanes[c.number]
 	if l == nil {
-		if len(c.lanes) >= laneSweep {
-			c.sweep()
-		}
-		l = &lane{workspace: workspace, start: c.virtual, index: -1}
-		c.lanes[workspace] = l
+		l = &lane{account: a}
+		a.lanes[c.number] = l
+		heap.Push(&c.active, l)
 	}
-	return l
-}
-
-// push adds a waiting item. A lane that was idle gets no credit for that time.
-func (c *class) push(it *item) {
-	l := c.lane(it.req.Workspace)
 	it.lane = l
 	l.items = append(l.items, it)
 	l.live++
 	c.live++
-	if l.index < 0 {
-		l.start = max(l.start, c.virtual)
-		heap.Push(&c.active, l)
-	}
 }
 
 // drop takes an item out of the count; it is skipped later.
@@ -108,46 +101,9 @@
 	l := it.lane
 	l.live--
 	c.live--
-	if l.live == 0 && l.index >= 0 {
+	if l.live == 0 {
 		heap.Remove(&c.active, l.index)
-		l.items = nil
-		c.forget(l)
-	}
-}
-
-// sweep removes every idle lane without debt, or all idle ones if most have
-// debt, which costs their workspaces' history only.
-func (c *class) sweep() {
-	for _, keepDebt := range []bool{true, false} {
-		for name, l := range c.lanes {
-			if l.index < 0 && (!keepDebt || l.start <= c.virtual) {
-				delete(c.lanes, name)
-			}
-		}
-		if len(c.lanes) < laneSweep/2 {
-			return
-		}
-	}
-}
-
-// forget removes an idle lane that has no debt, which bounds the memory to the
-// workspaces that are active.
-func (c *class) forget(l *lane) {
-	if l.start <= c.virtual {
-		delete(c.lanes, l.workspace)
-	}
-}
-
-// charge adds a granted request to its lane's service.
-func (c *class) charge(req *Request) {
-	l := c.lane(req.Workspace)
-	if l.index < 0 {
-		l.start = max(l.start, c.virtual)
-	}
-	c.virtual = max(c.virtual, l.start)
-	l.start += req.cost() / req.weight()
-	if l.index >= 0 {
-		heap.Fix(&c.active, l.index)
+		l.account.lanes[c.number] = nil
 	}
 }
 
@@ -169,10 +125,11 @@
 func (h laneHeap) Len() int { return len(h) }
 
 func (h laneHeap) Less(i, j int) bool {
-	if h[i].start == h[j].start {
-		return h[i].workspace < h[j].workspace
+	a, b := h[i].account, h[j].account
+	if a.start == b.start {
+		return a.workspace < b.workspace
 	}
-	return h[i].start < h[j].start
+	return a.start < b.start
 }
 
 func (h laneHeap) Swap(i, j int) {
