Extend the routing experiment and the admission specs

Cause: shedding in the queue and the step by demand had no test that fails without them; a runner that fails fast was not measured. Ruled out: nothing. Before: both mechanisms could be switched off unseen. After: seen to fail.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -249,6 +249,20 @@
 		Expect(events[0].Rejection.RetryAfter).To(BeNumerically(">=", 200*time.Millisecond))
 	})
 
+	It("sheds a waiting request once it can't meet its deadline any more", func() {
+		g := NewGate(fixed(1))
+		g.Offer(Request{Workspace: "x"}, start)
+		t := g.Offer(Request{Workspace: "x", Deadline: start.Add(time.Second), Need: 400 * time.Millisecond}, start)
+		g.Events()
+		g.Advance(start.Add(600 * time.Millisecond))
+		Expect(g.Events()).To(BeEmpty())
+		g.Advance(start.Add(601 * time.Millisecond))
+		events := g.Events()
+		Expect(events).To(HaveLen(1))
+		Expect(events[0].Ticket).To(Equal(t))
+		Expect(events[0].Rejection.Reason).To(Equal(Expired))
+	})
+
 	It("serves the newest first once the queue has stood too long", func() {
 		g := NewGate(fixed(1))
 		first := g.Offer(Request{Workspace: "x"}, start)
@@ -291,6 +305,26 @@
 		Expect(l.Limit()).To(Equal(DefaultMinLimit))
 	})
 
+	It("settles at limits in proportion to the demand of VMs that see the same latency", func() {
+		limit := func(offers int) int {
+			l := NewLimiter(DefaultOptions().Limiter)
+			now := start
+			for i := range 4000 {
+				now = now.Add(10 * time.Millisecond)
+				for range offers {
+					l.Offer()
+				}
+				latency := 50 * time.Millisecond
+				if i > 100 {
+					latency = 120 * time.Millisecond
+				}
+				l.Observe(Sample{Latency: latency}, l.Limit(), now)
+			}
+			return l.Limit()
+		}
+		Expect(limit(12)).To(BeNumerically(">", 3*limit(2)))
+	})
+
 	It("gives each waiter of Shared one event", func() {
 		s := NewShared(fixed(1))
 		a := s.Offer("p", Request{Workspace: "x"}, start)
--- a/routing/experiment_test.go
+++ b/routing/experiment_test.go
@@ -42,6 +42,8 @@
 	slow func(runner int, at time.Duration) float64
 	// liar reports no load, ever.
 	liar int
+	// fails says whether a runner answers with an error at once.
+	fails func(runner int, at time.Duration) bool
 	// regions spreads VMs and runners over three regions.
 	regions bool
 }
@@ -81,28 +83,37 @@
 		}
 		return 1
 	}, liar: 0},
+	{name: "fails fast", rate: flat(0.7), slow: even, liar: -1, fails: func(r int, at time.Duration) bool {
+		return r == 0 && at > 2*time.Second
+	}},
+	{name: "half slow", rate: flat(0.5), slow: func(r int, _ time.Duration) float64 {
+		if r < modelRunners/2 {
+			return 2
+		}
+		return 1
+	}, liar: -1},
 	{name: "regions 0.6", rate: flat(0.6), slow: even, liar: -1, regions: true},
 	{name: "regions 0.85", rate: flat(0.85), slow: even, liar: -1, regions: true},
 }
 
 // policy is one VM's way to choose.
 type policy interface {
-	choose(now time.Time) (runner int, done func(latency time.Duration, now time.Time))
+	choose(now time.Time) (runner int, done func(o Outcome, now time.Time))
 	report(runner int, l Load, now time.Time)
 }
 
 type randomPolicy struct{ rng *rand.Rand }
 
-func (p randomPolicy) choose(time.Time) (int, func(time.Duration, time.Time)) {
-	return p.rng.IntN(modelRunners), func(time.Duration, time.Time) {}
+func (p randomPolicy) choose(time.Time) (int, func(Outcome, time.Time)) {
+	return p.rng.IntN(modelRunners), func(Outcome, time.Time) {}
 }
 func (randomPolicy) report(int, Load, time.Time) {}
 
 type roundRobin struct{ next *int }
 
-func (p roundRobin) choose(time.Time) (int, func(time.Duration, time.Time)) {
+func (p roundRobin) choose(time.Time) (int, func(Outcome, time.Time)) {
 	*p.next++
-	return *p.next % modelRunners, func(time.Duration, time.Time) {}
+	return *p.next % modelRunners, func(Outcome, time.Time) {}
 }
 func (roundRobin) report(int, Load, time.Time) {}
 
@@ -112,7 +123,7 @@
 	rng *rand.Rand
 }
 
-func (p *leastOutstanding) choose(time.Time) (int, func(time.Duration, time.Time)) {
+func (p *leastOutstanding) choose(time.Time) (int, func(Outcome, time.Time)) {
 	best := p.rng.IntN(modelRunners)
 	for i := range modelRunners {
 		if p.own[i] < p.own[best] {
@@ -120,21 +131,21 @@
 		}
 	}
 	p.own[best]++
-	return best, func(time.Duration, time.Time) { p.own[best]-- }
+	return best, func(Outcome, time.Time) { p.own[best]-- }
 }
 func (*leastOutstanding) report(int, Load, time.Time) {}
 
 // leastReported takes the runner with the least reported load.
 type leastReported struct{ load [modelRunners]int }
 
-func (p *leastReported) choose(time.Time) (int, func(time.Duration, time.Time)) {
+func (p *leastReported) choose(time.Time) (int, func(Outcome, time.Time)) {
 	best := 0
 	for i := range p.load {
 		if p.load[i] < p.load[best] {
 			best = i
 		}
 	}
-	return best, func(time.Duration, time.Time) {}
+	return best, func(Outcome, time.Time) {}
 }
 
 func (p *leastReported) report(r int, l Load, _ time.Time) { p.load[r] = l.Running + l.Waiting }
@@ -145,13 +156,13 @@
 	index map[string]int
 }
 
-func (p chain) choose(now time.Time) (int, func(time.Duration, time.Time)) {
+func (p chain) choose(now time.Time) (int, func(Outcome, time.Time)) {
 	c, err := p.r.Choose(p.view, Request{Pool: "p"}, now)
 	if err != nil {
-		return 0, func(time.Duration, time.Time) {}
+		return 0, func(Outcome, time.Time) {}
 	}
-	return p.index[c.Upstream.Address], func(d time.Duration, now time.Time) {
-		p.r.Done(c.Ticket, Outcome{Latency: d}, now)
+	return p.index[c.Upstream.Address], func(o Outcome, now time.Time) {
+		p.r.Done(c.Ticket, o, now)
 	}
 }
 
@@ -237,7 +248,7 @@
 		vms[i] = mk(seed*100+uint64(i), sc, i)
 	}
 	var latencies []time.Duration
-	crossed := 0
+	crossed, failed := 0, 0
 	serve := func(r int, demand time.Duration, done func()) {
 		var begin func()
 		begin = func() {
@@ -271,14 +282,21 @@
 			crossed++
 			way = modelCross / 2
 		}
-		c.after(way, func() {
-			serve(r, demand, func() {
-				c.after(way, func() {
-					latencies = append(latencies, c.now-at)
-					done(c.now-at, start.Add(c.now))
+		if sc.fails != nil && sc.fails(r, at) {
+			c.after(time.Millisecond, func() {
+				failed++
+				done(Outcome{Result: Failure, Latency: time.Millisecond}, start.Add(c.now))
+			})
+		} else {
+			c.after(way, func() {
+				serve(r, demand, func() {
+					c.after(way, func() {
+						latencies = append(latencies, c.now-at)
+						done(Outcome{Latency: c.now - at}, start.Add(c.now))
+					})
 				})
 			})
-		})
+		}
 		perSecond := sc.rate(at) * modelRunners * modelSlots / modelService.Seconds()
 		if gap := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)); at+gap < modelTime {
 			c.after(gap, arrive)
@@ -304,6 +322,10 @@
 		c.after(modelPeriod*time.Duration(i)/modelRunners, measure)
 	}
 	c.run()
+	// A failed request counts as one that is never answered.
+	for range failed {
+		latencies = append(latencies, time.Hour)
+	}
 	slices.Sort(latencies)
 	return latencies, float64(crossed) / float64(len(latencies))
 }
