routing: charge consecutive failures before ejection

Cause: until five failures in a row ejected it, a runner that fails fast looked idle. Ruled out: ejection after fewer failures; a short disturbance would eject.

--- a/routing/ejection.go
+++ b/routing/ejection.go
@@ -10,6 +10,7 @@
 type ejection struct {
 	gate
 	failures   int
+	failedAt   time.Time
 	readmitted time.Time
 	// backoff keeps the last hold, so that an upstream that is ejected again
 	// soon after its return waits longer.
@@ -33,6 +34,7 @@
 		e.failures = 0
 	case Failure, ConnectFailure:
 		e.failures++
+		e.failedAt = now
 	case Overloaded, Cancelled:
 		e.probing = false
 		return
--- a/routing/router.go
+++ b/routing/router.go
@@ -70,6 +70,7 @@
 	r.scorers = []Scorer{
 		loadScorer{slots: opts.Slots},
 		latencyScorer{},
+		failureScorer{},
 		prefixScorer{saveMS: opts.PrefixSaveMS},
 		regionScorer{region: opts.Region, penaltyMS: opts.RegionPenaltyMS, paidMSPerMB: opts.PaidMSPerMB},
 		trustScorer{slots: opts.Slots},
