--- a/routing/poolstat.go
+++ b/routing/poolstat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/membership"
 )
 
 const (
@@ -32,7 +33,12 @@
 	meanOthers float64
 	meanTotal  float64
 	scratch    []float64
-	regions    map[ids.Region]*regionStat
+	// aligned holds the stats of the upstreams of alignedTo by their index there,
+	// nil where none was needed yet. It saves a look-up by address for each
+	// candidate.
+	aligned   []*stat
+	alignedTo []*membership.Upstream
+	regions   map[ids.Region]*regionStat
 }
 
 // regionStat is the median latency of a pool's upstreams in one region. An
@@ -123,6 +129,22 @@
 		forget(s)
 		return true
 	})
+	p.alignedTo, p.aligned = nil, nil
+}
+
+// align makes aligned follow the source's slice. Views are immutable and share
+// the slices of pools that have not changed, so the same slice has the same
+// content.
+func (p *poolStat) align(upstreams []*membership.Upstream) {
+	if sameSlice(p.alignedTo, upstreams) {
+		return
+	}
+	p.alignedTo = upstreams
+	p.aligned = make([]*stat, len(upstreams))
+}
+
+func sameSlice(a, b []*membership.Upstream) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // ejected counts the ejected upstreams.
--- a/routing/router.go
+++ b/routing/router.go
@@ -45,7 +45,9 @@
 	flights map[Ticket]*stat
 	next    Ticket
 	counts  Counts
-	// candidates and sample are reused between choices.
+	// request and candidates are reused between choices, which then need no
+	// allocation.
+	request    Request
 	candidates []Candidate
 }
 
@@ -81,24 +83,26 @@
 
 // Choose takes an upstream for the request. The attempt counts as in flight
 // until Done. It fails with *NoCandidateError.
-func (r *Router) Choose(source Source, req Request, now time.Time) (Choice, error) {
+func (r *Router) Choose(source Source, request Request, now time.Time) (Choice, error) {
 	r.counts.Choices++
+	r.request = request
+	req := &r.request
 	upstreams := source.Pool(req.Pool)
-	r.prepare(source, req.Pool, now)
-	r.collect(upstreams, &req, now)
+	pool := r.prepare(source, req.Pool, now)
+	r.collect(pool, upstreams, req, now)
 	reused := false
 	if len(r.candidates) == 0 && len(req.Excluded) > 0 {
 		// The same upstream again is better than none.
 		req.Excluded = nil
 		reused = true
-		r.collect(upstreams, &req, now)
+		r.collect(pool, upstreams, req, now)
 	}
 	if len(r.candidates) == 0 {
 		r.counts.NoCandidate++
-		return Choice{}, r.noCandidate(upstreams, &req, now)
+		return Choice{}, r.noCandidate(upstreams, req, now)
 	}
-	c := r.pick(&req, now)
-	choice := r.dispatch(c, &req, now)
+	c := r.pick(req, now)
+	choice := r.dispatch(c, req, now)
 	choice.Reused = reused
 	if reused {
 		r.counts.Reused++
@@ -108,12 +112,12 @@
 
 // collect fills the candidates that pass the filters. From a large pool it
 // takes random upstreams until enough of them pass.
-func (r *Router) collect(upstreams []*membership.Upstream, req *Request, now time.Time) {
+func (r *Router) collect(pool *poolStat, upstreams []*membership.Upstream, req *Request, now time.Time) {
 	r.candidates = r.candidates[:0]
 	n := len(upstreams)
 	if n <= r.opts.MaxScored {
-		for _, u := range upstreams {
-			r.consider(u, req, now)
+		for i := range upstreams {
+			r.consider(pool, upstreams, i, req, now)
 		}
 		return
 	}
@@ -121,7 +125,7 @@
 	// most once, without a permutation of the whole pool.
 	start, stride := r.rng.IntN(n), coprime(n, r.rng)
 	for i, at := 0, start; i < n && len(r.candidates) < r.opts.MaxScored; i++ {
-		r.consider(upstreams[at], req, now)
+		r.consider(pool, upstreams, at, req, now)
 		at += stride
 		if at >= n {
 			at -= n
@@ -129,12 +133,19 @@
 	}
 }
 
-func (r *Router) consider(u *membership.Upstream, req *Request, now time.Time) {
-	c := Candidate{Upstream: u, stat: r.stat(u)}
-	if r.filter(req, &c, now) != "" {
-		return
+// consider adds the upstream at index i to the candidates if it passes the
+// filters.
+func (r *Router) consider(pool *poolStat, upstreams []*membership.Upstream, i int, req *Request, now time.Time) {
+	s := pool.aligned[i]
+	if s == nil {
+		s = r.stat(upstreams[i])
+		pool.aligned[i] = s
+	}
+	r.candidates = append(r.candidates, Candidate{Upstream: upstreams[i], stat: s})
+	last := len(r.candidates) - 1
+	if r.filter(req, &r.candidates[last], now) != "" {
+		r.candidates = r.candidates[:last]
 	}
-	r.candidates = append(r.candidates, c)
 }
 
 // filter gives the name of the filter that drops the candidate, if any does.
@@ -247,10 +258,12 @@
 	return s.prefixes
 }
 
-func (r *Router) prepare(source Source, name string, now time.Time) {
+func (r *Router) prepare(source Source, name string, now time.Time) *poolStat {
 	p := r.pool(name)
 	p.prune(source, name, r.forget)
+	p.align(source.Pool(name))
 	p.refresh(now)
+	return p
 }
 
 func (r *Router) forget(s *stat) { delete(r.stats, s.address) }
--- a/routing/stat.go
+++ b/routing/stat.go
@@ -31,7 +31,9 @@
 	region  *regionStat
 
 	inFlight []flight
-	history  [historyLength]pastLoad
+	// history is made with the first request, since most upstreams of a large
+	// pool never get one from this VM.
+	history  *[historyLength]pastLoad
 	historyN int
 
 	latencyMS float64
@@ -57,9 +59,10 @@
 	sent   time.Time
 }
 
+// pastLoad is an own in-flight count; its time is in nanoseconds since 1970.
 type pastLoad struct {
-	at    time.Time
-	count int
+	at    int64
+	count int32
 }
 
 // start records an attempt.
@@ -83,15 +86,18 @@
 // remember notes the present in-flight count for the correction of reports
 // that were measured now and arrive later.
 func (s *stat) remember(now time.Time) {
-	n := len(s.inFlight)
+	if s.history == nil {
+		s.history = new([historyLength]pastLoad)
+	}
+	p := pastLoad{at: now.UnixNano(), count: int32(len(s.inFlight))}
 	if s.historyN > 0 {
 		last := &s.history[(s.historyN-1)%historyLength]
-		if now.Sub(last.at) < historyStep {
-			last.count = n
+		if p.at-last.at < int64(historyStep) {
+			last.count = p.count
 			return
 		}
 	}
-	s.history[s.historyN%historyLength] = pastLoad{at: now, count: n}
+	s.history[s.historyN%historyLength] = p
 	s.historyN++
 }
 
@@ -99,8 +105,8 @@
 func (s *stat) inFlightAt(at time.Time) int {
 	oldest := max(0, s.historyN-historyLength)
 	for i := s.historyN - 1; i >= oldest; i-- {
-		if p := s.history[i%historyLength]; !p.at.After(at) {
-			return p.count
+		if p := s.history[i%historyLength]; p.at <= at.UnixNano() {
+			return int(p.count)
 		}
 	}
 	return 0
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -21,11 +21,15 @@
 // most two upstreams of a subset. The index must be stable and dense: a VM
 // takes the lowest free one.
 func Subset(index, size int, upstreams []*membership.Upstream) []*membership.Upstream {
-	n := len(upstreams)
-	if n <= size {
+	if len(upstreams) <= size {
 		return upstreams
 	}
-	ring := hashRing(upstreams)
+	return cut(hashRing(upstreams), index, size)
+}
+
+// cut takes a VM's part of the ring, ordered by address.
+func cut(ring []*membership.Upstream, index, size int) []*membership.Upstream {
+	n := len(ring)
 	start := int(place(index) * float64(n))
 	part := make([]*membership.Upstream, 0, size)
 	for i := range size {
