admission: let a new limit grow fast until it meets congestion

Cause: a VM that had just started rejected requests that the pool could take. Ruled out: a larger step at all times; it would raise latency past saturation. Conclusion: the limit grows by half per window until the first gradient below 1.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -11,6 +11,8 @@
 	limitGain = 0.3
 	// gradientFloor bounds how far one window lowers the limit.
 	gradientFloor = 0.5
+	// rampFactor is the growth per window before the first sign of congestion.
+	rampFactor = 1.5
 	// windowCap bounds the samples kept for one window's median.
 	windowCap = 128
 )
@@ -45,11 +47,16 @@
 	opts     LimiterOptions
 	limit    float64
 	baseline float64
-	window   []float64
-	samples  int
-	drops    int
-	peak     int
-	started  time.Time
+	// smooth is the mean of the windows' medians.
+	smooth  float64
+	window  []float64
+	samples int
+	drops   int
+	peak    int
+	started time.Time
+	// ramped says that the limit has met congestion once. Before, it grows
+	// faster: a VM that has just started must not reject what the pool can take.
+	ramped bool
 	// offered counts the requests offered in the window.
 	offered int
 }
@@ -117,6 +124,15 @@
 		l.baseline += (latency - l.baseline) * min(1, elapsed)
 	}
 	gradient := min(1, max(gradientFloor, l.opts.Tolerance*l.baseline/latency))
+	if gradient < 1 || l.drops > 0 {
+		l.ramped = true
+	}
+	if !l.ramped {
+		if busy {
+			l.set(l.limit * rampFactor)
+		}
+		return
+	}
 	step := 1 + l.opts.DemandPart*l.demand(now)
 	if gradient == 1 {
 		step = max(step, math.Sqrt(l.limit))
