admission: take the long-term latency from smoothed medians

Cause: the least of many medians of a few samples lies far below the usual latency and made healthy stages look congested.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -9,6 +9,10 @@
 const (
 	// limitGain is the weight of a new limit against the present one.
 	limitGain = 0.3
+	// smoothGain is the weight of a window's median in the mean from which the
+	// long-term minimum is taken. The least of many medians of a few samples
+	// lies far below the usual latency and would look like congestion.
+	smoothGain = 0.2
 	// gradientFloor bounds how far one window lowers the limit.
 	gradientFloor = 0.5
 	// rampFactor is the growth per window before the first sign of congestion.
@@ -113,8 +117,12 @@
 
 // follow updates the baseline and the limit from a window's median latency.
 func (l *Limiter) follow(latency float64, busy bool, now time.Time) {
-	if l.baseline == 0 || latency < l.baseline {
-		l.baseline = latency
+	if l.smooth == 0 {
+		l.smooth = latency
+	}
+	l.smooth += smoothGain * (latency - l.smooth)
+	if l.baseline == 0 || l.smooth < l.baseline {
+		l.baseline = l.smooth
 	} else {
 		life := l.opts.BaselineIdle
 		if busy {
