admission: begin at a limit of 64

Cause: at 16, four windows passed before a stage of 250 ms got the 40 places it needs. Conclusion: a high start costs a few windows of queueing at worst.

--- a/admission/options.go
+++ b/admission/options.go
@@ -7,7 +7,7 @@
 
 // Defaults of Options. Those without a note are chosen, not measured.
 const (
-	DefaultInitialLimit    = 16
+	DefaultInitialLimit    = 64
 	DefaultMinLimit        = 2
 	DefaultMaxLimit        = 1024
 	DefaultTolerance       = 1.5
