budget: add the deadline experiment; keep more time for later stages

Cause: the plan needs a measure over several stages with queues. Early rejection belongs to the gates, which know the present queue; the plan gives them Need.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -132,3 +132,24 @@
 		tr.Observe(Key{Stage: "a"}, time.Duration(i%1000)*time.Millisecond, start)
 	}
 }
+
+// Guards the one-pass density against Histogram.Below, which defines it.
+func TestDensity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h Histogram
+		for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 300_000), 1, 50).Draw(t, "ms") {
+			h.Observe(time.Duration(ms)*time.Millisecond, time.Minute, start)
+		}
+		d := time.Duration(rapid.IntRange(1, 400_000).Draw(t, "d")) * time.Millisecond
+		var part [chanceSteps]float64
+		density(&h, d, &part)
+		sum := 0.0
+		for i, p := range part {
+			sum += p
+			want := h.Below(d * time.Duration(i+1) / chanceSteps)
+			if sum < want-1e-6 || sum > want+1e-6 {
+				t.Fatalf("part %d: %v, want %v", i, sum, want)
+			}
+		}
+	})
+}
--- a/budget/chance.go
+++ b/budget/chance.go
@@ -21,15 +21,7 @@
 			continue
 		}
 		density(h, d, &part)
-		next = [chanceSteps]float64{}
-		for i, p := range sum {
-			if p == 0 {
-				continue
-			}
-			for j := range chanceSteps - i {
-				next[i+j] += p * part[j]
-			}
-		}
+		convolve(&sum, &part, &next)
 		sum = next
 	}
 	total := 0.0
@@ -39,11 +31,33 @@
 	return min(1, total)
 }
 
-// density gives the probability of each part of d.
+// convolve gives the distribution of the sum of two; what exceeds the last part
+// is dropped.
+func convolve(a, b, out *[chanceSteps]float64) {
+	*out = [chanceSteps]float64{}
+	for i, p := range a {
+		if p == 0 {
+			continue
+		}
+		for j, q := range b[:chanceSteps-i] {
+			out[i+j] += p * q
+		}
+	}
+}
+
+// density gives the probability of each part of d, in one pass over the
+// buckets.
 func density(h *Histogram, d time.Duration, part *[chanceSteps]float64) {
-	before := 0.0
+	at, below, before := 0, 0.0, 0.0
 	for i := range part {
-		upTo := h.Below(d * time.Duration(i+1) / chanceSteps)
+		end := d * time.Duration(i+1) / chanceSteps
+		for at < bucketCount-1 && lower(at+1) <= end {
+			below += float64(h.weights[at])
+			at++
+		}
+		from, to := lower(at), lower(at+1)
+		inside := min(1, float64(end-from)/float64(to-from))
+		upTo := min(1, (below+inside*float64(h.weights[at]))/h.total)
 		part[i] = upTo - before
 		before = upTo
 	}
--- /dev/null
+++ b/budget/experiment_test.go
@@ -0,0 +1,306 @@
+package budget
+
+import (
+	"container/heap"
+	"flag"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"damaskbridge.example/damaskbridge/admission"
+)
+
+var experimentSeeds = flag.Int("experiment.seeds", 1, "seeds of each run of the deadline experiment")
+
+// The model: requests pass four stages, each a station with slots and a FIFO
+// queue. Time is virtual; one stage may become a straggler.
+const (
+	modelTime     = 8 * time.Second
+	modelDeadline = time.Second
+	modelRate     = 200.0 // requests per second at a load of 1
+	modelSpread   = 0.5   // sigma of the log-normal service times
+	modelTick     = 5 * time.Millisecond
+)
+
+var modelStages = []struct {
+	key     Key
+	service time.Duration
+	slots   int
+}{
+	{Key{Stage: "encode"}, 20 * time.Millisecond, 8},
+	{Key{Stage: "retrieve"}, 30 * time.Millisecond, 12},
+	{Key{Stage: "rerank"}, 50 * time.Millisecond, 16},
+	{Key{Stage: "generate"}, 250 * time.Millisecond, 50},
+}
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	n := len(*h)
+	e := (*h)[n-1]
+	*h = (*h)[:n-1]
+	return e
+}
+
+type clock struct {
+	now   time.Duration
+	queue events
+	n     int
+}
+
+func (c *clock) after(d time.Duration, do func()) {
+	c.n++
+	heap.Push(&c.queue, event{c.now + d, c.n, do})
+}
+
+func (c *clock) run() {
+	for len(c.queue) > 0 {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.do()
+	}
+}
+
+type station struct {
+	running int
+	queue   []func() bool
+}
+
+// result of one run: good answers, early rejections and wasted service time,
+// that of requests without a good answer, each as a part.
+type result struct{ good, rejected, wasted float64 }
+
+// mode is what a run uses: the plan's cancellation, an admission gate before
+// each stage with the plan's Need, and early rejection by the plan at the start,
+// from the time that the gates' present queues leave.
+type mode struct {
+	name                string
+	cancel, gate, early bool
+}
+
+var modes = []mode{
+	{"none", false, false, false},
+	{"early only", false, false, true},
+	{"cancel", true, false, false},
+	{"cancel+gate", true, true, false},
+	{"all", true, true, true},
+}
+
+type model struct {
+	clock
+	mode     mode
+	slow     func(stage int, at time.Duration) float64
+	tracker  *Tracker
+	keys     []Key
+	stations []station
+	gates    []*admission.Gate
+	granted  []map[admission.Ticket]func()
+
+	offered, good, rejected int
+	spent, useful           time.Duration
+}
+
+func (m *model) wall() time.Time { return start.Add(m.now) }
+
+// drain carries out the events of a stage's gate.
+func (m *model) drain(i int) {
+	for _, e := range m.gates[i].Events() {
+		run := m.granted[i][e.Ticket]
+		delete(m.granted[i], e.Ticket)
+		if e.Rejection != nil {
+			m.rejected++
+			continue
+		}
+		run()
+	}
+}
+
+func (m *model) next(i int) {
+	s := &m.stations[i]
+	for s.running < modelStages[i].slots && len(s.queue) > 0 {
+		begin := s.queue[0]
+		s.queue = s.queue[1:]
+		if begin() {
+			s.running++
+		}
+	}
+}
+
+// waits adds up the waits before the gates of all stages.
+func (m *model) waits() (total time.Duration) {
+	for _, g := range m.gates {
+		total += g.Wait(admission.Request{Priority: admission.Normal}, m.wall())
+	}
+	return total
+}
+
+func (m *model) enter(i int, began time.Duration, demands []time.Duration, used time.Duration) {
+	if i == len(modelStages) {
+		if m.now-began <= modelDeadline {
+			m.good++
+			m.useful += used
+		}
+		return
+	}
+	left := modelDeadline - (m.now - began)
+	if m.mode.early && i == 0 {
+		if m.mode.gate {
+			left -= m.waits()
+		}
+		if !m.tracker.Plan(m.keys, left, m.wall()).Feasible {
+			m.rejected++
+			return
+		}
+	}
+	if !m.mode.gate {
+		m.serve(i, began, demands, used, func(admission.Sample) {})
+		return
+	}
+	plan := m.tracker.Plan(m.keys[i:], modelDeadline-(m.now-began), m.wall())
+	g := m.gates[i]
+	// The ticket is needed before Offer gives it: a grant may come at once.
+	var t admission.Ticket
+	var run func()
+	t = g.Offer(admission.Request{
+		Workspace: "w", Priority: admission.Normal, Started: i > 0,
+		Deadline: start.Add(began + modelDeadline), Need: plan.Need,
+	}, m.wall())
+	run = func() {
+		m.serve(i, began, demands, used, func(s admission.Sample) {
+			g.Release(t, s, m.wall())
+			m.drain(i)
+		})
+	}
+	m.granted[i][t] = run
+	m.drain(i)
+}
+
+func (m *model) serve(i int, began time.Duration, demands []time.Duration, used time.Duration, release func(admission.Sample)) {
+	entered, begunAt := m.now, m.now
+	over, running := false, false
+	m.stations[i].queue = append(m.stations[i].queue, func() bool {
+		if over {
+			return false
+		}
+		running, begunAt = true, m.now
+		d := time.Duration(float64(demands[i]) * m.slow(i, m.now))
+		m.after(d, func() {
+			if over {
+				return
+			}
+			over = true
+			m.stations[i].running--
+			m.spent += d
+			m.tracker.Observe(m.keys[i], m.now-entered, m.wall())
+			release(admission.Sample{Latency: m.now - entered})
+			m.enter(i+1, began, demands, used+d)
+			m.next(i)
+		})
+		return true
+	})
+	if m.mode.cancel {
+		plan := m.tracker.Plan(m.keys[i:], modelDeadline-(m.now-began), m.wall())
+		m.after(plan.Grants[0].CancelAfter, func() {
+			if over {
+				return
+			}
+			over = true
+			if running {
+				m.spent += m.now - begunAt
+				m.stations[i].running--
+				m.next(i)
+			}
+			m.tracker.Observe(m.keys[i], m.now-entered, m.wall())
+			release(admission.Sample{Outcome: admission.Dropped})
+		})
+	}
+	m.next(i)
+}
+
+// simulate runs one load.
+func simulate(load float64, slow func(stage int, at time.Duration) float64, md mode, seed uint64) result {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	m := &model{mode: md, slow: slow, tracker: NewTracker(DefaultOptions()), stations: make([]station, len(modelStages))}
+	for _, s := range modelStages {
+		m.keys = append(m.keys, s.key)
+		m.gates = append(m.gates, admission.NewGate(admission.DefaultOptions()))
+		m.granted = append(m.granted, map[admission.Ticket]func(){})
+	}
+	var arrive, tick func()
+	arrive = func() {
+		demands := make([]time.Duration, len(modelStages))
+		for i, s := range modelStages {
+			demands[i] = time.Duration(float64(s.service) * math.Exp(modelSpread*rng.NormFloat64()-modelSpread*modelSpread/2))
+		}
+		m.offered++
+		m.enter(0, m.now, demands, 0)
+		if gap := time.Duration(rng.ExpFloat64() / (load * modelRate) * float64(time.Second)); m.now+gap < modelTime {
+			m.after(gap, arrive)
+		}
+	}
+	tick = func() {
+		for i, g := range m.gates {
+			g.Advance(m.wall())
+			m.drain(i)
+		}
+		if m.now < modelTime+2*modelDeadline {
+			m.after(modelTick, tick)
+		}
+	}
+	m.after(0, arrive)
+	if md.gate {
+		m.after(0, tick)
+	}
+	m.run()
+	n := float64(m.offered)
+	return result{float64(m.good) / n, float64(m.rejected) / n, 1 - float64(m.useful)/float64(m.spent)}
+}
+
+// Guards early rejection and cancellation: past saturation they answer several
+// times as many requests in time, and they cost nothing below it.
+func TestExperiment(t *testing.T) {
+	even := func(int, time.Duration) float64 { return 1 }
+	straggler := func(stage int, at time.Duration) float64 {
+		if stage == 2 && at > 3*time.Second && at < 5*time.Second {
+			return 4
+		}
+		return 1
+	}
+	for _, sc := range []struct {
+		name string
+		load float64
+		slow func(int, time.Duration) float64
+	}{{"0.5", 0.5, even}, {"0.8", 0.8, even}, {"1.3", 1.3, even}, {"2.0", 2, even}, {"straggler", 0.7, straggler}} {
+		var results []result
+		for _, md := range modes {
+			var sum result
+			for seed := range *experimentSeeds {
+				r := simulate(sc.load, sc.slow, md, uint64(seed+1))
+				n := float64(*experimentSeeds)
+				sum = result{sum.good + r.good/n, sum.rejected + r.rejected/n, sum.wasted + r.wasted/n}
+			}
+			results = append(results, sum)
+			t.Logf("load %-9s %-12s attainment %.3f rejected %.3f wasted %.3f", sc.name, md.name, sum.good, sum.rejected, sum.wasted)
+		}
+		none, both := results[0], results[len(results)-1]
+		if both.good < none.good-0.005 {
+			t.Errorf("load %s: attainment %.3f, without the policy %.3f", sc.name, both.good, none.good)
+		}
+		if sc.load > 1 && both.good < 0.8/sc.load {
+			t.Errorf("load %s: attainment %.3f past saturation", sc.name, both.good)
+		}
+	}
+}
--- a/budget/options.go
+++ b/budget/options.go
@@ -12,7 +12,7 @@
 	DefaultMinChance       = 0.05
 	DefaultMinSamples      = 20
 	DefaultNeedPercentile  = 0.5
-	DefaultRestPercentile  = 0.25
+	DefaultRestPercentile  = 0.5
 	DefaultKeys            = 1024
 )
 
