--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -14,7 +14,7 @@
 	// lies far below the usual latency and would look like congestion.
 	smoothGain = 0.2
 	// gradientFloor bounds how far one window lowers the limit.
-	gradientFloor = 0.5
+	gradientFloor = 0.6
 	// rampFactor is the growth per window before the first sign of congestion.
 	rampFactor = 1.5
 	// windowCap bounds the samples kept for one window's median.
