--- /dev/null
+++ b/retry/bench_test.go
@@ -0,0 +1,19 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkCall measures a call that succeeds at once.
+func BenchmarkCall(b *testing.B) {
+	budget := NewSharedBudget(DefaultBudgetOptions())
+	p := Policy{Idempotent: true, MaxAttempts: 3, HedgeAfter: time.Second, Deadline: start.Add(time.Hour)}
+	b.ReportAllocs()
+	for b.Loop() {
+		c := NewCall(id, "s", p, budget)
+		c.Start(start)
+		c.Sent(1)
+		c.Complete(Result{Carrier: 1, ID: c.ID(1), Valid: true}, start)
+	}
+}
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -199,3 +199,14 @@
 		Expect(end.Count).To(BeEquivalentTo(1))
 	})
 })
+
+func BenchmarkAppend(b *testing.B) {
+	a := NewAssembler(DefaultOptions())
+	a.Begin(1, start)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := a.Append(1, "token ", start); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
