membership: apply a leaving sign to an upstream that has refused a connection

Cause: signs from before an upstream's return were told apart by the start of its slow start, which a refused connection moves up to 8 s ahead; a sign of leaving was then ignored. Ruled out: applying every sign; one from an earlier life would take the upstream out. Before: TestNoWorkToLeavingUpstream with refused connections added: vm 1 uses the upstream 4.299s after it began to leave. After: passes. Conclusion: the time of return is kept on its own.

--- a/membership/apply.go
+++ b/membership/apply.go
@@ -73,7 +73,7 @@
 func (t *Tracker) insert(m Member, now time.Time, first bool) {
 	e := &entry{member: m}
 	if !first {
-		e.trustFrom = now
+		e.trustFrom, e.returnedAt = now, now
 	}
 	t.entries[m.Address] = e
 	t.members[m.Pool] = append(t.members[m.Pool], m.Address)
@@ -100,7 +100,7 @@
 	e.ownSign = ""
 	e.refusals = 0
 	e.refusedUntil = time.Time{}
-	e.trustFrom = now
+	e.trustFrom, e.returnedAt = now, now
 	t.touch(e)
 }
 
--- a/membership/entry.go
+++ b/membership/entry.go
@@ -19,7 +19,10 @@
 	refusals     int
 	succeededAt  time.Time
 	trustFrom    time.Time
-	unlisted     bool
+	// returnedAt is when the list brought the upstream in or back; signs of
+	// leaving from before belong to an earlier life.
+	returnedAt time.Time
+	unlisted   bool
 
 	// ownSign is what this VM has seen and tells the others.
 	ownSign   settings.SignState
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -57,6 +57,7 @@
 		witness := rapid.IntRange(0, vms-1).Draw(t, "witness")
 		delay := rapid.IntRange(0, 2000)
 		busy := rapid.Bool().Draw(t, "busy")
+		refuses := rapid.IntRange(-1, 30).Draw(t, "refuses")
 		var mail []parcel
 		seq := uint64(1)
 		for step := range 300 {
@@ -69,6 +70,10 @@
 					trackers[witness].ObserveSuccess(addr(1), now)
 				}
 			}
+			if step >= refuses && step < refuses+4 {
+				// A VM that fails to connect must still hear that it leaves.
+				trackers[(witness+1)%vms].ObserveRefused(addr(1), now)
+			}
 			if step%5 == 0 {
 				for from, tr := range trackers {
 					for to := range trackers {
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -120,7 +120,7 @@
 
 // applyLeavingSign ignores a sign from before the upstream's return.
 func (t *Tracker) applyLeavingSign(e *entry, at time.Time) {
-	if e.leaving() || !e.trustFrom.IsZero() && at.Before(e.trustFrom) {
+	if e.leaving() || at.Before(e.returnedAt) {
 		return
 	}
 	t.counts.SignsApplied++
