Test the shared forms of routing, membership and admission under several goroutines

Cause: they had no test that the race detector could judge. Ruled out: nothing. Before: none. Conclusion: the mutex types may be shared between traffic goroutines.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -335,4 +337,24 @@
 		Expect((<-b.Done).Rejection).To(BeNil())
 		Expect(s.Status()["p"].InFlight).To(Equal(1))
 	})
+
+	It("keeps the limit for several goroutines through Shared", func() {
+		s := NewShared(fixed(2))
+		var inside atomic.Int32
+		var wg sync.WaitGroup
+		for n := range 8 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for range 50 {
+					w := s.Offer("p", Request{Workspace: fmt.Sprint(n)}, start)
+					Expect((<-w.Done).Rejection).To(BeNil())
+					Expect(inside.Add(1)).To(BeNumerically("<=", 2))
+					inside.Add(-1)
+					s.Release("p", w.Ticket, Sample{}, start)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(s.Status()["p"].Granted).To(BeEquivalentTo(400))
+	})
 })
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -281,6 +282,34 @@
 		Expect(p.match([]uint64{7}, start)).To(BeZero())
 	})
 
+	It("serves several goroutines through Shared with one view that changes", func() {
+		shared := NewShared(DefaultOptions("lagos"), rand.New(rand.NewPCG(1, 1)))
+		views := membership.NewShared(membership.DefaultOptions("vm"))
+		var members []membership.Member
+		for _, u := range tr.View().Pool("p") {
+			members = append(members, membership.Member{VM: u.VM, Address: u.Address, Pool: "p", Region: u.Region, State: membership.ListLive})
+		}
+		views.ApplyList(membership.List{Seq: 1, Members: members}, start)
+		var wg sync.WaitGroup
+		for n := range 4 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for i := range 200 {
+					now := start.Add(time.Duration(i) * time.Millisecond)
+					c, err := shared.Choose(views.View(), Request{Pool: "p"}, now)
+					Expect(err).NotTo(HaveOccurred())
+					views.ObserveSuccess(c.Upstream.Address, now)
+					if n == 0 && i == 100 {
+						views.ObserveDraining(address(0), now)
+					}
+					shared.Done(c.Ticket, Outcome{Latency: time.Millisecond}, now)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(shared.Counts().Choices).To(BeEquivalentTo(800))
+	})
+
 	It("forgets upstreams that have left the view", func() {
 		choose(Request{}, start)
 		tr.ApplyList(membership.List{Seq: 2, Members: nil}, start)
