--- a/budget/doc.go
+++ b/budget/doc.go
@@ -14,5 +14,5 @@
 //	// At the start of each stage, with the stages that are left:
 //	plan = b.Plan(stages[i:], deadline.Sub(now), now)
 //	grant := plan.Grants[0]          // grant.HedgeAfter, grant.CancelAfter
-//	b.Observe(stages[i], took, now)  // complete results only
+//	b.Observe(stages[i], took, now)  // at the upstreams, without the gate's wait
 package budget
--- a/budget/tracker.go
+++ b/budget/tracker.go
@@ -13,8 +13,10 @@
 	return &Tracker{opts: opts, stats: map[Key]*Histogram{}}
 }
 
-// Observe adds the latency of one complete stage. Leave out failed and
-// cancelled attempts; for a hedged stage, give the time from its start.
+// Observe adds the latency of one stage at its upstreams, from the start of its
+// first attempt. The wait before the admission gate is not part of it. For a
+// stage cancelled at CancelAfter give the time until then, a lower bound without
+// which a straggler would not show; leave out stages that failed.
 func (t *Tracker) Observe(k Key, d time.Duration, now time.Time) {
 	h := t.stats[k]
 	if h == nil {
--- a/retry/call.go
+++ b/retry/call.go
@@ -166,7 +166,7 @@
 // Complete takes a complete response. The first one that is valid and names
 // the request, stage, attempt and digest of the attempt that carried it wins.
 func (c *Call) Complete(r Result, now time.Time) []Action {
-	if !c.matches(r) {
+	if !c.Matches(r) {
 		c.counts.Mismatched++
 		return c.Fail(r.Carrier, Mismatch, now)
 	}
@@ -184,7 +184,10 @@
 	return append([]Action{{Kind: Win, Attempt: r.Carrier, Reason: Won}}, c.cancelOpen(Lost)...)
 }
 
-func (c *Call) matches(r Result) bool {
+// Matches says whether the result is a valid one of the attempt that carried
+// it. After the call's end it tells whether a late result of a non-idempotent
+// call may still be recorded.
+func (c *Call) Matches(r Result) bool {
 	if r.Carrier < 1 || r.Carrier > len(c.attempts) {
 		return false
 	}
--- a/retry/failure.go
+++ b/retry/failure.go
@@ -12,7 +12,9 @@
 	NotExecuted Failure = "not_executed"
 	// Broken is a connection that ended before a complete response.
 	Broken Failure = "broken"
-	// Stalled is an attempt without progress.
+	// Stalled is an attempt that can't come back, such as a stream or connection
+	// without progress. A call that is merely slow is hedged and kept: repeating
+	// it past saturation gives its place in the upstream's queue away.
 	Stalled Failure = "stalled"
 	// ServerError is a 5xx response without Damask-Not-Executed.
 	ServerError Failure = "server_error"
