--- a/transport/errors.go
+++ b/transport/errors.go
@@ -1,6 +1,9 @@
 package transport
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // NotSentError says that a call failed before any byte of it was sent, so the
 // other end has certainly not seen it.
@@ -24,3 +27,44 @@
 func (e *RemoteError) Error() string {
 	return fmt.Sprintf("%s answered with an error: %s", e.Addr, e.Message)
 }
+
+// LostError says that a call failed after its first byte was sent. The other
+// end may or may not have handled it.
+type LostError struct {
+	Addr string
+	Err  error
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("call to %s was sent and its answer was lost: %v; it may have been handled, so repeat it only if it is idempotent", e.Addr, e.Err)
+}
+
+func (e *LostError) Unwrap() error { return e.Err }
+
+// RefusedError says that the other end read the call's header and did not pass
+// the call to its handler.
+type RefusedError struct {
+	Addr   string
+	Reason string
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s refused the call and did not handle it: %s", e.Addr, e.Reason)
+}
+
+// TooLargeError says that a body is over the limit of this process.
+type TooLargeError struct {
+	Bytes, Limit uint64
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the body has %d bytes and the limit is %d; send less or raise the limit on both ends", e.Bytes, e.Limit)
+}
+
+// ErrSilent is in the chain of a LostError whose connection was closed because
+// no byte came from the peer within the progress timeout. It says nothing about
+// the peer itself: the next call opens a new connection.
+var ErrSilent = errors.New("the connection was silent for the progress timeout and was closed")
+
+// ErrClosed is returned by a client or server that was closed.
+var ErrClosed = errors.New("the transport was closed")
--- /dev/null
+++ b/transport/metrics.go
@@ -0,0 +1,57 @@
+package transport
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Reasons of failed calls, as used in damask_transport_calls_failed_total.
+const (
+	reasonDial     = "dial"
+	reasonNotSent  = "not_sent"
+	reasonSilent   = "silent"
+	reasonLost     = "lost"
+	reasonCanceled = "canceled"
+	reasonRemote   = "remote"
+	reasonRefused  = "refused"
+	reasonTooLarge = "too_large"
+)
+
+var (
+	connsOpened   = metrics.NewCounter(`damask_transport_connections_opened_total`)
+	connsAccepted = metrics.NewCounter(`damask_transport_connections_accepted_total`)
+	connsSilent   = metrics.NewCounter(`damask_transport_connections_closed_silent_total`)
+	connsRejected = metrics.NewCounter(`damask_transport_connections_rejected_total`)
+)
+
+// methodCounters counts the framed bytes of one method, without the overhead
+// of QUIC and UDP.
+type methodCounters struct {
+	calls, in, out *metrics.Counter
+}
+
+const countedMethods = 32
+
+var counters = newCounters()
+
+func newCounters() [countedMethods]methodCounters {
+	var all [countedMethods]methodCounters
+	for i := range all {
+		name := Method(i).String()
+		all[i] = methodCounters{
+			calls: metrics.NewCounter(fmt.Sprintf(`damask_transport_calls_total{method=%q}`, name)),
+			in:    metrics.NewCounter(fmt.Sprintf(`damask_transport_bytes_total{direction="in",method=%q}`, name)),
+			out:   metrics.NewCounter(fmt.Sprintf(`damask_transport_bytes_total{direction="out",method=%q}`, name)),
+		}
+	}
+	return all
+}
+
+func countersOf(m Method) *methodCounters {
+	return &counters[int(m)%countedMethods]
+}
+
+func countFailure(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`damask_transport_calls_failed_total{reason=%q}`, reason)).Inc()
+}
