--- /dev/null
+++ b/audit/errors.go
@@ -0,0 +1,43 @@
+package audit
+
+import (
+	"errors"
+	"fmt"
+)
+
+// CorruptError says that stored records were changed or lost after they had
+// been durable.
+type CorruptError struct {
+	Path   string
+	Offset int64
+	Detail string
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("audit: %s is damaged at byte %d: %s; keep the file for the auditor, put the copy of the segment from the second control VM in its place and restart", e.Path, e.Offset, e.Detail)
+}
+
+// StoppedError says that the store refuses to go on after a disk error. What
+// it had acknowledged before is durable.
+type StoppedError struct {
+	Err error
+}
+
+func (e *StoppedError) Error() string {
+	return fmt.Sprintf("audit: the store stopped after a disk error: %v; check the disk and its free space, then restart the process", e.Err)
+}
+
+func (e *StoppedError) Unwrap() error { return e.Err }
+
+// ErrClosed is returned by a store or writer that was closed.
+var ErrClosed = errors.New("audit: closed; open it again")
+
+// FullError says that a writer's buffer is full because no control VM takes
+// batches. The caller refuses the request as audit_unavailable.
+type FullError struct {
+	Records, Limit int
+}
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("audit: audit_unavailable: %d records wait and the limit is %d; check that a control VM can be reached and its disk is writable", e.Records, e.Limit)
+}
--- a/transport/server.go
+++ b/transport/server.go
@@ -21,11 +21,11 @@
 	codeMalformed quic.StreamErrorCode      = 2
 )
 
-const (
-	// drainNotice is the only message on a stream that the server opens.
-	drainNotice  byte = 1
-	streamBuffer      = 512
-)
+// drainNotice is the only message on a stream that the server opens.
+const drainNotice byte = 1
+
+// streamBuffer is the read buffer of one stream in bytes. Most calls fit in it.
+const streamBuffer = 512
 
 // Server accepts connections and passes their calls to a handler. It is safe
 // for concurrent use.
