--- /dev/null
+++ b/keys/pem.go
@@ -0,0 +1,129 @@
+package keys
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+const (
+	fileMode = 0o600
+	dirMode  = 0o700
+
+	certBlock = "CERTIFICATE"
+	keyBlock  = "PRIVATE KEY"
+)
+
+// encodeIdentity writes a certificate and its key.
+func encodeIdentity(cert *x509.Certificate, key *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, err
+	}
+	out := pem.EncodeToMemory(&pem.Block{Type: certBlock, Bytes: cert.Raw})
+	return append(out, pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: der})...), nil
+}
+
+func encodeCerts(certs []*x509.Certificate) []byte {
+	var out []byte
+	for _, c := range certs {
+		out = append(out, pem.EncodeToMemory(&pem.Block{Type: certBlock, Bytes: c.Raw})...)
+	}
+	return out
+}
+
+// decodePEM reads certificates and at most one key.
+func decodePEM(b []byte) ([]*x509.Certificate, *ecdsa.PrivateKey, error) {
+	var certs []*x509.Certificate
+	var key *ecdsa.PrivateKey
+	for {
+		var block *pem.Block
+		block, b = pem.Decode(b)
+		if block == nil {
+			break
+		}
+		switch block.Type {
+		case certBlock:
+			c, err := x509.ParseCertificate(block.Bytes)
+			if err != nil {
+				return nil, nil, err
+			}
+			certs = append(certs, c)
+		case keyBlock:
+			k, err := parseKey(block.Bytes)
+			if err != nil {
+				return nil, nil, err
+			}
+			key = k
+		default:
+			return nil, nil, fmt.Errorf("a block of type %q is not expected", block.Type)
+		}
+	}
+	if len(bytes.TrimSpace(b)) > 0 {
+		return nil, nil, errors.New("there is text outside of the PEM blocks")
+	}
+	return certs, key, nil
+}
+
+func parseKey(der []byte) (*ecdsa.PrivateKey, error) {
+	k, err := x509.ParsePKCS8PrivateKey(der)
+	if err != nil {
+		return nil, err
+	}
+	key, ok := k.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, fmt.Errorf("the key is a %T and not an ECDSA key", k)
+	}
+	return key, nil
+}
+
+// decodeIdentity reads a certificate and the key that belongs to it.
+func decodeIdentity(b []byte) (*identity, error) {
+	certs, key, err := decodePEM(b)
+	if err != nil {
+		return nil, err
+	}
+	if len(certs) != 1 || key == nil {
+		return nil, fmt.Errorf("it has %d certificates and a key: %t; one of each is expected", len(certs), key != nil)
+	}
+	if !key.PublicKey.Equal(certs[0].PublicKey) {
+		return nil, errors.New("the key does not belong to the certificate")
+	}
+	return &identity{cert: certs[0], key: key}, nil
+}
+
+// writeFile replaces a file as a whole, so that a reader never sees a part.
+func writeFile(path string, b []byte) error {
+	tmp, err := os.CreateTemp(filepath.Dir(path), ".new-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name()) //nolint:errcheck // gone after the rename
+	_, err = tmp.Write(b)
+	if err == nil {
+		err = tmp.Chmod(fileMode)
+	}
+	if err == nil {
+		err = tmp.Sync()
+	}
+	if err = errors.Join(err, tmp.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(tmp.Name(), path); err != nil {
+		return err
+	}
+	return syncDir(filepath.Dir(path))
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
--- a/transport/credentials.go
+++ b/transport/credentials.go
@@ -31,9 +31,9 @@
 
 var errNoCertificate = errors.New("the peer presented no certificate; issue one with damaskctl keys")
 
-// peerOf reads the peer's identity from its verified certificate: the common
+// PeerOf reads the peer's identity from its verified certificate: the common
 // name is the VM, the organizational unit is the role.
-func peerOf(state tls.ConnectionState) (Peer, error) {
+func PeerOf(state tls.ConnectionState) (Peer, error) {
 	if len(state.PeerCertificates) == 0 {
 		return Peer{}, errNoCertificate
 	}
--- a/transport/server.go
+++ b/transport/server.go
@@ -124,7 +124,7 @@
 func (s *Server) serveConn(conn *quic.Conn) {
 	defer s.loops.Done()
 	defer s.remove(conn)
-	peer, err := peerOf(conn.ConnectionState().TLS)
+	peer, err := PeerOf(conn.ConnectionState().TLS)
 	if err != nil {
 		connsRejected.Inc()
 		_ = conn.CloseWithError(codeIdentity, err.Error())
