transport: tests of liveness, limits, drain and the in-process network

Guards against a silent connection that is kept, a false claim of not sent, unbounded bodies and calls, and a drain that cuts answers. Before: no test.

--- /dev/null
+++ b/transport/quic_test.go
@@ -0,0 +1,302 @@
+package transport_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/keys"
+	"damaskbridge.example/damaskbridge/transport"
+)
+
+// patience bounds every wait for an event that has to come.
+const patience = 10 * time.Second
+
+func testCredentials() map[ids.VMID]transport.Credentials {
+	creds, err := keys.Ephemeral(
+		transport.Peer{VM: "c1", Role: transport.RoleControl},
+		transport.Peer{VM: "e1", Role: transport.RoleEntry},
+	)
+	Expect(err).NotTo(HaveOccurred())
+	return creds
+}
+
+func listen(creds transport.Credentials, addr string, o transport.Options, h transport.HandlerFunc) *transport.Server {
+	s, err := transport.ListenWith(addr, creds, h, o)
+	Expect(err).NotTo(HaveOccurred())
+	ginkgo.DeferCleanup(func() { _ = s.Close() })
+	return s
+}
+
+func client(creds transport.Credentials, o transport.Options) *transport.Client {
+	c, err := transport.NewClientWith(creds, o)
+	Expect(err).NotTo(HaveOccurred())
+	ginkgo.DeferCleanup(func() { _ = c.Close() })
+	return c
+}
+
+func echo(_ context.Context, _ transport.Peer, _ transport.Method, body []byte) ([]byte, error) {
+	return body, nil
+}
+
+func isNotSent(err error) bool {
+	var n *transport.NotSentError
+	return errors.As(err, &n)
+}
+
+var _ = ginkgo.Describe("calls over QUIC", func() {
+	var ctx context.Context
+	var creds map[ids.VMID]transport.Credentials
+	short := transport.Options{DialTimeout: 500 * time.Millisecond, ProgressTimeout: 200 * time.Millisecond}
+
+	ginkgo.BeforeEach(func() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.Background(), 2*patience)
+		ginkgo.DeferCleanup(cancel)
+		creds = testCredentials()
+	})
+
+	ginkgo.It("carries method, body, remote errors and the certificate's identity", func() {
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(_ context.Context, p transport.Peer, m transport.Method, body []byte) ([]byte, error) {
+			if m == transport.MethodAdmin {
+				return nil, errors.New("no such admin call")
+			}
+			return fmt.Appendf(nil, "%s %s %s %s", p.VM, p.Role, m, body), nil
+		})
+		c := client(creds["e1"], transport.Options{})
+		reply, err := c.Call(ctx, s.Addr(), transport.MethodRenew, []byte("body"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(reply)).To(Equal("e1 entry renew body"))
+		_, err = c.Call(ctx, s.Addr(), transport.MethodAdmin, nil)
+		var remote *transport.RemoteError
+		Expect(errors.As(err, &remote)).To(BeTrue())
+		Expect(remote.Message).To(Equal("no such admin call"))
+	})
+
+	ginkgo.It("uses one connection for many calls at once", func() {
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, echo)
+		relay := newRelay(s.Addr())
+		c := client(creds["e1"], transport.Options{})
+		var wg sync.WaitGroup
+		var failed atomic.Int64
+		for i := range 100 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				body := bytes.Repeat([]byte{byte(i)}, i*1000)
+				reply, err := c.Call(ctx, relay.addr(), transport.MethodRenew, body)
+				if err != nil || !bytes.Equal(reply, body) {
+					failed.Add(1)
+				}
+			}()
+		}
+		wg.Wait()
+		Expect(failed.Load()).To(BeZero())
+		Expect(relay.all()).To(HaveLen(1))
+	})
+
+	ginkgo.It("closes a silent connection and opens a new one that works", func() {
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, echo)
+		relay := newRelay(s.Addr())
+		c := client(creds["e1"], short)
+		_, err := c.Call(ctx, relay.addr(), transport.MethodRenew, nil)
+		Expect(err).NotTo(HaveOccurred())
+		relay.silenceAll()
+		_, err = c.Call(ctx, relay.addr(), transport.MethodRenew, nil)
+		Expect(errors.Is(err, transport.ErrSilent)).To(BeTrue(), "%v", err)
+		Expect(isNotSent(err)).To(BeFalse(), "the request may have arrived")
+		_, err = c.Call(ctx, relay.addr(), transport.MethodRenew, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(relay.all()).To(HaveLen(2))
+	})
+
+	ginkgo.It("keeps a connection whose peer is alive while its handler takes long", func() {
+		// The handler ends only after the client has sent more probes than a
+		// silent connection would get.
+		var relay *udpRelay
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(ctx context.Context, _ transport.Peer, _ transport.Method, _ []byte) ([]byte, error) {
+			start := relay.datagrams()
+			for relay.datagrams() < start+30 {
+				select {
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				case <-time.After(time.Millisecond):
+				}
+			}
+			return []byte("done"), nil
+		})
+		relay = newRelay(s.Addr())
+		reply, err := client(creds["e1"], short).Call(ctx, relay.addr(), transport.MethodStatus, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(reply)).To(Equal("done"))
+	})
+
+	ginkgo.It("reports a failed dial as not sent", func() {
+		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		defer socket.Close() //nolint:errcheck // nothing was written
+		_, err = client(creds["e1"], short).Call(ctx, socket.LocalAddr().String(), transport.MethodRenew, nil)
+		Expect(isNotSent(err)).To(BeTrue(), "%v", err)
+	})
+
+	ginkgo.It("calls a restarted server on a new connection", func() {
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, echo)
+		c := client(creds["e1"], short)
+		_, err := c.Call(ctx, s.Addr(), transport.MethodRenew, nil)
+		Expect(err).NotTo(HaveOccurred())
+		addr := s.Addr()
+		Expect(s.Close()).To(Succeed())
+		Eventually(func() bool {
+			_, err := c.Call(ctx, addr, transport.MethodRenew, nil)
+			return isNotSent(err)
+		}, patience).Should(BeTrue(), "the connection is known dead, so the call is not sent")
+		listen(creds["c1"], addr, transport.Options{}, echo)
+		_, err = c.Call(ctx, addr, transport.MethodRenew, nil)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	ginkgo.It("does not claim that a call was not sent when its server went away", func() {
+		started := make(chan struct{})
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(ctx context.Context, _ transport.Peer, _ transport.Method, _ []byte) ([]byte, error) {
+			close(started)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		result := make(chan error, 1)
+		c := client(creds["e1"], short)
+		go func() {
+			_, err := c.Call(ctx, s.Addr(), transport.MethodPropose, nil)
+			result <- err
+		}()
+		Eventually(started, patience).Should(BeClosed())
+		Expect(s.Close()).To(Succeed())
+		var err error
+		Eventually(result, patience).Should(Receive(&err))
+		var lost *transport.LostError
+		Expect(errors.As(err, &lost)).To(BeTrue(), "%v", err)
+		Expect(isNotSent(err)).To(BeFalse())
+	})
+
+	ginkgo.It("bounds bodies on both ends", func() {
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{MaxBody: 1000}, func(_ context.Context, _ transport.Peer, m transport.Method, body []byte) ([]byte, error) {
+			if m == transport.MethodSnapshot {
+				return make([]byte, 1001), nil
+			}
+			return body, nil
+		})
+		c := client(creds["e1"], transport.Options{MaxBody: 2000})
+		_, err := c.Call(ctx, s.Addr(), transport.MethodRenew, make([]byte, 2001))
+		var large *transport.TooLargeError
+		Expect(errors.As(err, &large)).To(BeTrue())
+		Expect(isNotSent(err)).To(BeTrue())
+		_, err = c.Call(ctx, s.Addr(), transport.MethodRenew, make([]byte, 1001))
+		var refused *transport.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
+		_, err = c.Call(ctx, s.Addr(), transport.MethodSnapshot, nil)
+		Expect(err).To(MatchError(ContainSubstring("the limit is 1000")))
+		reply, err := c.Call(ctx, s.Addr(), transport.MethodRenew, make([]byte, 1000))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply).To(HaveLen(1000))
+	})
+
+	ginkgo.DescribeTable("bounds calls that run at once", func(o transport.Options) {
+		var running, most atomic.Int64
+		release := make(chan struct{})
+		full := make(chan struct{})
+		s := listen(creds["c1"], "127.0.0.1:0", o, func(ctx context.Context, _ transport.Peer, _ transport.Method, _ []byte) ([]byte, error) {
+			n := running.Add(1)
+			defer running.Add(-1)
+			for {
+				m := most.Load()
+				if n <= m || most.CompareAndSwap(m, n) {
+					break
+				}
+			}
+			if n == 3 {
+				close(full)
+			}
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+			return nil, nil
+		})
+		c := client(creds["e1"], transport.Options{})
+		results := make(chan error, 12)
+		for range 12 {
+			go func() {
+				_, err := c.Call(ctx, s.Addr(), transport.MethodRenew, nil)
+				results <- err
+			}()
+		}
+		Eventually(full, patience).Should(BeClosed())
+		close(release)
+		for range 12 {
+			Eventually(results, patience).Should(Receive(BeNil()))
+		}
+		Expect(most.Load()).To(Equal(int64(3)))
+	},
+		ginkgo.Entry("on one connection", transport.Options{MaxStreams: 3}),
+		ginkgo.Entry("on the server", transport.Options{MaxCalls: 3}),
+	)
+
+	ginkgo.It("ends the handler's context when the caller gives up", func() {
+		started, ended := make(chan struct{}), make(chan struct{})
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(ctx context.Context, _ transport.Peer, _ transport.Method, _ []byte) ([]byte, error) {
+			close(started)
+			<-ctx.Done()
+			close(ended)
+			return nil, ctx.Err()
+		})
+		short, cancel := context.WithCancel(ctx)
+		result := make(chan error, 1)
+		c := client(creds["e1"], transport.Options{})
+		go func() {
+			_, err := c.Call(short, s.Addr(), transport.MethodRenew, nil)
+			result <- err
+		}()
+		Eventually(started, patience).Should(BeClosed())
+		cancel()
+		Eventually(ended, patience).Should(BeClosed())
+		Eventually(result, patience).Should(Receive(MatchError(context.Canceled)))
+	})
+
+	ginkgo.It("drains without cutting a running call or its answer", func() {
+		started, release := make(chan struct{}), make(chan struct{})
+		big := make([]byte, 8<<20)
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(context.Context, transport.Peer, transport.Method, []byte) ([]byte, error) {
+			close(started)
+			<-release
+			return big, nil
+		})
+		c := client(creds["e1"], short)
+		result := make(chan error, 1)
+		go func() {
+			reply, err := c.Call(ctx, s.Addr(), transport.MethodRenew, nil)
+			if err == nil && len(reply) != len(big) {
+				err = errors.New("the answer is cut off")
+			}
+			result <- err
+		}()
+		Eventually(started, patience).Should(BeClosed())
+		drained := make(chan error, 1)
+		go func() { drained <- s.Drain(ctx) }()
+		Eventually(func() error {
+			_, err := c.Call(ctx, s.Addr(), transport.MethodRenew, nil)
+			return err
+		}, patience).Should(Satisfy(isNotSent), "new calls go elsewhere without having been sent")
+		Expect(drained).NotTo(Receive())
+		close(release)
+		Eventually(result, patience).Should(Receive(BeNil()))
+		Eventually(drained, patience).Should(Receive(BeNil()))
+	})
+})
