transport: make the drain and limit tests independent of goroutine order

A second call could reach the drain test's handler before the drain began and close its channel twice. Found by running mutated copies; the checks are the same.

--- a/transport/quic_test.go
+++ b/transport/quic_test.go
@@ -210,6 +210,7 @@
 
 	ginkgo.DescribeTable("bounds calls that run at once", func(o transport.Options) {
 		var running, most atomic.Int64
+		var once sync.Once
 		release := make(chan struct{})
 		full := make(chan struct{})
 		s := listen(creds["c1"], "127.0.0.1:0", o, func(ctx context.Context, _ transport.Peer, _ transport.Method, _ []byte) ([]byte, error) {
@@ -222,7 +223,7 @@
 				}
 			}
 			if n == 3 {
-				close(full)
+				once.Do(func() { close(full) })
 			}
 			select {
 			case <-release:
@@ -273,7 +274,10 @@
 	ginkgo.It("drains without cutting a running call or its answer", func() {
 		started, release := make(chan struct{}), make(chan struct{})
 		big := make([]byte, 8<<20)
-		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(context.Context, transport.Peer, transport.Method, []byte) ([]byte, error) {
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(_ context.Context, _ transport.Peer, m transport.Method, _ []byte) ([]byte, error) {
+			if m == transport.MethodStatus {
+				return nil, nil
+			}
 			close(started)
 			<-release
 			return big, nil
@@ -291,7 +295,7 @@
 		drained := make(chan error, 1)
 		go func() { drained <- s.Drain(ctx) }()
 		Eventually(func() error {
-			_, err := c.Call(ctx, s.Addr(), transport.MethodRenew, nil)
+			_, err := c.Call(ctx, s.Addr(), transport.MethodStatus, nil)
 			return err
 		}, patience).Should(Satisfy(isNotSent), "new calls go elsewhere without having been sent")
 		Expect(drained).NotTo(Receive())
