audit: tests of crashes, damage and retention; transport: no race in a test

Cause: the thin store had no test, and the race detector found in one of five runs that a transport test shared its relay without synchronization. Guards against lost acknowledged records, doubled records, undetected changes of sealed segments and a chain broken by retention.

--- /dev/null
+++ b/audit/crash_test.go
@@ -0,0 +1,183 @@
+package audit
+
+import (
+	"errors"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+// crashDisk opens segments whose unsynced bytes a crash can lose or mix up.
+type crashDisk struct {
+	files    []*crashFile
+	failSync bool // the next Sync fails and makes nothing durable
+}
+
+type crashFile struct {
+	*os.File
+	disk         *crashDisk
+	path         string
+	synced, size int64
+}
+
+var errSync = errors.New("input/output error")
+
+func (d *crashDisk) open(path string, flag int) (segmentFile, error) {
+	f, err := os.OpenFile(path, flag, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	info, err := f.Stat()
+	c := &crashFile{File: f, disk: d, path: path, synced: info.Size(), size: info.Size()}
+	d.files = append(d.files, c)
+	return c, err
+}
+
+func (f *crashFile) WriteAt(p []byte, off int64) (int, error) {
+	f.size = max(f.size, off+int64(len(p)))
+	return f.File.WriteAt(p, off)
+}
+
+func (f *crashFile) Truncate(size int64) error {
+	f.size, f.synced = size, min(size, f.synced)
+	return f.File.Truncate(size)
+}
+
+func (f *crashFile) Sync() error {
+	if f.disk.failSync {
+		f.disk.failSync = false
+		return errSync
+	}
+	f.synced = f.size
+	return nil
+}
+
+// crash keeps the synced bytes and a part of the others, in which blocks may be
+// missing (zero) although later ones arrived.
+func (d *crashDisk) crash(t *rapid.T) {
+	for _, f := range d.files {
+		_ = f.Close()
+		lost := f.size - f.synced
+		if lost == 0 {
+			continue
+		}
+		kept := rapid.Int64Range(0, lost).Draw(t, "kept")
+		if err := os.Truncate(f.path, f.synced+kept); err != nil {
+			t.Fatal(err)
+		}
+		if kept > 0 && rapid.Bool().Draw(t, "hole") {
+			from := rapid.Int64Range(0, kept-1).Draw(t, "hole from")
+			length := rapid.Int64Range(1, kept-from).Draw(t, "hole length")
+			file, err := os.OpenFile(f.path, os.O_RDWR, fileMode)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := file.WriteAt(make([]byte, length), f.synced+from); err != nil {
+				t.Fatal(err)
+			}
+			_ = file.Close()
+		}
+	}
+	d.files = nil
+}
+
+// Over any sequence of appends, resends, disk errors and crashes each record
+// is stored at most once, no acknowledged record is lost and the chain
+// verifies.
+func TestCrashAndResend(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dir, err := os.MkdirTemp("", "audit")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer os.RemoveAll(dir) //nolint:errcheck // a temporary folder
+		disk := &crashDisk{}
+		options := Options{SegmentBytes: 700, openFile: disk.open}
+		store := mustLoad(t, dir, options)
+		acked := map[batchID]int{}
+		sent := map[batchID]int{}
+		next := map[string]uint64{"a": 1, "b": 1}
+
+		group := func() []*pending {
+			var group []*pending
+			for range rapid.IntRange(1, 4).Draw(t, "group") {
+				vm := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "vm")
+				number := next[vm]
+				if rapid.Bool().Draw(t, "resend") && number > 1 {
+					number = rapid.Uint64Range(1, number-1).Draw(t, "number")
+				} else {
+					next[vm]++
+				}
+				id := batchID{sessionOf(vm), number}
+				if sent[id] == 0 {
+					sent[id] = rapid.IntRange(1, 3).Draw(t, "records")
+				}
+				group = append(group, &pending{batch: batchFor(t, id, sent[id])})
+			}
+			return group
+		}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			disk.failSync = rapid.IntRange(0, 4).Draw(t, "fail") == 0
+			g := group()
+			if store.commit(g) == nil {
+				for _, p := range g {
+					id := batchID{p.batch.Session, p.batch.Number}
+					acked[id] = sent[id]
+				}
+				if rapid.IntRange(0, 3).Draw(t, "restart") != 0 {
+					continue
+				}
+			}
+			disk.failSync = false
+			disk.crash(t)
+			store = mustLoad(t, dir, options)
+			checkStored(t, store, sent, acked)
+		}
+	})
+}
+
+func mustLoad(t *rapid.T, dir string, o Options) *Store {
+	s, err := load(dir, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func batchFor(t *rapid.T, id batchID, records int) *encodedBatch {
+	b := Batch{Number: id.number}
+	for i := range records {
+		b.Records = append(b.Records, record(id.session, id.number*10+uint64(i), Begin))
+	}
+	e, err := encodeBatch(id.session, &b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func checkStored(t *rapid.T, s *Store, sent, acked map[batchID]int) {
+	report, err := s.Verify()
+	if err != nil {
+		t.Fatal(err)
+	}
+	total := uint64(0)
+	for id, records := range sent {
+		for i := range records {
+			found, err := s.Query(ids.RequestID{Session: id.session, Seq: id.number*10 + uint64(i)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			total += uint64(len(found))
+			if len(found) > 1 || (len(found) == 0 && acked[id] > 0) {
+				t.Fatalf("record %d of batch %v is stored %d times, acknowledged: %v", i, id, len(found), acked[id] > 0)
+			}
+		}
+	}
+	if report.Records != total {
+		t.Fatalf("%d records are stored and %d are found", report.Records, total)
+	}
+}
--- /dev/null
+++ b/audit/damage_test.go
@@ -0,0 +1,181 @@
+package audit
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+// fill appends batches of two records each and returns the closed folder.
+func fill(dir string, batches int, o Options) {
+	s, err := Open(dir, o)
+	Expect(err).NotTo(HaveOccurred())
+	for n := 1; n <= batches; n++ {
+		b := Batch{Number: uint64(n), Records: []Record{record(sessionOf("a"), uint64(n), Begin), record(sessionOf("a"), uint64(n), End)}}
+		Expect(s.Append(sessionOf("a"), b)).To(Succeed())
+	}
+	Expect(s.Close()).To(Succeed())
+}
+
+func isCorrupt(err error) bool {
+	var c *CorruptError
+	return errors.As(err, &c)
+}
+
+// change passes the content of a segment through edit and writes it back.
+func change(dir string, number uint64, edit func([]byte) []byte) {
+	path := segmentPath(dir, number)
+	b, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.WriteFile(path, edit(b), fileMode)).To(Succeed())
+}
+
+// Every change of one byte in a sealed segment is found, by Verify and when
+// the store is opened.
+func TestByteChangesInSealedSegments(t *testing.T) {
+	RegisterTestingT(t)
+	dir := t.TempDir()
+	fill(dir, 30, Options{SegmentBytes: 800})
+	numbers, err := listSegments(dir)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(len(numbers)).To(BeNumerically(">", 3))
+	check := func(number uint64, at int, xor byte) bool {
+		change(dir, number, func(b []byte) []byte { b[at] ^= xor; return b })
+		defer change(dir, number, func(b []byte) []byte { b[at] ^= xor; return b })
+		_, verifyErr := VerifyDir(dir)
+		_, openErr := load(dir, Options{})
+		return isCorrupt(verifyErr) && isCorrupt(openErr)
+	}
+	first, err := os.ReadFile(segmentPath(dir, 1))
+	Expect(err).NotTo(HaveOccurred())
+	for at := range first {
+		if !check(1, at, 1) {
+			t.Fatalf("the change of byte %d was not found", at)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.Uint64Range(1, numbers[len(numbers)-2]).Draw(t, "segment")
+		info, err := os.Stat(segmentPath(dir, number))
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := rapid.IntRange(0, int(info.Size())-1).Draw(t, "at")
+		if !check(number, at, byte(rapid.IntRange(1, 255).Draw(t, "xor"))) {
+			t.Fatal("the change was not found")
+		}
+	})
+}
+
+var _ = ginkgo.Describe("damage", func() {
+	var dir string
+	small := Options{SegmentBytes: 800}
+
+	ginkgo.BeforeEach(func() {
+		dir = ginkgo.GinkgoT().TempDir()
+	})
+
+	ginkgo.It("is found when a record was rewritten together with its checksum", func() {
+		fill(dir, 30, small)
+		change(dir, 2, func(b []byte) []byte {
+			at := bytes.Index(b, []byte("fittings"))
+			copy(b[at:], "FITTINGS")
+			start := bytes.LastIndex(b[:at], magicBytes)
+			length := int(binary.BigEndian.Uint32(b[start+4:]))
+			framed := b[start : start+frameHeadBytes+length]
+			binary.BigEndian.PutUint32(framed[8:], checksum(framed))
+			return b
+		})
+		_, err := VerifyDir(dir)
+		Expect(err).To(MatchError(ContainSubstring("hash chain")))
+	})
+
+	ginkgo.It("is found when frames or segments are taken out or exchanged", func() {
+		fill(dir, 30, small)
+		change(dir, 2, func(b []byte) []byte {
+			second := bytes.Index(b[4:], magicBytes) + 4
+			third := bytes.Index(b[second+4:], magicBytes) + second + 4
+			return append(append([]byte(nil), b[:second]...), b[third:]...)
+		})
+		_, err := VerifyDir(dir)
+		Expect(isCorrupt(err)).To(BeTrue())
+		Expect(os.Remove(segmentPath(dir, 2))).To(Succeed())
+		_, err = Open(dir, small)
+		Expect(err).To(MatchError(ContainSubstring("missing")))
+		Expect(os.Rename(segmentPath(dir, 3), segmentPath(dir, 2))).To(Succeed())
+		_, err = VerifyDir(dir)
+		Expect(isCorrupt(err)).To(BeTrue())
+	})
+
+	ginkgo.It("in the middle of the active segment is rejected with the remedy", func() {
+		fill(dir, 5, Options{})
+		change(dir, 1, func(b []byte) []byte {
+			second := bytes.Index(b[4:], magicBytes) + 4
+			b[second+20] ^= 1
+			return b
+		})
+		_, err := Open(dir, Options{})
+		Expect(isCorrupt(err)).To(BeTrue())
+		Expect(err).To(MatchError(ContainSubstring("copy of the segment")))
+	})
+
+	ginkgo.It("of the disk stops the store", func() {
+		disk := &crashDisk{}
+		s, err := Open(dir, Options{openFile: disk.open})
+		Expect(err).NotTo(HaveOccurred())
+		b := Batch{Number: 1, Records: []Record{record(sessionOf("a"), 1, Begin)}}
+		disk.failSync = true
+		var stopped *StoppedError
+		Expect(errors.As(s.Append(sessionOf("a"), b), &stopped)).To(BeTrue())
+		Expect(errors.As(s.Append(sessionOf("a"), b), &stopped)).To(BeTrue(), "a later fsync proves nothing about the first")
+		Expect(s.Err()).To(MatchError(errSync))
+		_ = s.Close()
+	})
+})
+
+var _ = ginkgo.Describe("retention", func() {
+	ginkgo.It("keeps the chain verifiable, also after a crash during the deletion", func() {
+		dir := ginkgo.GinkgoT().TempDir()
+		now := time.UnixMilli(1_000_000)
+		o := Options{SegmentBytes: 400, Retention: time.Hour, Now: func() time.Time { return now }}
+		fill(dir, 10, o)
+		old, err := os.ReadFile(segmentPath(dir, 1))
+		Expect(err).NotTo(HaveOccurred())
+		now = now.Add(2 * time.Hour)
+		s, err := Open(dir, o)
+		Expect(err).NotTo(HaveOccurred())
+		b := Batch{Number: 11, Records: []Record{record(sessionOf("a"), 11, Begin)}}
+		Expect(s.Append(sessionOf("a"), b)).To(Succeed())
+		deleted, err := s.Retire()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(deleted).To(BeNumerically(">", 1))
+		report, err := s.Verify()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.First).To(Equal(uint64(deleted + 1)))
+		found, err := s.Query(ids.RequestID{Session: sessionOf("a"), Seq: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeEmpty())
+		Expect(s.Close()).To(Succeed())
+
+		// A crash may leave an old segment behind after the anchor was written.
+		Expect(os.WriteFile(segmentPath(dir, 1), old, fileMode)).To(Succeed())
+		s, err = Open(dir, o)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Verify()).To(HaveField("Head", report.Head))
+		Expect(segmentPath(dir, 1)).NotTo(BeAnExistingFile())
+		Expect(s.Close()).To(Succeed())
+
+		Expect(os.Remove(filepath.Join(dir, anchorName))).To(Succeed())
+		_, err = Open(dir, o)
+		Expect(isCorrupt(err)).To(BeTrue(), "without the anchor the deleted segments are missing")
+	})
+})
--- a/audit/store.go
+++ b/audit/store.go
@@ -35,6 +35,16 @@
 // Open reads all segments in dir, which is created if it is missing. It cuts a
 // torn tail off the last segment. Damage anywhere else gives a *CorruptError.
 func Open(dir string, o Options) (*Store, error) {
+	s, err := load(dir, o)
+	if err != nil {
+		return nil, err
+	}
+	go s.run()
+	return s, nil
+}
+
+// load makes a store whose writing goroutine does not run yet.
+func load(dir string, o Options) (*Store, error) {
 	if err := o.Check(); err != nil {
 		return nil, err
 	}
@@ -47,15 +57,11 @@
 		quit:  make(chan struct{}), done: make(chan struct{}),
 		stored: make(map[ids.SessionID]*numberSet),
 	}
-	if err := s.load(); err != nil {
-		return nil, err
-	}
-	go s.run()
-	return s, nil
+	return s, s.readFolder()
 }
 
-// load reads the folder and opens the last segment for writing.
-func (s *Store) load() error {
+// readFolder reads the folder and opens the last segment for writing.
+func (s *Store) readFolder() error {
 	a, err := readAnchor(s.dir)
 	if err != nil {
 		return err
--- /dev/null
+++ b/audit/suite_test.go
@@ -0,0 +1,35 @@
+package audit
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "60"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestAudit(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "audit")
+}
+
+func sessionOf(vm string) ids.SessionID {
+	return ids.SessionID{VM: ids.VMID(vm), Incarnation: 7}
+}
+
+func record(s ids.SessionID, seq uint64, k Kind) Record {
+	return Record{Kind: k, Request: ids.RequestID{Session: s, Seq: seq}, AtUnixMS: int64(seq) * 10, Workspace: "fittings", Stage: "encode"}
+}
--- a/transport/quic_test.go
+++ b/transport/quic_test.go
@@ -122,8 +122,9 @@
 	ginkgo.It("keeps a connection whose peer is alive while its handler takes long", func() {
 		// The handler ends only after the client has sent more probes than a
 		// silent connection would get.
-		var relay *udpRelay
+		var shared atomic.Pointer[udpRelay]
 		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(ctx context.Context, _ transport.Peer, _ transport.Method, _ []byte) ([]byte, error) {
+			relay := shared.Load()
 			start := relay.datagrams()
 			for relay.datagrams() < start+30 {
 				select {
@@ -134,7 +135,8 @@
 			}
 			return []byte("done"), nil
 		})
-		relay = newRelay(s.Addr())
+		relay := newRelay(s.Addr())
+		shared.Store(relay)
 		reply, err := client(creds["e1"], short).Call(ctx, relay.addr(), transport.MethodStatus, nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(reply)).To(Equal("done"))
