audit: make a seal durable before the next segment when a store is opened

Cause: an ended process can leave a seal in the page cache only. The next Open saw the segment as sealed and started the following one without syncing it; a crash of the VM then lost the seal and the store refused to open. Found by the crash test after it told crashes of the process from those of the VM. Before: TestCrashAndResend fails with the fixed seed, segment 1 damaged at byte 963. After: green; two specs added for a link between segments and for the sync of a reopened tail, each seen to fail with its check taken out.

--- a/audit/commit.go
+++ b/audit/commit.go
@@ -185,6 +185,9 @@
 	}
 	last := s.segments[len(s.segments)-1]
 	if last.sealed {
+		if err := s.syncSealed(last); err != nil {
+			return err
+		}
 		return s.startSegment(last.number+1, last.end)
 	}
 	if last.size == 0 {
@@ -212,6 +215,19 @@
 	return nil
 }
 
+// syncSealed makes a seal durable that an ended process may have left in the
+// page cache. The next segment must not outlive it.
+func (s *Store) syncSealed(seg *segment) error {
+	file, err := s.options.openFile(seg.path, os.O_RDWR)
+	if err != nil {
+		return fmt.Errorf("audit: open segment: %w", err)
+	}
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("audit: sync segment: %w", err)
+	}
+	return file.Close()
+}
+
 // startSegment creates a segment with its header and makes it active.
 func (s *Store) startSegment(number uint64, prev hash) error {
 	path := segmentPath(s.dir, number)
--- a/audit/crash_test.go
+++ b/audit/crash_test.go
@@ -10,9 +10,10 @@
 	"damaskbridge.example/damaskbridge/ids"
 )
 
-// crashDisk opens segments whose unsynced bytes a crash can lose or mix up.
+// crashDisk opens segments whose unsynced bytes a crash of the VM can lose or
+// mix up. A crash of the process alone leaves them in the page cache.
 type crashDisk struct {
-	files    []*crashFile
+	files    map[string]*crashFile
 	failSync bool // the next Sync fails and makes nothing durable
 }
 
@@ -23,6 +24,8 @@
 	synced, size int64
 }
 
+func newCrashDisk() *crashDisk { return &crashDisk{files: map[string]*crashFile{}} }
+
 var errSync = errors.New("input/output error")
 
 func (d *crashDisk) open(path string, flag int) (segmentFile, error) {
@@ -31,9 +34,15 @@
 		return nil, err
 	}
 	info, err := f.Stat()
-	c := &crashFile{File: f, disk: d, path: path, synced: info.Size(), size: info.Size()}
-	d.files = append(d.files, c)
-	return c, err
+	if err != nil {
+		return nil, err
+	}
+	c := &crashFile{File: f, disk: d, path: path, size: info.Size()}
+	if old, ok := d.files[path]; ok {
+		c.synced = min(old.synced, c.size)
+	}
+	d.files[path] = c
+	return c, nil
 }
 
 func (f *crashFile) WriteAt(p []byte, off int64) (int, error) {
@@ -55,11 +64,18 @@
 	return nil
 }
 
-// crash keeps the synced bytes and a part of the others, in which blocks may be
+// kill ends the process: nothing that was written is lost, nor made durable.
+func (d *crashDisk) kill() {
+	for _, f := range d.files {
+		_ = f.Close()
+	}
+}
+
+// crash ends the VM. It keeps the synced bytes and a part of the others, in which blocks may be
 // missing (zero) although later ones arrived.
 func (d *crashDisk) crash(t *rapid.T) {
+	d.kill()
 	for _, f := range d.files {
-		_ = f.Close()
 		lost := f.size - f.synced
 		if lost == 0 {
 			continue
@@ -80,8 +96,9 @@
 			}
 			_ = file.Close()
 		}
+		f.size = f.synced + kept
+		f.synced = f.size
 	}
-	d.files = nil
 }
 
 // Over any sequence of appends, resends, disk errors and crashes each record
@@ -94,7 +111,7 @@
 			t.Fatal(err)
 		}
 		defer os.RemoveAll(dir) //nolint:errcheck // a temporary folder
-		disk := &crashDisk{}
+		disk := newCrashDisk()
 		options := Options{SegmentBytes: 700, openFile: disk.open}
 		store := mustLoad(t, dir, options)
 		acked := map[batchID]int{}
@@ -132,7 +149,11 @@
 				}
 			}
 			disk.failSync = false
-			disk.crash(t)
+			if rapid.Bool().Draw(t, "VM crash") {
+				disk.crash(t)
+			} else {
+				disk.kill()
+			}
 			store = mustLoad(t, dir, options)
 			checkStored(t, store, sent, acked)
 		}
--- a/audit/damage_test.go
+++ b/audit/damage_test.go
@@ -116,6 +116,22 @@
 		Expect(isCorrupt(err)).To(BeTrue())
 	})
 
+	ginkgo.It("is found when a segment was exchanged for a sound one of another store", func() {
+		fill(dir, 30, small)
+		other := ginkgo.GinkgoT().TempDir()
+		fill(other, 30, Options{SegmentBytes: 800, Now: func() time.Time { return time.UnixMilli(1) }})
+		numbers, err := listSegments(dir)
+		Expect(err).NotTo(HaveOccurred())
+		last := numbers[len(numbers)-1]
+		foreign, err := os.ReadFile(segmentPath(other, last))
+		Expect(err).NotTo(HaveOccurred())
+		change(dir, last, func([]byte) []byte { return foreign })
+		_, err = VerifyDir(dir)
+		Expect(isCorrupt(err)).To(BeTrue())
+		_, err = Open(dir, small)
+		Expect(isCorrupt(err)).To(BeTrue())
+	})
+
 	ginkgo.It("in the middle of the active segment is rejected with the remedy", func() {
 		fill(dir, 5, Options{})
 		change(dir, 1, func(b []byte) []byte {
@@ -128,8 +144,31 @@
 		Expect(err).To(MatchError(ContainSubstring("copy of the segment")))
 	})
 
+	ginkgo.It("of the page cache after an ended process loses no batch that is acknowledged later", func() {
+		disk := newCrashDisk()
+		o := Options{openFile: disk.open}
+		b := Batch{Number: 1, Records: []Record{record(sessionOf("a"), 1, Begin)}}
+		e, err := encodeBatch(sessionOf("a"), &b)
+		Expect(err).NotTo(HaveOccurred())
+		s, err := load(dir, o)
+		Expect(err).NotTo(HaveOccurred())
+		disk.failSync = true
+		Expect(s.commit([]*pending{{batch: e}})).NotTo(Succeed())
+		disk.kill()
+		s, err = load(dir, o)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.commit([]*pending{{batch: e}})).To(Succeed(), "the batch is found in the file and not written again")
+		disk.kill()
+		for _, f := range disk.files {
+			Expect(os.Truncate(f.path, f.synced)).To(Succeed())
+		}
+		s, err = load(dir, o)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Query(b.Records[0].Request)).To(HaveLen(1))
+	})
+
 	ginkgo.It("of the disk stops the store", func() {
-		disk := &crashDisk{}
+		disk := newCrashDisk()
 		s, err := Open(dir, Options{openFile: disk.open})
 		Expect(err).NotTo(HaveOccurred())
 		b := Batch{Number: 1, Records: []Record{record(sessionOf("a"), 1, Begin)}}
