transport, keys: prove a new connection before callers use it; tests of rotation

Cause: in TLS 1.3 a client's handshake ends before the server has checked its certificate, so the calls that followed a rejected certificate were lost in flight and a rotation in the wrong order failed calls. A first call that the server's transport answers itself now belongs to the dial. Ruled out: waiting for the handshake to be confirmed, which quic-go does not show to a client. Before: a rejected certificate gave LostError. After: NotSentError, and a working connection stays in use. Cost: one round trip for each new connection.

--- a/transport/client.go
+++ b/transport/client.go
@@ -212,8 +212,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
+	// In TLS 1.3 the client's handshake ends before the server has checked the
+	// client's certificate. The answer to a first call of the transport itself
+	// shows that the server has accepted it, so that no caller's request is
+	// sent on a connection that is about to be rejected.
+	c := newClientConn(conn, config, o)
+	if _, _, err := c.exchange(ctx, l.addr, methodHello, nil); err != nil {
+		c.shut(codeClosed, ErrClosed)
+		return nil, fmt.Errorf("first call on a new connection: %w", errors.Unwrap(err))
+	}
 	connsOpened.Inc()
-	return newClientConn(conn, config, o), nil
+	return c, nil
 }
 
 func (l *link) close() {
--- a/transport/method.go
+++ b/transport/method.go
@@ -2,7 +2,12 @@
 
 import "strconv"
 
+// methodHello is the first call on each connection. The server answers it
+// itself.
+const methodHello Method = 0
+
 var methodNames = [...]string{
+	methodHello:       "hello",
 	MethodRaft:        "raft",
 	MethodPropose:     "propose",
 	MethodRenew:       "renew",
--- a/transport/server.go
+++ b/transport/server.go
@@ -156,6 +156,10 @@
 	}
 	n := countersOf(h.method)
 	n.calls.Inc()
+	if h.method == methodHello && h.length == 0 {
+		n.out.Add(s.answer(stream, statusOK, nil))
+		return
+	}
 	if s.isDraining() {
 		n.out.Add(s.answer(stream, statusRefused, []byte("the process is shutting down; call another VM")))
 		return
