--- a/config/errors.go
+++ b/config/errors.go
@@ -59,13 +59,15 @@
 	}
 	detail := syntax.GetMessage()
 	var unknown *yaml.UnknownFieldError
-	var duplicate *yaml.DuplicateKeyError
+	var malformed *yaml.SyntaxError
 	var wrongType *yaml.TypeError
 	switch {
 	case errors.As(err, &unknown):
 		detail += "; remove it or correct its name, see examples/"
-	case errors.As(err, &duplicate):
+	case errors.As(err, &malformed) && strings.Contains(detail, "already defined"):
 		detail += "; keep one of the two"
+	case errors.As(err, &malformed):
+		detail += "; correct the YAML syntax here or just before"
 	case errors.As(err, &wrongType):
 		detail += "; write a value of the expected type"
 	}
