audit: search copies for a lost control VM; transport: roles, exact byte counts, 1 s timeouts

Cause: records whose control VM does not answer were reported as missing even where another control VM kept a copy. The progress and dial timeouts of 2 s each could use up the 3 s settings lease before an entry VM reached its next control VM. Before: a query with the control VM cut off found nothing; header bytes were counted as 2. After: found in the copy; counted exactly (both have a spec). Restrict rejects calls of a role that a method does not list.

--- /dev/null
+++ b/audit/copyquery.go
@@ -0,0 +1,58 @@
+package audit
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+)
+
+// find reads all copies from end to end and gives the entries that m asks for.
+// Damage ends the reading of a copy, and what was found before it counts: the
+// search is for records whose own control VM does not answer.
+func (d *CopyDir) find(m queryMessage) ([]Entry, error) {
+	sources, err := os.ReadDir(d.dir)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var found []Entry
+	for _, source := range sources {
+		dir := filepath.Join(d.dir, source.Name())
+		numbers, err := listSegments(dir)
+		if err != nil {
+			return nil, err
+		}
+		for _, n := range numbers {
+			entries, err := findInFile(segmentPath(dir, n), m)
+			var damage *CorruptError
+			if err != nil && !errors.As(err, &damage) {
+				return nil, err
+			}
+			found = append(found, entries...)
+		}
+	}
+	return found, nil
+}
+
+func findInFile(path string, m queryMessage) ([]Entry, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close() //nolint:errcheck // opened for reading only
+	var found []Entry
+	seg := &segment{path: path}
+	err = seg.scan(file, func(b *encodedBatch, _, _ int64) error {
+		if b.Session != m.Request.Session {
+			return nil
+		}
+		return b.each(func(e Entry) {
+			if m.wants(&e) {
+				found = append(found, e)
+			}
+		})
+	})
+	return found, err
+}
--- a/audit/message.go
+++ b/audit/message.go
@@ -30,6 +30,9 @@
 	WholeSession bool `cbor:"2,keyasint,omitempty"`
 	// AfterBatch pages through a session: only later batches are wanted.
 	AfterBatch uint64 `cbor:"3,keyasint,omitempty"`
+	// Copies asks for the copies of other control VMs' records, too. They are
+	// read from end to end, which takes long.
+	Copies bool `cbor:"4,keyasint,omitempty"`
 }
 
 // queryReply answers a queryMessage.
@@ -108,8 +111,15 @@
 // pageEntries bounds the records in one answer to a session query.
 const pageEntries = 20_000
 
-// ServeQuery answers transport.MethodAuditQuery for control VMs and operators.
+// ServeQuery answers transport.MethodAuditQuery for control VMs and operators
+// from this store alone.
 func (s *Store) ServeQuery(from transport.Peer, body []byte) ([]byte, error) {
+	return s.ServeQueryCopies(from, body, nil)
+}
+
+// ServeQueryCopies does what ServeQuery does and searches the copies that this
+// VM keeps of others' records, too, if the caller asks for it.
+func (s *Store) ServeQueryCopies(from transport.Peer, body []byte, copies *CopyDir) ([]byte, error) {
 	if from.Role == transport.RoleEntry {
 		return nil, fmt.Errorf("audit: VM %s with role %q may not read the audit log", from.VM, from.Role)
 	}
@@ -117,30 +127,52 @@
 	if err := decMode.Unmarshal(body, &m); err != nil {
 		return nil, fmt.Errorf("audit: decode query: %w", err)
 	}
-	reply, err := s.answer(m)
+	reply, err := s.answer(m, copies)
 	if err != nil {
 		return nil, err
 	}
 	return encMode.Marshal(reply)
 }
 
-func (s *Store) answer(m queryMessage) (queryReply, error) {
+func (s *Store) answer(m queryMessage, copies *CopyDir) (queryReply, error) {
+	all, err := s.find(m)
+	if err != nil {
+		return queryReply{}, err
+	}
+	if m.Copies && copies != nil {
+		copied, err := copies.find(m)
+		if err != nil {
+			return queryReply{}, err
+		}
+		all = append(all, copied...)
+	}
+	page := Merge(all)
+	cut := len(page)
+	if cut > pageEntries {
+		cut = wholeBatches(page, pageEntries)
+	}
+	return queryReply{Entries: toWire(page[:cut]), More: cut < len(page)}, nil
+}
+
+func (s *Store) find(m queryMessage) ([]Entry, error) {
 	if !m.WholeSession {
-		entries, err := s.Query(m.Request)
-		return queryReply{Entries: toWire(entries)}, err
+		return s.Query(m.Request)
 	}
 	var all []Entry
 	err := s.Session(m.Request.Session, func(e Entry) {
-		if e.Batch > m.AfterBatch {
+		if m.wants(&e) {
 			all = append(all, e)
 		}
 	})
-	page := Merge(all)
-	cut := len(page)
-	if cut > pageEntries {
-		cut = wholeBatches(page, pageEntries)
+	return all, err
+}
+
+// wants says whether an entry belongs to the answer.
+func (m *queryMessage) wants(e *Entry) bool {
+	if e.Record.Request.Session != m.Request.Session || e.Batch <= m.AfterBatch {
+		return false
 	}
-	return queryReply{Entries: toWire(page[:cut]), More: cut < len(page)}, err
+	return m.WholeSession || e.Record.Request.Seq == m.Request.Seq
 }
 
 // wholeBatches gives the first index from limit on at which a batch begins.
@@ -159,18 +191,30 @@
 	Addrs  []string
 }
 
-// Query merges the records of one request from all control VMs. Missing lists
-// the addresses that did not answer: their records may be missing.
+// Query merges the records of one request from all control VMs. If one does
+// not answer, the copies that the others keep are searched as well. Missing
+// lists the addresses that did not answer: the newest records that were stored
+// there alone may be missing.
 func (r *Reader) Query(ctx context.Context, id ids.RequestID) (entries []Entry, missing []string) {
 	return r.collect(ctx, queryMessage{Request: id})
 }
 
-// Session merges the records of one session from all control VMs.
+// Session merges the records of one session from all control VMs, as Query
+// does.
 func (r *Reader) Session(ctx context.Context, id ids.SessionID) (entries []Entry, missing []string) {
 	return r.collect(ctx, queryMessage{Request: ids.RequestID{Session: id}, WholeSession: true})
 }
 
 func (r *Reader) collect(ctx context.Context, m queryMessage) (entries []Entry, missing []string) {
+	entries, missing = r.collectOnce(ctx, m)
+	if len(missing) == 0 {
+		return entries, nil
+	}
+	m.Copies = true
+	return r.collectOnce(ctx, m)
+}
+
+func (r *Reader) collectOnce(ctx context.Context, m queryMessage) (entries []Entry, missing []string) {
 	var lists [][]Entry
 	for _, addr := range r.Addrs {
 		list, err := r.ask(ctx, addr, m)
--- a/audit/retire.go
+++ b/audit/retire.go
@@ -4,17 +4,25 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 )
 
 func dirOf(path string) string { return filepath.Dir(path) }
 
+// SetRetention changes the retention that Retire applies.
+func (s *Store) SetRetention(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retention = d
+}
+
 // Retire deletes the segments that were sealed longer ago than the retention,
 // and gives their number. The active segment stays. The anchor is durable
 // before the first file goes, so a crash in between loses no link of the chain.
 func (s *Store) Retire() (int, error) {
-	limit := s.options.Now().Add(-s.options.Retention).UnixMilli()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	limit := s.options.Now().Add(-s.retention).UnixMilli()
 	var old []*segment
 	for _, seg := range s.segments {
 		if !seg.sealed || seg.sealedUnixMS >= limit {
--- a/audit/store.go
+++ b/audit/store.go
@@ -7,6 +7,7 @@
 	"math"
 	"os"
 	"sync"
+	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
 )
@@ -21,11 +22,12 @@
 	done    chan struct{}
 	close   sync.Once
 
-	mu       sync.RWMutex
-	segments []*segment // in order; the last one is active
-	anchor   anchor
-	failed   error
-	stored   map[ids.SessionID]*numberSet
+	mu        sync.RWMutex
+	retention time.Duration
+	segments  []*segment // in order; the last one is active
+	anchor    anchor
+	failed    error
+	stored    map[ids.SessionID]*numberSet
 
 	// The writing goroutine owns the rest.
 	file segmentFile
@@ -52,7 +54,7 @@
 		return nil, fmt.Errorf("audit: create folder: %w", err)
 	}
 	s := &Store{
-		dir: dir, options: o.withDefaults(),
+		dir: dir, options: o.withDefaults(), retention: o.withDefaults().Retention,
 		queue: make(chan *pending, defaultQueue),
 		quit:  make(chan struct{}), done: make(chan struct{}),
 		stored: make(map[ids.SessionID]*numberSet),
--- a/audit/writer_test.go
+++ b/audit/writer_test.go
@@ -37,7 +37,7 @@
 		s.stores[name], s.copies[name] = store, copies
 		s.endpoint(name, transport.RoleControl).Listen(transport.HandlerFunc(func(ctx context.Context, p transport.Peer, m transport.Method, body []byte) ([]byte, error) {
 			if m == transport.MethodAuditQuery {
-				return store.ServeQuery(p, body)
+				return store.ServeQueryCopies(p, body, copies)
 			}
 			return store.ServeAppend(ctx, p, body, copies)
 		}))
@@ -248,6 +248,20 @@
 		Expect(store.Close()).To(Succeed())
 	})
 
+	ginkgo.It("has its records found in the copy while their control VM does not answer", func() {
+		w := start(WriterOptions{})
+		Expect(w.Begin(ctx, begin)).To(Succeed())
+		target := &RemoteTarget{Caller: place.endpoint("c1", transport.RoleControl), Addr: "c2"}
+		Expect(place.stores["c1"].Replicate(ctx, "c1", target)).To(Succeed())
+		reader := place.reader()
+		place.network.Isolate("c1")
+		found, missing := reader.Query(ctx, begin.Request)
+		Expect(found).To(HaveLen(1))
+		Expect(missing).To(Equal([]string{"c1"}))
+		found, _ = reader.Session(ctx, begin.Request.Session)
+		Expect(found).To(HaveLen(1))
+	})
+
 	ginkgo.It("pages through a long session", func() {
 		w := start(WriterOptions{BatchRecords: 4096})
 		for seq := uint64(1); seq <= pageEntries+5000; seq++ {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -177,7 +177,7 @@
 		resetStream(stream, codeAbandoned)
 		return nil, c.reason(ctx), c.lost(ctx, addr, err)
 	}
-	n.in.Add(len(reply) + 2)
+	n.in.Add(responseBytes(len(reply)))
 	switch st {
 	case statusOK:
 		return reply, "", nil
--- a/transport/frame.go
+++ b/transport/frame.go
@@ -33,12 +33,25 @@
 
 var errTrailing = errors.New("bytes follow the body of a message")
 
+// uvarintBytes is the encoded length of v.
+func uvarintBytes(v uint64) int {
+	return len(binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64), v))
+}
+
+// responseBytes is the framed length of a response with a body of n bytes.
+func responseBytes(n int) int { return 1 + uvarintBytes(uint64(n)) + n }
+
 type requestHeader struct {
 	method Method
 	left   time.Duration
 	length uint64
 }
 
+// bytes is the framed length of the request.
+func (h *requestHeader) bytes() int {
+	return 1 + uvarintBytes(uint64(h.left.Milliseconds())) + uvarintBytes(h.length) + int(h.length)
+}
+
 // timeLeft gives the time until ctx ends, at least 1 ms, or 0 without a limit.
 func timeLeft(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
--- a/transport/options.go
+++ b/transport/options.go
@@ -8,11 +8,14 @@
 )
 
 const (
-	defaultMaxBody         = 64 << 20
-	defaultMaxStreams      = 1024
-	defaultMaxCalls        = 8192
-	defaultDialTimeout     = 2 * time.Second
-	defaultProgressTimeout = 2 * time.Second
+	defaultMaxBody    = 64 << 20
+	defaultMaxStreams = 1024
+	defaultMaxCalls   = 8192
+	// The settings lease of an entry VM is 3 s. One second to notice a silent
+	// connection and one to give up on its peer leave one to renew the lease
+	// at the next control VM.
+	defaultDialTimeout     = time.Second
+	defaultProgressTimeout = time.Second
 	defaultIdleTimeout     = 30 * time.Second
 )
 
--- a/transport/quic_test.go
+++ b/transport/quic_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -82,6 +83,50 @@
 		Expect(remote.Message).To(Equal("no such admin call"))
 	})
 
+	ginkgo.It("lets each role make its own calls only", func() {
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, transport.Restrict(transport.HandlerFunc(echo), map[transport.Method][]string{
+			transport.MethodRaft:  {transport.RoleControl},
+			transport.MethodRenew: {transport.RoleEntry, transport.RoleControl},
+		}).Serve)
+		entry, control := client(creds["e1"], transport.Options{}), client(creds["c1"], transport.Options{})
+		for _, c := range []struct {
+			caller *transport.Client
+			m      transport.Method
+			ok     bool
+		}{
+			{entry, transport.MethodRaft, false},
+			{entry, transport.MethodRenew, true},
+			{entry, transport.MethodAdmin, false},
+			{control, transport.MethodRaft, true},
+		} {
+			_, err := c.caller.Call(ctx, s.Addr(), c.m, nil)
+			Expect(err == nil).To(Equal(c.ok), "%v", err)
+		}
+	})
+
+	ginkgo.It("counts bytes by method and failed calls by reason", func() {
+		count := func(name string) uint64 { return metrics.GetOrCreateCounter(name).Get() }
+		in, out := `damask_transport_bytes_total{direction="in",method="snapshot"}`, `damask_transport_bytes_total{direction="out",method="snapshot"}`
+		remote := `damask_transport_calls_failed_total{reason="remote"}`
+		inBefore, outBefore, failedBefore := count(in), count(out), count(remote)
+		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, func(_ context.Context, _ transport.Peer, m transport.Method, _ []byte) ([]byte, error) {
+			if m == transport.MethodAdmin {
+				return nil, errors.New("no")
+			}
+			return make([]byte, 1000), nil
+		})
+		c := client(creds["e1"], transport.Options{})
+		_, err := c.Call(context.WithoutCancel(ctx), s.Addr(), transport.MethodSnapshot, make([]byte, 100))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Call(ctx, s.Addr(), transport.MethodAdmin, nil)
+		Expect(err).To(HaveOccurred())
+		// Both ends are in this process: a request of 1+1+1+100 bytes, where
+		// no deadline takes one byte, and a response of 1+2+1000.
+		Expect(count(in) - inBefore).To(Equal(uint64(103 + 1003)))
+		Expect(count(out) - outBefore).To(Equal(uint64(103 + 1003)))
+		Expect(count(remote) - failedBefore).To(Equal(uint64(1)))
+	})
+
 	ginkgo.It("uses one connection for many calls at once", func() {
 		s := listen(creds["c1"], "127.0.0.1:0", transport.Options{}, echo)
 		relay := newRelay(s.Addr())
--- a/transport/server.go
+++ b/transport/server.go
@@ -174,7 +174,7 @@
 		resetStream(stream, codeMalformed)
 		return
 	}
-	n.in.Add(len(body) + 2)
+	n.in.Add(h.bytes())
 	n.out.Add(s.handle(stream, peer, h, body))
 }
 
