--- /dev/null
+++ b/entry/auth.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/settings"
+)
+
+// HeaderWorkspace names the workspace; it must match the token.
+const HeaderWorkspace = "Damask-Workspace"
+
+// authenticate finds the workspace whose token the caller presents. Tokens are
+// looked up by digest, so no comparison depends on the token's content.
+func authenticate(tree *settings.Tree, r *http.Request) (*settings.Workspace, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return nil, problem.New(problem.Unauthenticated, problem.NotRun, "no bearer token")
+	}
+	sum := sha256.Sum256([]byte(token))
+	w, ok := tree.WorkspaceByToken(hex.EncodeToString(sum[:]))
+	if !ok {
+		return nil, problem.New(problem.Unauthenticated, problem.NotRun, "the token belongs to no workspace")
+	}
+	name := r.Header.Get(HeaderWorkspace)
+	if name == "" || name == w.Name {
+		return w, nil
+	}
+	if _, known := tree.Workspace(name); !known {
+		return nil, problem.New(problem.UnknownWorkspace, problem.NotRun, "workspace %q", name)
+	}
+	return nil, problem.New(problem.Forbidden, problem.NotRun, "the token is not one of workspace %q", name)
+}
--- /dev/null
+++ b/entry/sse.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// sseWriter writes server-sent events. Each event is flushed; a slow caller
+// holds up its own request only.
+type sseWriter struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+}
+
+// callerWriteTimeout is how long one event may wait for a slow caller.
+const callerWriteTimeout = 10 * time.Second
+
+func newSSEWriter(w http.ResponseWriter) *sseWriter {
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	w.WriteHeader(http.StatusOK)
+	return &sseWriter{w: w, rc: http.NewResponseController(w)}
+}
+
+// event writes one event with an id and a name.
+func (s *sseWriter) event(id int, name string, data any) error {
+	text, err := json.Marshal(data)
+	if err != nil {
+		return fmt.Errorf("sse: %w", err)
+	}
+	return s.write(fmt.Appendf(nil, "id: %d\nevent: %s\ndata: %s\n\n", id, name, text))
+}
+
+// data writes one event that has data only.
+func (s *sseWriter) data(data any) error {
+	text, err := json.Marshal(data)
+	if err != nil {
+		return fmt.Errorf("sse: %w", err)
+	}
+	return s.write(fmt.Appendf(nil, "data: %s\n\n", text))
+}
+
+func (s *sseWriter) write(b []byte) error {
+	// Not every ResponseWriter has deadlines; without one the write waits.
+	_ = s.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	if _, err := s.w.Write(b); err != nil {
+		return err
+	}
+	return s.rc.Flush()
+}
