--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/stream"
+	"damaskbridge.example/damaskbridge/upstream"
+)
+
+const (
+	chatObject  = "chat.completion"
+	chunkObject = "chat.completion.chunk"
+	stopReason  = "stop"
+)
+
+// handleChat answers POST /v1/chat/completions. The model names the pipeline.
+func (s *Server) handleChat(w http.ResponseWriter, r *http.Request) error {
+	q, err := s.accept(r)
+	if err != nil {
+		return err
+	}
+	w.Header().Set(HeaderRequest, q.id.String())
+	raw, err := body(q.tree, q.branch, w, r)
+	if err != nil {
+		return s.refuse(q, err)
+	}
+	var in ChatRequest
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return s.refuse(q, q.fail(problem.BadRequest, "body: %v", err))
+	}
+	if len(in.Messages) == 0 {
+		return s.refuse(q, q.fail(problem.BadRequest, "messages are empty"))
+	}
+	p, err := s.bindPipeline(q, r, in.Model)
+	if err != nil {
+		return s.refuse(q, err)
+	}
+	e := newExecution(q, p)
+	e.input = lastUserMessage(in.Messages)
+	e.messages = in.Messages
+	e.maxTokens = max(in.MaxTokens, in.MaxCompletionTokens)
+	if in.Stream {
+		return s.streamChat(w, r, e, &in)
+	}
+	return s.answerChat(w, r, e, &in)
+}
+
+// lastUserMessage is the input of the stages before generation.
+func lastUserMessage(messages []upstream.Message) string {
+	for i := len(messages) - 1; i >= 0; i-- {
+		if messages[i].Role == "user" {
+			return messages[i].Content
+		}
+	}
+	return messages[len(messages)-1].Content
+}
+
+func (s *Server) answerChat(w http.ResponseWriter, r *http.Request, e *execution, in *ChatRequest) error {
+	s.launch(r.Context(), e)
+	var text strings.Builder
+	if err := e.follow(r.Context(), 0, func(t stream.Token) error {
+		text.WriteString(t.Text)
+		return nil
+	}); err != nil {
+		return s.callerError(e, err)
+	}
+	stop := stopReason
+	out := chatFrame(e, in, chatObject)
+	out.Choices = []ChatChoice{{Message: &ChatMessage{Role: "assistant", Content: text.String()}, FinishReason: &stop}}
+	out.Usage = usageOf(e)
+	return writeJSON(w, http.StatusOK, out)
+}
+
+// streamChat streams chunks. Without native resume, a caller that goes away
+// ends the execution at once.
+func (s *Server) streamChat(w http.ResponseWriter, r *http.Request, e *execution, in *ChatRequest) error {
+	s.launch(r.Context(), e)
+	var out *sseWriter
+	err := e.follow(r.Context(), 0, func(t stream.Token) error {
+		if out == nil {
+			out = newSSEWriter(w)
+		}
+		return out.data(chatChunk(e, in, t.Text))
+	})
+	if err != nil && out == nil {
+		return s.callerError(e, err)
+	}
+	if err != nil {
+		err = s.callerError(e, err)
+		if p, ok := problem.As(err); ok {
+			_ = out.data(chatError{Error: p})
+		}
+		return nil
+	}
+	if out == nil {
+		out = newSSEWriter(w)
+	}
+	stop := stopReason
+	last := chatFrame(e, in, chunkObject)
+	last.Choices = []ChatChoice{{Delta: &ChatMessage{}, FinishReason: &stop}}
+	_ = out.data(last)
+	if in.StreamOptions != nil && in.StreamOptions.IncludeUsage {
+		usage := chatFrame(e, in, chunkObject)
+		usage.Choices = []ChatChoice{}
+		usage.Usage = usageOf(e)
+		_ = out.data(usage)
+	}
+	_ = out.write([]byte("data: [DONE]\n\n"))
+	return nil
+}
+
+// chatError is the event that ends a broken stream; no [DONE] follows it.
+type chatError struct {
+	Error *problem.Problem `json:"error"`
+}
+
+func chatFrame(e *execution, in *ChatRequest, object string) ChatResponse {
+	return ChatResponse{ID: "chatcmpl-" + e.q.id.String(), Object: object, Created: e.q.started.Unix(), Model: in.Model}
+}
+
+func chatChunk(e *execution, in *ChatRequest, text string) ChatResponse {
+	out := chatFrame(e, in, chunkObject)
+	out.Choices = []ChatChoice{{Delta: &ChatMessage{Role: "assistant", Content: text}}}
+	return out
+}
+
+func usageOf(e *execution) *ChatUsage {
+	u := e.usage
+	return &ChatUsage{PromptTokens: u.PromptTokens, CompletionTokens: u.Tokens, TotalTokens: u.PromptTokens + u.Tokens}
+}
+
+// handleModels answers GET /v1/models with the workspace's pipelines.
+func (s *Server) handleModels(w http.ResponseWriter, r *http.Request) error {
+	_, ws, err := s.caller(r)
+	if err != nil {
+		return err
+	}
+	list := ModelList{Object: "list", Data: []Model{}}
+	for _, name := range ws.Pipelines {
+		list.Data = append(list.Data, Model{ID: name, Object: "model", Created: s.started.Unix(), OwnedBy: "damaskbridge"})
+	}
+	return writeJSON(w, http.StatusOK, list)
+}
--- /dev/null
+++ b/entry/generate.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"damaskbridge.example/damaskbridge/settings"
+	"damaskbridge.example/damaskbridge/upstream"
+)
+
+// errStalled ends an attempt whose engine has sent nothing for too long.
+var errStalled = errors.New("the engine sent no token within the allowed gap")
+
+// generation is one attempt's result at a generate stage.
+type generation struct {
+	end   upstream.ChatEnd
+	first time.Duration
+}
+
+func (g generation) wire() int                 { return g.end.WireBytes }
+func (g generation) served() time.Duration     { return g.first }
+func (g generation) load() upstream.LoadReport { return g.end.Load }
+
+// generate runs a generate stage. A failed attempt is followed by one that
+// starts a little before the last token received; the overlap shows whether the
+// next engine continues the same completion.
+func (s *Server) generate(ctx context.Context, e *execution, st settings.Stage, prior string, report *StageReport) error {
+	req := upstream.ChatRequest{
+		Model:     st.Model,
+		Adapter:   st.Adapter,
+		Messages:  e.prompt(prior),
+		MaxTokens: e.maxTokens,
+		Priority:  string(e.q.priority),
+	}
+	g, err := attempts(ctx, s, e.q, st, report, func(ctx context.Context, addr string, a upstream.Attempt) (generation, error) {
+		return s.chat(ctx, e, addr, a, req)
+	})
+	e.usage = g.end
+	report.CostUnits = float64(g.end.PromptTokens-g.end.CachedTokens) + float64(g.end.Tokens)
+	return err
+}
+
+// prompt puts the previous stage's output before the caller's messages.
+func (e *execution) prompt(prior string) []upstream.Message {
+	if prior == "" {
+		return e.messages
+	}
+	all := make([]upstream.Message, 0, len(e.messages)+1)
+	all = append(all, upstream.Message{Role: "system", Content: prior})
+	return append(all, e.messages...)
+}
+
+// chat makes one attempt and writes its tokens to the execution.
+func (s *Server) chat(ctx context.Context, e *execution, addr string, a upstream.Attempt, req upstream.ChatRequest) (generation, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	start := time.Now()
+	skip := e.tokens.Begin(a.Number, start)
+	req.SkipTokens = int(skip)
+	stall := newStallTimer(e, a.Number, cancel)
+	defer stall.stop()
+	var g generation
+	end, err := s.client.Chat(ctx, addr, a, req, func(_ int, text string) error {
+		if g.first == 0 {
+			g.first = time.Since(start)
+		}
+		if err := e.room(ctx, a.Number); err != nil {
+			return err
+		}
+		_, _, err := e.tokens.Append(a.Number, text, time.Now())
+		return err
+	})
+	g.end = end
+	if err == nil {
+		_, err = e.tokens.Finish(a.Number, uint64(end.Tokens), time.Now())
+	}
+	if err == nil {
+		return g, nil
+	}
+	e.tokens.Fail(a.Number)
+	if errors.Is(context.Cause(ctx), errStalled) {
+		return g, &upstream.Error{Cause: upstream.Silent, Address: addr, Err: errStalled}
+	}
+	return g, err
+}
+
+// stallTimer cancels an attempt when the gap between its tokens is too long.
+type stallTimer struct{ timer *time.Timer }
+
+// stallCheck is the time between two looks at an attempt's last token.
+const stallCheck = 100 * time.Millisecond
+
+func newStallTimer(e *execution, attempt int, cancel context.CancelCauseFunc) *stallTimer {
+	t := &stallTimer{}
+	t.timer = time.AfterFunc(stallCheck, func() {
+		if e.tokens.Stalled(attempt, time.Now()) {
+			cancel(errStalled)
+			return
+		}
+		t.timer.Reset(stallCheck)
+	})
+	return t
+}
+
+func (t *stallTimer) stop() { t.timer.Stop() }
--- /dev/null
+++ b/entry/runners.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/membership"
+	"damaskbridge.example/damaskbridge/routing"
+	"damaskbridge.example/damaskbridge/settings"
+	"damaskbridge.example/damaskbridge/upstream"
+	"github.com/phuslu/log"
+)
+
+// runners knows the upstreams and chooses among them.
+type runners struct {
+	self       ids.VMID
+	region     ids.Region
+	membersURL string
+	members    *membership.Shared
+	router     *routing.Shared
+	client     *upstream.Client
+	log        *log.Logger
+	// tell passes a sign on to the other entry VMs.
+	tell func(settings.Sign)
+}
+
+func newRunners(o Options, client *upstream.Client) *runners {
+	rng := rand.New(rand.NewPCG(uint64(o.Seed), 1))
+	return &runners{
+		self:       o.VM,
+		region:     o.Region,
+		membersURL: o.MembersURL,
+		members:    membership.NewShared(membership.DefaultOptions(o.VM)),
+		router:     routing.NewShared(routing.DefaultOptions(o.Region), rng),
+		client:     client,
+		log:        o.Logger,
+	}
+}
+
+// run reads the membership list and the runners' loads until ctx ends.
+func (r *runners) run(ctx context.Context) {
+	list := time.NewTicker(memberInterval)
+	defer list.Stop()
+	loads := time.NewTicker(loadInterval)
+	defer loads.Stop()
+	r.readList(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-list.C:
+			r.readList(ctx)
+		case <-loads.C:
+			r.readLoads(ctx)
+		}
+	}
+}
+
+// readList reads the platform's membership list once.
+func (r *runners) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, memberInterval)
+	defer cancel()
+	list, err := r.client.Members(ctx, r.membersURL)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.log.Warn().Err(err).Msg("entry: the membership list could not be read")
+		}
+		return
+	}
+	if r.members.ApplyList(toList(list), time.Now()) == membership.ListSuspect {
+		r.log.Warn().Uint64("seq", list.Seq).Msg("entry: the membership list has lost too many upstreams and waits for confirmation")
+	}
+}
+
+func toList(l upstream.MemberList) membership.List {
+	out := membership.List{Seq: l.Seq, AtUnixMS: l.AtUnixMS}
+	for _, m := range l.Members {
+		out.Members = append(out.Members, membership.Member{
+			VM: ids.VMID(m.VM), Address: m.Address, Pool: m.Pool,
+			Region: ids.Region(m.Region), State: membership.ListState(m.State),
+		})
+	}
+	return out
+}
+
+// readLoads starts one load read for each runner of this region's view. The
+// reads run side by side, so that one dead runner doesn't delay the others.
+func (r *runners) readLoads(ctx context.Context) {
+	view := r.members.View()
+	for _, pool := range view.Pools() {
+		for _, u := range view.Pool(pool) {
+			go r.readLoad(ctx, u.Address)
+		}
+	}
+}
+
+func (r *runners) readLoad(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, loadInterval)
+	defer cancel()
+	report, err := r.client.Load(ctx, addr)
+	if err != nil {
+		r.observeError(addr, err)
+		return
+	}
+	r.observeLoad(addr, report)
+	if report.Draining {
+		r.members.ObserveDraining(addr, time.Now())
+		return
+	}
+	r.members.ObserveSuccess(addr, time.Now())
+}
+
+// observeLoad takes a load report from a poll or a response.
+func (r *runners) observeLoad(addr string, l upstream.LoadReport) {
+	if l.AtUnixMS == 0 {
+		return
+	}
+	load := routing.Load{Running: l.Running, Waiting: l.Waiting, At: time.UnixMilli(l.AtUnixMS)}
+	r.router.ObserveLoad(addr, load, time.Now())
+}
+
+// observeError takes what a failed call says about the upstream itself.
+func (r *runners) observeError(addr string, err error) {
+	now := time.Now()
+	switch upstream.CauseOf(err) {
+	case upstream.Draining:
+		r.members.ObserveDraining(addr, now)
+	case upstream.NotSent:
+		r.members.ObserveRefused(addr, now)
+	}
+}
+
+// resultOf maps the error of an attempt to what it says about the upstream.
+func resultOf(err error) routing.Result {
+	if err == nil {
+		return routing.Success
+	}
+	switch upstream.CauseOf(err) {
+	case upstream.NotSent:
+		return routing.ConnectFailure
+	case upstream.Draining, upstream.Overloaded:
+		return routing.Overloaded
+	case upstream.Cancelled, upstream.GuardFailed, upstream.Silent:
+		return routing.Cancelled
+	default:
+		return routing.Failure
+	}
+}
+
+// retryAfter gives the hint of a failed choice.
+func retryAfter(err error) time.Duration {
+	const fallback = 500 * time.Millisecond
+	var none *routing.NoCandidateError
+	if errors.As(err, &none) && none.RetryAfter > 0 {
+		return none.RetryAfter
+	}
+	return fallback
+}
