--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -29,15 +29,16 @@
 	err      error
 }
 
-// try chooses a runner and makes one attempt. It keeps the books: the audit
+// choose picks a runner for an attempt. Its in-flight count holds until try
+// has ended.
+func (s *Server) choose(c attemptCall) (routing.Choice, error) {
+	return s.runners.router.Choose(s.runners.members.View(), c.route, time.Now())
+}
+
+// try makes one attempt at the chosen runner. It keeps the books: the audit
 // records, the router's in-flight counts, the upstream's state and the count
-// of attempts that may have run. A *routing.NoCandidateError means that nothing
-// was chosen.
-func (s *Server) try(ctx context.Context, q *request, c attemptCall, run attemptRun) (attemptDone, error) {
-	choice, err := s.runners.router.Choose(s.runners.members.View(), c.route, time.Now())
-	if err != nil {
-		return attemptDone{}, err
-	}
+// of attempts that may have run.
+func (s *Server) try(ctx context.Context, q *request, c attemptCall, choice routing.Choice, run attemptRun) attemptDone {
 	u := choice.Upstream
 	done := attemptDone{upstream: u.Address, region: string(u.Region)}
 	q.mayHaveRun.Add(1)
@@ -62,7 +63,7 @@
 	}
 	s.endAttempt(q, c, u.Address, err)
 	done.err = err
-	return done, nil
+	return done
 }
 
 // endAttempt writes the attempt's end to the audit log and the counters.
--- /dev/null
+++ b/entry/budgets.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"damaskbridge.example/damaskbridge/retry"
+	"damaskbridge.example/damaskbridge/settings"
+)
+
+// minAttemptTime is the remaining time below which no further attempt begins.
+const minAttemptTime = 5 * time.Millisecond
+
+// budgets keeps one retry budget for each pool. It is safe for concurrent use.
+type budgets struct {
+	mu    sync.Mutex
+	pools map[string]*retry.SharedBudget
+}
+
+func newBudgets() *budgets {
+	return &budgets{pools: make(map[string]*retry.SharedBudget)}
+}
+
+func (b *budgets) of(pool string) *retry.SharedBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shared, ok := b.pools[pool]
+	if !ok {
+		shared = retry.NewSharedBudget(retry.DefaultBudgetOptions())
+		b.pools[pool] = shared
+	}
+	return shared
+}
+
+// retryPolicy is the policy for a stage that may be repeated.
+func (s *Server) retryPolicy(q *request, st settings.Stage) retry.Policy {
+	branch := childBranch(q.branch, st.Name)
+	p := retry.Policy{
+		Idempotent:   true,
+		MaxAttempts:  q.tree.Int(branch, settings.RetryMaxAttempts),
+		Deadline:     q.deadline,
+		MinRemaining: minAttemptTime,
+	}
+	return p
+}
+
+// countRetries adds a call's counts to the metrics.
+func (s *Server) countRetries(c retry.Counts) {
+	for reason, n := range c.Attempts {
+		for range n {
+			s.counters.retried(string(reason))
+		}
+	}
+}
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -9,7 +9,6 @@
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/membership"
 	"damaskbridge.example/damaskbridge/routing"
-	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/upstream"
 	"github.com/phuslu/log"
 )
@@ -23,8 +22,6 @@
 	router     *routing.Shared
 	client     *upstream.Client
 	log        *log.Logger
-	// tell passes a sign on to the other entry VMs.
-	tell func(settings.Sign)
 }
 
 func newRunners(o Options, client *upstream.Client) *runners {
--- a/entry/sequence.go
+++ b/entry/sequence.go
@@ -74,6 +74,13 @@
 	return s.session, s.upTo + sequenceBlock, s.upTo-s.last <= sequenceLow
 }
 
+// ready says whether a request id can be given.
+func (s *sequence) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last < s.upTo
+}
+
 // used gives the last number handed out.
 func (s *sequence) used() (ids.SessionID, uint64) {
 	s.mu.Lock()
--- a/entry/subscriber.go
+++ b/entry/subscriber.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,8 +27,8 @@
 	published   atomic.Pointer[snapshot]
 	draining    atomic.Bool
 
-	mu       sync.Mutex
-	outgoing []settings.Sign
+	// signs gives the own observations of upstreams for the next renewal.
+	signs func(now time.Time) []settings.Sign
 	// onSigns receives upstream states seen by other entry VMs.
 	onSigns func([]settings.Sign)
 	// onTree is called after each newly published tree.
@@ -44,6 +43,7 @@
 		log:         o.Logger,
 		seq:         seq,
 		incarnation: ids.Incarnation(time.Now().UnixMilli()),
+		signs:       func(time.Time) []settings.Sign { return nil },
 		onSigns:     func([]settings.Sign) {},
 		onTree:      func(*settings.Tree) {},
 	}
@@ -52,21 +52,6 @@
 // snapshot gives the published state; it may be nil before the first renewal.
 func (s *subscriber) snapshot() *snapshot { return s.published.Load() }
 
-// tell queues a sign for the next renewal.
-func (s *subscriber) tell(sign settings.Sign) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.outgoing = append(s.outgoing, sign)
-}
-
-func (s *subscriber) takeSigns() []settings.Sign {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	signs := s.outgoing
-	s.outgoing = nil
-	return signs
-}
-
 // run opens a session and renews it until ctx ends.
 func (s *subscriber) run(ctx context.Context) {
 	tick := time.NewTicker(renewInterval)
@@ -144,30 +129,21 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	old := s.snapshot()
-	signs := s.takeSigns()
-	req := wire.Renew{Session: old.session, Region: s.region, InForce: version(old.tree), Signs: signs, Draining: s.draining.Load()}
+	req := wire.Renew{Session: old.session, Region: s.region, InForce: version(old.tree), Signs: s.signs(time.Now()), Draining: s.draining.Load()}
 	sent := time.Now()
 	reply, err := s.control.Renew(ctx, req)
 	if err != nil {
-		s.requeue(signs)
 		return fmt.Errorf("renew: %w", err)
 	}
 	if reply.SessionEnded {
 		return s.open(ctx)
 	}
 	if !reply.OK {
-		s.requeue(signs)
 		return errors.New("renew: the control VM can't prove that it is current")
 	}
 	return s.apply(old, sent, &reply)
 }
 
-func (s *subscriber) requeue(signs []settings.Sign) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.outgoing = append(signs, s.outgoing...)
-}
-
 // apply publishes the state after a renewal. The lease is extended only
 // together with the newest tree: a VM that can't apply a change must not go on
 // with the old one.
