--- /dev/null
+++ b/standin/faultset.go
@@ -0,0 +1,59 @@
+package standin
+
+import "sync"
+
+// faultSet holds the faults in force at one runner.
+type faultSet struct {
+	mu     sync.Mutex
+	active map[FaultKind]*Fault
+}
+
+func newFaultSet() *faultSet {
+	return &faultSet{active: map[FaultKind]*Fault{}}
+}
+
+func (s *faultSet) set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Kind == FaultReturn {
+		clear(s.active)
+		return
+	}
+	s.active[f.Kind] = &f
+}
+
+// get gives the fault of a kind, if it is in force.
+func (s *faultSet) get(kind FaultKind) (Fault, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.active[kind]
+	if !ok {
+		return Fault{}, false
+	}
+	return *f, true
+}
+
+// take is get and uses up one call of a fault that has a Count.
+func (s *faultSet) take(kind FaultKind) (Fault, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.active[kind]
+	if !ok {
+		return Fault{}, false
+	}
+	taken := *f
+	if f.Count > 0 {
+		f.Count--
+		if f.Count == 0 {
+			delete(s.active, kind)
+		}
+	}
+	return taken, true
+}
+
+func (s *faultSet) slowFactor() float64 {
+	if f, ok := s.get(FaultSlow); ok {
+		return f.Factor
+	}
+	return 1
+}
