--- a/standin/members.go
+++ b/standin/members.go
@@ -147,3 +147,11 @@
 	shown.Members = shown.Members[:len(shown.Members)*m.percent/100]
 	return shown
 }
+
+// start sets the first list, which shows at once.
+func (m *Members) start(members []Member) {
+	m.Put(members...)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.versions = m.versions[len(m.versions)-1:]
+}
