--- /dev/null
+++ b/relay/tcp.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"sync"
+
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+// TCP relays connections from callers in one region to a target in another.
+type TCP struct {
+	listener net.Listener
+	target   string
+	pairing  Pair
+	forward  *Direction
+	back     *Direction
+
+	mu      sync.Mutex
+	tunnels map[*tunnel]struct{}
+	closed  bool
+}
+
+// ListenTCP relays connections that arrive at addr ("ip:port", port 0 allowed)
+// over the network's link between two regions. Close, or the network's Close,
+// ends it.
+func (n *Network) ListenTCP(addr, target string, from, to ids.Region) (*TCP, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w; give an address of this machine that is free", err)
+	}
+	r := &TCP{
+		listener: l,
+		target:   target,
+		pairing:  Pair{From: from, To: to},
+		forward:  n.Direction(from, to),
+		back:     n.Direction(to, from),
+		tunnels:  map[*tunnel]struct{}{},
+	}
+	n.register(r)
+	go r.run()
+	return r, nil
+}
+
+// Addr gives the address that callers use.
+func (r *TCP) Addr() string { return r.listener.Addr().String() }
+
+func (r *TCP) pair() Pair { return r.pairing }
+
+func (r *TCP) run() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+// serve relays one connection. The target is reached only after the delay of
+// a handshake, and not while the forward direction is cut.
+func (r *TCP) serve(caller net.Conn) {
+	t := newTunnel(caller)
+	if !r.add(t) {
+		t.close()
+		return
+	}
+	defer r.remove(t)
+	defer t.close()
+	if !r.forward.await(t.stop) {
+		return
+	}
+	target, err := net.Dial("tcp", r.target)
+	if err != nil {
+		t.reset()
+		return
+	}
+	if !t.setTarget(target) {
+		return
+	}
+	var pumps sync.WaitGroup
+	pumps.Go(func() { t.pump(caller, target, r.forward) })
+	pumps.Go(func() { t.pump(target, caller, r.back) })
+	pumps.Wait()
+}
+
+func (r *TCP) add(t *tunnel) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.tunnels[t] = struct{}{}
+	return true
+}
+
+func (r *TCP) remove(t *tunnel) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.tunnels, t)
+}
+
+func (r *TCP) open() []*tunnel {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]*tunnel, 0, len(r.tunnels))
+	for t := range r.tunnels {
+		all = append(all, t)
+	}
+	return all
+}
+
+// Freeze stops the present connections for good, without closing them. New
+// connections work.
+func (r *TCP) Freeze() {
+	for _, t := range r.open() {
+		t.freeze()
+	}
+}
+
+// Connections gives the number of open connections.
+func (r *TCP) Connections() int { return len(r.open()) }
+
+// Close ends the relay and its connections.
+func (r *TCP) Close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	_ = r.listener.Close()
+	for _, t := range r.open() {
+		t.close()
+	}
+}
