--- /dev/null
+++ b/admin/doc.go
@@ -0,0 +1,18 @@
+// Package admin is the operators' HTTP API of a control VM: changes of the
+// settings, reads with the origin of each value, history, status, drain of
+// entry VMs and audit queries. Errors are problem details (RFC 9457).
+//
+// Paths, all under the mux that New gives:
+//
+//	POST /v1/changes                 apply operations (JSON) or a document (YAML)
+//	POST /v1/diff                    operations that a document would make
+//	GET  /v1/changes/{id}            stored result of a change id
+//	GET  /v1/version                 current version
+//	GET  /v1/effective               value of one key, or of all keys, at a branch
+//	GET  /v1/objects/{kind}/{name}   pool, pipeline, service or workspace
+//	GET  /v1/history                 accepted changes, newest first
+//	GET  /v1/in-effect               wait until a version is in effect
+//	GET  /v1/status                  state of the control VMs and entry VMs
+//	POST /v1/entries/{vm}/drain      drain an entry VM
+//	GET  /v1/audit                   audit records
+package admin
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl is the library behind damaskctl, the operators' tool.
+package ctl
--- /dev/null
+++ b/machine/machine.go
@@ -0,0 +1,186 @@
+package machine
+
+import (
+	"fmt"
+	"time"
+
+	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/fence"
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/ledger"
+	"damaskbridge.example/damaskbridge/session"
+	"damaskbridge.example/damaskbridge/settings"
+)
+
+// maxUnixMS is the latest time that a command may carry, in the year 9999. It
+// keeps sums of times within 64 bits.
+var maxUnixMS = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
+
+// Machine is the replicated state. It is not safe for concurrent use; the
+// replica's control goroutine owns it. Trees that it gives out are immutable
+// and may be shared.
+type Machine struct {
+	applied  uint64
+	now      int64
+	tree     *settings.Tree
+	sessions *session.Table
+	ledger   *ledger.Ledger
+	fences   *fence.Table
+	weights  *fence.Budget
+}
+
+// New gives the empty state.
+func New() *Machine {
+	return &Machine{
+		tree:     settings.NewTree(),
+		sessions: session.NewTable(),
+		ledger:   ledger.New(),
+		fences:   fence.NewTable(),
+		weights:  fence.NewBudget(),
+	}
+}
+
+// Apply applies the command at index of the log. It gives a result for every
+// input: what cannot be read is Malformed and changes nothing. Indexes must
+// grow; one that was applied before is refused.
+func (m *Machine) Apply(index uint64, data []byte) command.Result {
+	if index <= m.applied {
+		return malformed("index %d was applied before; the newest is %d", index, m.applied)
+	}
+	m.applied = index
+	c, err := command.Decode(data)
+	if err != nil {
+		return malformed("the command cannot be read: %v", err)
+	}
+	if c.NowUnixMS < 0 || c.NowUnixMS > maxUnixMS {
+		return malformed("time %d is out of range; correct the leader's clock", c.NowUnixMS)
+	}
+	if n := bodies(c); n != 1 {
+		return malformed("the command has %d bodies; send one", n)
+	}
+	m.now = max(m.now, c.NowUnixMS)
+	return m.run(c)
+}
+
+// bodies counts the bodies that are set.
+func bodies(c *command.Command) int {
+	n := 0
+	for _, set := range []bool{
+		c.OpenSession != nil, c.ExpireSession != nil, c.Reserve != nil, c.Claim != nil,
+		c.Record != nil, c.Release != nil, c.Lookup != nil, c.Retire != nil, c.Change != nil,
+		c.Acquire != nil, c.Drop != nil, c.DrawWeights != nil, c.CloseSession != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) run(c *command.Command) command.Result {
+	switch {
+	case c.OpenSession != nil:
+		return m.openSession(c.OpenSession)
+	case c.ExpireSession != nil:
+		return m.expireSession(c.ExpireSession)
+	case c.CloseSession != nil:
+		return m.closeSession(c.CloseSession)
+	case c.Reserve != nil:
+		return m.sessions.Reserve(c.Reserve)
+	case c.Claim != nil:
+		return m.claim(c.Claim)
+	case c.Record != nil:
+		return m.ledger.Record(c.Record, m.now)
+	case c.Release != nil:
+		return m.ledger.Release(c.Release)
+	case c.Lookup != nil:
+		return m.ledger.Lookup(c.Lookup)
+	case c.Retire != nil:
+		return m.retire(c.Retire)
+	case c.Change != nil:
+		return m.change(c.Change)
+	case c.Acquire != nil:
+		return m.acquire(c.Acquire)
+	case c.Drop != nil:
+		return m.fences.Drop(c.Drop)
+	}
+	return m.drawWeights(c.DrawWeights)
+}
+
+func (m *Machine) openSession(c *command.OpenSession) command.Result {
+	replaced, r := m.sessions.Open(c, m.now)
+	if replaced != nil {
+		m.settleSession(*replaced)
+	}
+	m.sessions.Retire(m.now - m.tree.Duration("", settings.AuditRetention).Milliseconds())
+	return r
+}
+
+func (m *Machine) expireSession(c *command.ExpireSession) command.Result {
+	r := m.sessions.Expire(c.Session, m.now)
+	if r.Code == command.OK {
+		m.settleSession(c.Session)
+	}
+	return r
+}
+
+func (m *Machine) closeSession(c *command.CloseSession) command.Result {
+	wasOpen := m.sessions.IsOpen(c.Session)
+	r := m.sessions.Close(c, m.now)
+	if wasOpen && r.Code == command.OK {
+		m.settleSession(c.Session)
+	}
+	return r
+}
+
+// settleSession ends what a session held that has just ended.
+func (m *Machine) settleSession(id ids.SessionID) {
+	m.ledger.EndSession(id, m.now)
+	m.fences.EndSession(id, m.now)
+	m.weights.EndSession(id)
+}
+
+func (m *Machine) claim(c *command.Claim) command.Result {
+	if r := m.sessions.Check(c.Request); r.Code != command.OK {
+		return r
+	}
+	return m.ledger.Claim(c)
+}
+
+// retire never removes answers that are younger than the setting
+// ledger.answer_retention, whatever time the command names.
+func (m *Machine) retire(c *command.Retire) command.Result {
+	newest := m.now - m.tree.Duration("", settings.AnswerRetention).Milliseconds()
+	return m.ledger.Retire(min(c.BeforeUnixMS, newest), m.now)
+}
+
+func (m *Machine) change(c *settings.Change) command.Result {
+	change := *c
+	change.AtUnixMS = m.now
+	change.Version = 0
+	tree, r := m.tree.Apply(change)
+	m.tree = tree
+	return command.Result{Change: &r}
+}
+
+func (m *Machine) acquire(c *command.Acquire) command.Result {
+	if !m.sessions.IsOpen(c.Session) {
+		return sessionEnded(c.Session)
+	}
+	return m.fences.Acquire(c, m.now)
+}
+
+func (m *Machine) drawWeights(c *command.DrawWeights) command.Result {
+	if !m.sessions.IsOpen(c.Session) {
+		return sessionEnded(c.Session)
+	}
+	return m.weights.Draw(c, m.tree.Int("", settings.WeightStoreRate), m.now)
+}
+
+func malformed(format string, args ...any) command.Result {
+	return command.Result{Code: command.Malformed, Detail: fmt.Sprintf(format, args...)}
+}
+
+func sessionEnded(id ids.SessionID) command.Result {
+	return command.Result{Code: command.SessionEnded, Detail: "session " + id.String() + " is not open; open one with a new incarnation"}
+}
--- /dev/null
+++ b/settings/spec.go
@@ -0,0 +1,213 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Unit says how the value of a key is written and read.
+type Unit string
+
+// Units of keys.
+const (
+	// UnitDuration is a Go duration such as "500ms" or "24h".
+	UnitDuration Unit = "duration"
+	// UnitBytes is a whole number of bytes, with KiB, MiB, GiB or TiB if wanted.
+	UnitBytes Unit = "bytes"
+	// UnitBytesPerSecond is written like UnitBytes.
+	UnitBytesPerSecond Unit = "bytes per second"
+	// UnitPercent is a whole number with or without "%".
+	UnitPercent Unit = "percent"
+	// UnitCount is a whole number.
+	UnitCount Unit = "count"
+	// UnitBool is "true" or "false".
+	UnitBool Unit = "bool"
+	// UnitChoice is one of a list of words.
+	UnitChoice Unit = "choice"
+)
+
+// Spec describes a key: its unit, default and bounds.
+type Spec struct {
+	Key     Key
+	Unit    Unit
+	Default string
+	// Min and Max are inclusive, in nanoseconds for durations, in bytes,
+	// percent or counts for the others; unused for bool and choice.
+	Min, Max int64
+	// Choices are the values of a UnitChoice key.
+	Choices []string
+	// RootOnly is true for values that hold for the whole system.
+	RootOnly bool
+}
+
+const (
+	kib = int64(1) << 10
+	mib = int64(1) << 20
+	gib = int64(1) << 30
+	tib = int64(1) << 40
+
+	day = 24 * time.Hour
+)
+
+var specs = indexSpecs([]Spec{
+	duration(DeadlineDefault, "5s", time.Millisecond, time.Hour),
+	duration(DeadlineMax, "60s", time.Millisecond, time.Hour),
+	{Key: BodyMaxBytes, Unit: UnitBytes, Default: "1MiB", Min: kib, Max: 64 * mib},
+	{Key: WorkspaceWeight, Unit: UnitCount, Default: "1", Min: 1, Max: 10_000},
+	{Key: PriorityDefault, Unit: UnitChoice, Default: "normal", Choices: []string{"interactive", "normal", "batch"}},
+	{Key: AdmissionMinLimit, Unit: UnitCount, Default: "4", Min: 1, Max: 100_000},
+	{Key: AdmissionMaxLimit, Unit: UnitCount, Default: "1000", Min: 1, Max: 100_000},
+	{Key: AdmissionQueue, Unit: UnitCount, Default: "1000", Min: 0, Max: 100_000},
+	{Key: RetryBudgetPercent, Unit: UnitPercent, Default: "10", Min: 0, Max: 100},
+	{Key: RetryMaxAttempts, Unit: UnitCount, Default: "3", Min: 1, Max: 10},
+	{Key: HedgeEnabled, Unit: UnitBool, Default: "true"},
+	{Key: HedgePercentile, Unit: UnitPercent, Default: "95", Min: 50, Max: 99},
+	// Above one half, a wrong view of one VM could empty a pool.
+	{Key: EjectionMaxPercent, Unit: UnitPercent, Default: "50", Min: 0, Max: 50},
+	{Key: CrossRegionAllowed, Unit: UnitBool, Default: "true"},
+	duration(CrossRegionPenaltyMS, "40ms", 0, 10*time.Second),
+	duration(SlowStart, "10s", 0, 10*time.Minute),
+	duration(StreamTokenGap, "2s", 10*time.Millisecond, 5*time.Minute),
+	duration(StreamResumeRetention, "60s", 0, time.Hour),
+	duration(UpstreamProgressWindow, "5s", 50*time.Millisecond, 10*time.Minute),
+	rootOnly(duration(AnswerRetention, "24h", time.Minute, 30*day)),
+	rootOnly(Spec{Key: LedgerGroups, Unit: UnitCount, Default: "1", Min: 1, Max: 64}),
+	{Key: AuditBeforeDispatch, Unit: UnitChoice, Default: "durable", Choices: []string{"durable", "async"}},
+	// The customer audits once a year, so the default outlasts a year.
+	rootOnly(duration(AuditRetention, "9600h", day, 3660*day)),
+	rootOnly(Spec{Key: WeightStoreRate, Unit: UnitBytesPerSecond, Default: "1GiB", Min: 1, Max: tib}),
+})
+
+func duration(k Key, def string, low, high time.Duration) Spec {
+	return Spec{Key: k, Unit: UnitDuration, Default: def, Min: int64(low), Max: int64(high)}
+}
+
+func rootOnly(s Spec) Spec {
+	s.RootOnly = true
+	return s
+}
+
+// known is a Spec with its default in parsed form.
+type known struct {
+	Spec
+	number int64
+}
+
+func indexSpecs(list []Spec) map[Key]*known {
+	index := make(map[Key]*known, len(list))
+	for _, s := range list {
+		k := &known{Spec: s}
+		number, err := k.parse(s.Default)
+		if err != nil {
+			panic(fmt.Sprintf("settings: default of %s: %v", s.Key, err))
+		}
+		k.number = number
+		index[s.Key] = k
+	}
+	return index
+}
+
+// Specs gives the description of every key, sorted by key.
+func Specs() []Spec {
+	all := make([]Spec, 0, len(specs))
+	for _, k := range specs {
+		all = append(all, k.Spec)
+	}
+	sort.Slice(all, func(a, b int) bool { return all[a].Key < all[b].Key })
+	return all
+}
+
+// parse reads a value and checks its unit and bounds. Bools read as 0 or 1,
+// choices as their place in the list.
+func (s *Spec) parse(value string) (int64, error) {
+	number, ok := s.read(value)
+	if !ok {
+		return 0, fmt.Errorf("%q is not a %s; write %s", value, s.Unit, s.example())
+	}
+	if s.Unit == UnitBool || s.Unit == UnitChoice {
+		return number, nil
+	}
+	if number < s.Min || number > s.Max {
+		return 0, fmt.Errorf("%q is out of bounds; give a value from %s to %s", value, s.format(s.Min), s.format(s.Max))
+	}
+	return number, nil
+}
+
+func (s *Spec) read(value string) (number int64, ok bool) {
+	switch s.Unit {
+	case UnitDuration:
+		d, err := time.ParseDuration(value)
+		// ParseDuration takes a bare "0"; everything else needs a unit.
+		return int64(d), err == nil
+	case UnitBytes, UnitBytesPerSecond:
+		return readBytes(value)
+	case UnitPercent:
+		return readWhole(strings.TrimSuffix(value, "%"))
+	case UnitCount:
+		return readWhole(value)
+	case UnitBool:
+		return readChoice(value, []string{"false", "true"})
+	case UnitChoice:
+		return readChoice(value, s.Choices)
+	}
+	return 0, false
+}
+
+func readWhole(value string) (int64, bool) {
+	n, err := strconv.ParseInt(value, 10, 64)
+	return n, err == nil
+}
+
+func readBytes(value string) (int64, bool) {
+	factor := int64(1)
+	for _, u := range []struct {
+		suffix string
+		factor int64
+	}{{"KiB", kib}, {"MiB", mib}, {"GiB", gib}, {"TiB", tib}} {
+		if rest, ok := strings.CutSuffix(value, u.suffix); ok {
+			value, factor = rest, u.factor
+			break
+		}
+	}
+	n, ok := readWhole(value)
+	if !ok || n > math.MaxInt64/factor || n < 0 {
+		return 0, false
+	}
+	return n * factor, true
+}
+
+func readChoice(value string, choices []string) (int64, bool) {
+	for i, c := range choices {
+		if value == c {
+			return int64(i), true
+		}
+	}
+	return 0, false
+}
+
+func (s *Spec) example() string {
+	switch s.Unit {
+	case UnitDuration:
+		return `a number with a unit such as "500ms" or "5s"`
+	case UnitBytes, UnitBytesPerSecond:
+		return `a whole number of bytes such as "65536" or "64KiB"`
+	case UnitPercent:
+		return `a whole number of percent such as "10"`
+	case UnitCount:
+		return `a whole number such as "10"`
+	case UnitBool:
+		return `"true" or "false"`
+	}
+	return "one of " + strings.Join(s.Choices, ", ")
+}
+
+func (s *Spec) format(n int64) string {
+	if s.Unit == UnitDuration {
+		return time.Duration(n).String()
+	}
+	return strconv.FormatInt(n, 10)
+}
