--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,204 @@
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "400")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+var digestA, digestB = strings.Repeat("a", 64), strings.Repeat("b", 64)
+
+// sample is a tree at version 1 with one resource of each kind.
+func sample() *Tree {
+	t, r := NewTree().Apply(Change{ID: "sample", Ops: []Op{
+		{Kind: PutPool, Pool: &Pool{Name: "enc", Kind: Encode}},
+		{Kind: PutPool, Pool: &Pool{Name: "llm", Kind: Generate}},
+		{Kind: PutPool, Pool: &Pool{Name: "book", Kind: Plain}},
+		{Kind: PutPipeline, Pipeline: &Pipeline{Name: "draft", Stages: []Stage{
+			{Name: "e", Kind: Encode, Pool: "enc"}, {Name: "g", Kind: Generate, Pool: "llm", Model: "m"},
+		}}},
+		{Kind: PutService, Service: &Service{Name: "bookings", Pool: "book"}},
+		{Kind: PutWorkspace, Workspace: &Workspace{Name: "w", Branch: "guild/w", TokenSHA256: []string{digestA}, Pipelines: []string{"draft"}, Services: []string{"bookings"}}},
+	}})
+	Expect(r.State).To(Equal(Accepted), r.Detail)
+	return t
+}
+
+func set(branch string, key Key, value string) Op {
+	return Op{Kind: SetValue, Branch: branch, Key: key, Value: value}
+}
+
+var _ = Describe("values", func() {
+	It("inherits, overrides and names the origin", func() {
+		t, r := sample().Apply(Change{ID: "c", Base: 1, Ops: []Op{
+			set("", DeadlineDefault, "4s"), set("guild", DeadlineDefault, "3s"), set("guild/w/draft/g", DeadlineDefault, "250ms"),
+		}})
+		Expect(r.State).To(Equal(Accepted), r.Detail)
+		w, _ := t.WorkspaceByToken(digestA)
+		stage := StageBranch(w, "draft", "g")
+		Expect(t.Duration(stage, DeadlineDefault)).To(Equal(250 * time.Millisecond))
+		Expect(t.Duration("guild/w/draft/e", DeadlineDefault)).To(Equal(3 * time.Second))
+		Expect(t.Effective("guild/other", DeadlineDefault)).To(Equal(Origin{Value: "3s", Branch: "guild", Version: 2}))
+		Expect(t.Effective("nile", DeadlineDefault)).To(Equal(Origin{Value: "4s", Version: 2}))
+		Expect(t.Effective("nile", HedgeEnabled)).To(Equal(Origin{Value: "true", Default: true}))
+		Expect(t.Int("nile", BodyMaxBytes)).To(BeEquivalentTo(1 << 20))
+		Expect(t.Bool("nile", HedgeEnabled)).To(BeTrue())
+	})
+})
+
+var _ = DescribeTable("refusals name the subject, the key and the remedy",
+	func(op Op, parts ...string) {
+		before := sample()
+		t, r := before.Apply(Change{ID: "c", Base: 1, Ops: []Op{op}})
+		Expect(r.State).To(Equal(Invalid))
+		Expect(t.Version()).To(Equal(uint64(1)))
+		for _, p := range parts {
+			Expect(r.Detail).To(ContainSubstring(p))
+		}
+	},
+	Entry("unknown key", set("guild", "deadline.defualt", "1s"), `branch "guild"`, "deadline.defualt", "not known", "use a key"),
+	Entry("wrong unit", set("guild", DeadlineDefault, "500"), "deadline.default", "not a duration", "500ms"),
+	Entry("out of bounds", set("", EjectionMaxPercent, "51"), "root branch", "from 0 to 50"),
+	Entry("contradiction", set("guild", DeadlineDefault, "10m"), `branch "guild"`, "above deadline.max", "lower it or raise"),
+	Entry("root only", set("guild", LedgerGroups, "1"), "ledger.groups", "root branch"),
+	Entry("groups after the first change", set("", LedgerGroups, "2"), "ledger.groups", "fixed by the first change"),
+	Entry("missing pool", Op{Kind: PutPipeline, Pipeline: &Pipeline{Name: "p", Stages: []Stage{{Name: "s", Kind: Rerank, Pool: "none"}}}}, `pipeline "p"`, "stage s", `pool "none" does not exist`),
+	Entry("pool of another kind", Op{Kind: PutPipeline, Pipeline: &Pipeline{Name: "p", Stages: []Stage{{Name: "s", Kind: Rerank, Pool: "enc"}}}}, "kind encode", "kind rerank is needed"),
+	Entry("pool changes its kind under a stage", Op{Kind: PutPool, Pool: &Pool{Name: "enc", Kind: Rerank}}, `pipeline "draft"`, "stage e"),
+	Entry("workspace bound to a missing pipeline", Op{Kind: PutWorkspace, Workspace: &Workspace{Name: "v", Branch: "v", Pipelines: []string{"none"}}}, `workspace "v"`, "pipelines", `"none" does not exist`),
+	Entry("workspace bound to a missing service", Op{Kind: PutWorkspace, Workspace: &Workspace{Name: "v", Branch: "v", Services: []string{"none"}}}, `workspace "v"`, "services"),
+	Entry("token of another workspace", Op{Kind: PutWorkspace, Workspace: &Workspace{Name: "v", Branch: "v", TokenSHA256: []string{digestA}}}, `workspace "w"`, "token_sha256", "belongs to"),
+	Entry("bound pipeline", Op{Kind: DeletePipeline, Name: "draft"}, `pipeline "draft"`, "cannot be deleted", `workspace "w"`),
+	Entry("bound pool", Op{Kind: DeletePool, Name: "book"}, `pool "book"`, `service "bookings"`),
+	Entry("missing resource", Op{Kind: PutPool}, "put_pool", "no resource"),
+	Entry("unknown operation", Op{Kind: "merge"}, `operation "merge"`),
+)
+
+var _ = Describe("change ids", func() {
+	It("gives a resend the first result and shows the winner of a conflict", func() {
+		t := sample()
+		first := Change{ID: "a", Operator: "ada", Base: 1, Ops: []Op{set("", DeadlineDefault, "4s")}}
+		late := Change{ID: "b", Operator: "bo", Base: 1, Ops: []Op{set("", DeadlineDefault, "3s")}}
+		t, accepted := t.Apply(first)
+		t, conflict := t.Apply(late)
+		Expect(conflict.State).To(Equal(Conflict))
+		Expect(conflict.Winner.ID).To(Equal("a"))
+		t, _ = t.Apply(Change{ID: "c", Base: 2, Ops: []Op{set("", DeadlineDefault, "2s")}})
+		bytes, err := t.EncodeAll()
+		Expect(err).NotTo(HaveOccurred())
+		restored, err := DecodeTree(bytes)
+		Expect(err).NotTo(HaveOccurred())
+		for _, tree := range []*Tree{t, restored} {
+			again, r := tree.Apply(first)
+			Expect(r).To(Equal(accepted))
+			Expect(again).To(BeIdenticalTo(tree))
+			_, r = tree.Apply(late)
+			Expect(r.State).To(Equal(Conflict))
+			Expect(r.Winner.ID).To(Equal("a"))
+		}
+		_, other := t.Apply(Change{ID: "a", Operator: "bo", Base: 3, Ops: late.Ops})
+		Expect(other.State).To(Equal(Invalid))
+		Expect(other.Detail).To(ContainSubstring("use a new id"))
+	})
+
+	It("keeps the last 100,000 results and all of the last 30 days", func() {
+		t := NewTree()
+		add := func(n int, at int64) {
+			t = t.remember(&outcome{id: fmt.Sprint(n), state: Invalid, atUnixMS: at})
+		}
+		for n := range outcomesMin + 10 {
+			add(n, 0)
+		}
+		_, ok := t.Result("0")
+		Expect(ok).To(BeTrue(), "a result younger than 30 days is kept beyond 100,000")
+		month := outcomesAge.Milliseconds()
+		for n := range 10 {
+			add(outcomesMin+10+n, month+1)
+		}
+		_, ok = t.Result("0")
+		Expect(ok).To(BeFalse())
+		Expect(t.outcomes.len()).To(Equal(outcomesMin))
+		Expect(t.byID.size).To(Equal(outcomesMin))
+	})
+})
+
+const document1 = `
+branches:
+  "":
+    deadline.default: 4s
+    retry.max_attempts: 2
+  guild/w:
+    hedge.enabled: false
+pools:
+  - {name: enc, kind: encode}
+  - {name: llm, kind: generate, checks_fencing: true}
+pipelines:
+  - name: draft
+    stages:
+      - {name: e, kind: encode, pool: enc}
+      - {name: g, kind: generate, pool: llm, model: m}
+services: []
+workspaces:
+  - name: w
+    branch: guild/w
+    token_sha256: [` + "\"bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb\"" + `]
+    pipelines: [draft]
+`
+
+var _ = Describe("documents", func() {
+	It("lead from any tree to the document", func() {
+		for _, base := range []*Tree{NewTree(), sample()} {
+			ops, err := ParseDocument("d.yaml", []byte(document1), base)
+			Expect(err).NotTo(HaveOccurred())
+			t, r := base.Apply(Change{ID: "d", Base: base.Version(), Ops: ops})
+			Expect(r.State).To(Equal(Accepted), r.Detail)
+			Expect(t.Services()).To(BeEmpty())
+			Expect(t.Int("", RetryMaxAttempts)).To(BeEquivalentTo(2))
+			Expect(t.Bool("guild/w", HedgeEnabled)).To(BeFalse())
+			_, ok := t.WorkspaceByToken(digestB)
+			Expect(ok).To(BeTrue())
+			rest, err := ParseDocument("d.yaml", []byte(document1), t)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rest).To(BeEmpty())
+		}
+	})
+
+	It("leaves absent sections alone", func() {
+		ops, err := ParseDocument("d.yaml", []byte("branches:\n  guild: {deadline.default: 2s}\n"), sample())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ops).To(HaveLen(1))
+	})
+
+	DescribeTable("name file and line of a fault", func(doc, want string) {
+		_, err := ParseDocument("d.yaml", []byte(doc), sample())
+		Expect(err).To(MatchError(ContainSubstring(want)))
+	},
+		Entry("syntax", "branches:\n\t- x", "d.yaml:2: "),
+		Entry("unknown section", "pools: []\nnodes: []\n", `d.yaml:2: section "nodes"`),
+		Entry("unknown field", "pools:\n  - name: a\n    kind: encode\n    color: red\n", `d.yaml:4: unknown field "color"`),
+		Entry("unknown key", "branches:\n  guild:\n    deadline.max: 9s\n    x.y: 1\n", `d.yaml:4: branch "guild", x.y: the key is not known`),
+		Entry("wrong unit", "branches:\n  guild:\n    deadline.max: 9\n", `d.yaml:3: branch "guild", deadline.max: "9" is not a duration`),
+		Entry("missing pool", "pipelines:\n  - name: draft\n    stages:\n      - {name: e, kind: encode, pool: enc}\n      - {name: r, kind: rerank, pool: none}\n", `d.yaml:5: pipeline "draft", stage r: pool "none"`),
+		Entry("missing binding", "workspaces:\n  - name: w\n    branch: w\n    token_sha256: []\n    services: [bookings, none]\n", `d.yaml:5: workspace "w", services: "none"`),
+		Entry("listed twice", "pools:\n  - {name: a, kind: encode}\n  - {name: a, kind: encode}\n", `d.yaml:3: pool "a": it is listed twice`),
+		Entry("key set twice", "branches:\n  guild:\n    deadline.max: 9s\n    deadline.max: 8s\n", "d.yaml:4: "),
+		Entry("deletion of something bound", "pipelines: []\n", `d.yaml: pipeline "draft": it cannot be deleted`),
+		Entry("empty", "", "give one"),
+	)
+})
