Add thin raft, wal and control packages

Types of the log and its messages, the file layer, the control options and the client, so that other packages can build against them. The replica does not run yet.

--- /dev/null
+++ b/cmd/damask-control/main.go
@@ -0,0 +1,4 @@
+// Command damask-control runs one control VM.
+package main
+
+func main() {}
--- /dev/null
+++ b/control/options.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/transport"
+	"damaskbridge.example/damaskbridge/wal"
+)
+
+// Options configure a Replica and its Server. Zero durations and counts take
+// the defaults of this package.
+type Options struct {
+	Self  ids.VMID
+	Group ids.GroupID
+	// Peers lists every control VM, this one included.
+	Peers []Peer
+	// Dir is the folder of this group's files.
+	Dir string
+	// FS is the file layer; nil means the operating system's.
+	FS      wal.FS
+	Machine StateMachine
+	Views   Views
+	Caller  transport.Caller
+	// Tick is the unit of the election and heartbeat times.
+	Tick           time.Duration
+	ElectionTicks  int
+	HeartbeatTicks int
+	// LeaseTerm is the term of the settings lease of entry VMs.
+	LeaseTerm time.Duration
+	// SessionExpiry is how long a session lives without a renewal.
+	SessionExpiry time.Duration
+	// RelayEvery is the time between two reports to the leader.
+	RelayEvery time.Duration
+	// SnapshotEntries is the number of applied entries between snapshots.
+	SnapshotEntries uint64
+	// AdminHandler serves the admin API on the HTTP listener; may be nil.
+	AdminHandler http.Handler
+	Logger       *log.Logger
+}
+
+const (
+	defaultTick           = 50 * time.Millisecond
+	defaultElectionTicks  = 20
+	defaultHeartbeatTicks = 2
+	defaultLeaseTerm      = 3 * time.Second
+	defaultSessionExpiry  = 5 * time.Second
+	// defaultRelayEvery lets a sign cross two control VMs in half a second,
+	// so that the next Renew (every 500 ms) delivers it in about a second.
+	defaultRelayEvery      = 250 * time.Millisecond
+	defaultSnapshotEntries = 10_000
+)
+
+func (o *Options) setDefaults() {
+	if o.FS == nil {
+		o.FS = wal.OS()
+	}
+	setDuration(&o.Tick, defaultTick)
+	setDuration(&o.LeaseTerm, defaultLeaseTerm)
+	setDuration(&o.SessionExpiry, defaultSessionExpiry)
+	setDuration(&o.RelayEvery, defaultRelayEvery)
+	if o.ElectionTicks == 0 {
+		o.ElectionTicks = defaultElectionTicks
+	}
+	if o.HeartbeatTicks == 0 {
+		o.HeartbeatTicks = defaultHeartbeatTicks
+	}
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = defaultSnapshotEntries
+	}
+	if o.Logger == nil {
+		o.Logger = &log.Logger{Level: log.PanicLevel}
+	}
+	o.Peers = withVoters(o.Peers)
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// check says what is wrong with the options.
+func (o *Options) check() error {
+	if _, ok := o.peer(o.Self); !ok {
+		return fmt.Errorf("control: VM %q is not in the list of peers; add it with its address", o.Self)
+	}
+	if o.Machine == nil || o.Caller == nil || o.Views.Settings == nil || o.Views.Sessions == nil {
+		return fmt.Errorf("control: Machine, Views and Caller must be set")
+	}
+	// The lease must end before the session expires with a margin for one
+	// report to the leader; else a session could expire under a valid lease.
+	if o.SessionExpiry < o.LeaseTerm+4*o.RelayEvery {
+		return fmt.Errorf("control: session expiry %v is too short; use at least the lease term and four report intervals, %v", o.SessionExpiry, o.LeaseTerm+4*o.RelayEvery)
+	}
+	return nil
+}
+
+func (o *Options) peer(vm ids.VMID) (Peer, bool) {
+	for _, p := range o.Peers {
+		if p.VM == vm {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
--- /dev/null
+++ b/wal/fs.go
@@ -0,0 +1,93 @@
+package wal
+
+import (
+	"fmt"
+	"io"
+	"os"
+)
+
+// FS is the file layer. Tests inject a full disk and failed syncs through it.
+type FS interface {
+	MkdirAll(dir string) error
+	// ReadDir gives the names of the files in dir, sorted.
+	ReadDir(dir string) ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	// Create makes an empty file and opens it for writing.
+	Create(name string) (File, error)
+	// OpenEnd opens an existing file for writing at its end.
+	OpenEnd(name string) (File, error)
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes creations, renames and removals in dir durable.
+	SyncDir(dir string) error
+}
+
+// File is an open file of an FS.
+type File interface {
+	io.Writer
+	io.Closer
+	Sync() error
+}
+
+// OS gives the operating system's file layer.
+func OS() FS { return osFS{} }
+
+type osFS struct{}
+
+const (
+	fileMode = 0o600
+	dirMode  = 0o700
+)
+
+func (osFS) MkdirAll(dir string) error { return os.MkdirAll(dir, dirMode) }
+
+func (osFS) ReadDir(dir string) ([]string, error) {
+	list, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range list {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+func (osFS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+func (osFS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+}
+
+func (osFS) OpenEnd(name string) (File, error) {
+	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+func (osFS) Truncate(name string, size int64) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.Truncate(size); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+func (osFS) Rename(from, to string) error { return os.Rename(from, to) }
+
+func (osFS) Remove(name string) error { return os.Remove(name) }
+
+func (osFS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	if err := d.Sync(); err != nil {
+		return fmt.Errorf("sync folder %s: %w", dir, err)
+	}
+	return nil
+}
