--- a/entry/budgets.go
+++ b/entry/budgets.go
@@ -37,7 +37,7 @@
 	branch := childBranch(q.branch, st.Name)
 	p := retry.Policy{
 		Idempotent:   true,
-		MaxAttempts:  q.tree.Int(branch, settings.RetryMaxAttempts),
+		MaxAttempts:  int(q.tree.Int(branch, settings.RetryMaxAttempts)),
 		Deadline:     q.deadline,
 		MinRemaining: minAttemptTime,
 	}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/stream"
@@ -40,7 +39,7 @@
 		return s.refuse(q, err)
 	}
 	e := newExecution(q, p)
-	e.input = lastUserMessage(in.Messages)
+	e.input = chatInput(in.Messages)
 	e.messages = in.Messages
 	e.maxTokens = max(in.MaxTokens, in.MaxCompletionTokens)
 	if in.Stream {
@@ -49,14 +48,14 @@
 	return s.answerChat(w, r, e, &in)
 }
 
-// lastUserMessage is the input of the stages before generation.
-func lastUserMessage(messages []upstream.Message) string {
-	for i := len(messages) - 1; i >= 0; i-- {
-		if messages[i].Role == "user" {
-			return messages[i].Content
-		}
+// chatInput is the input of the stages before generation: the contents of all
+// messages, so that a later question keeps its context.
+func chatInput(messages []upstream.Message) string {
+	parts := make([]string, 0, len(messages))
+	for _, m := range messages {
+		parts = append(parts, m.Content)
 	}
-	return messages[len(messages)-1].Content
+	return strings.Join(parts, "\n")
 }
 
 func (s *Server) answerChat(w http.ResponseWriter, r *http.Request, e *execution, in *ChatRequest) error {
--- /dev/null
+++ b/entry/fakes_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"damaskbridge.example/damaskbridge/audit"
+	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/machine"
+	"damaskbridge.example/damaskbridge/settings"
+	"damaskbridge.example/damaskbridge/wire"
+)
+
+// fakeControl is one control VM without replication.
+type fakeControl struct {
+	mu      sync.Mutex
+	machine *machine.Machine
+	index   uint64
+	// cut makes every call fail.
+	cut bool
+	// after is called with each applied command and its result.
+	after func(c *command.Command, r *command.Result)
+}
+
+var errCut = errors.New("the control VM is cut off")
+
+func newFakeControl() *fakeControl {
+	return &fakeControl{machine: machine.New(), after: func(*command.Command, *command.Result) {}}
+}
+
+func (f *fakeControl) Propose(_ context.Context, _ ids.GroupID, c command.Command) (command.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut {
+		return command.Result{}, errCut
+	}
+	c.NowUnixMS = time.Now().UnixMilli()
+	raw, err := command.Encode(&c)
+	if err != nil {
+		return command.Result{}, err
+	}
+	f.index++
+	r := f.machine.Apply(f.index, raw)
+	f.after(&c, &r)
+	return r, nil
+}
+
+func (f *fakeControl) Renew(_ context.Context, r wire.Renew) (wire.RenewReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut {
+		return wire.RenewReply{}, errCut
+	}
+	info, ok := f.machine.Session(r.Session)
+	if !ok || info.EndedUnixMS != 0 {
+		return wire.RenewReply{SessionEnded: true}, nil
+	}
+	tree := f.machine.Tree()
+	changes, _ := tree.Since(r.InForce)
+	return wire.RenewReply{OK: true, TermMS: 3000, Version: tree.Version(), Changes: changes}, nil
+}
+
+func (f *fakeControl) setCut(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// apply makes a settings change from a YAML document.
+func (f *fakeControl) apply(id, doc string) command.Result {
+	f.mu.Lock()
+	tree := f.machine.Tree()
+	f.mu.Unlock()
+	ops, err := settings.ParseDocument("test.yaml", []byte(doc), tree)
+	if err != nil {
+		panic(err)
+	}
+	change := &settings.Change{ID: id, Operator: "test", Base: tree.Version(), Ops: ops}
+	r, err := f.Propose(context.Background(), ids.SettingsGroup, command.Command{Change: change})
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// fakeRecorder keeps audit records in memory.
+type fakeRecorder struct {
+	mu      sync.Mutex
+	records map[ids.RequestID][]audit.Record
+}
+
+func newFakeRecorder() *fakeRecorder {
+	return &fakeRecorder{records: make(map[ids.RequestID][]audit.Record)}
+}
+
+func (f *fakeRecorder) Begin(_ context.Context, r audit.Record) error { return f.Append(r) }
+
+func (f *fakeRecorder) Append(r audit.Record) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records[r.Request] = append(f.records[r.Request], r)
+	return nil
+}
+
+func (f *fakeRecorder) Flush(context.Context) error { return nil }
+
+// of gives the records of one request.
+func (f *fakeRecorder) of(id string) []audit.Record {
+	request, err := ids.ParseRequestID(id)
+	if err != nil {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]audit.Record(nil), f.records[request]...)
+}
--- /dev/null
+++ b/entry/path_test.go
@@ -0,0 +1,282 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"damaskbridge.example/damaskbridge/audit"
+	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/standin"
+	"damaskbridge.example/damaskbridge/standin/content"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+const testToken = "test-token"
+
+func testDocument() string {
+	sum := sha256.Sum256([]byte(testToken))
+	return fmt.Sprintf(`
+branches:
+  "":
+    deadline.default: 20s
+    stream.token_gap: 5s
+pools:
+  - {name: encoders, kind: encode}
+  - {name: retrievers, kind: retrieve}
+  - {name: rerankers, kind: rerank}
+  - {name: engines, kind: generate, checks_fencing: true}
+  - {name: bookings, kind: service}
+pipelines:
+  - name: answer
+    stages:
+      - {name: encode, kind: encode, pool: encoders}
+      - {name: retrieve, kind: retrieve, pool: retrievers}
+      - {name: rerank, kind: rerank, pool: rerankers}
+      - {name: generate, kind: generate, pool: engines, model: dev-model}
+services:
+  - {name: bookings, pool: bookings, repeatable_ops: [lookup]}
+workspaces:
+  - {name: house, branch: guild/house, token_sha256: [%s], pipelines: [answer], services: [bookings]}
+`, hex.EncodeToString(sum[:]))
+}
+
+var answerStages = []string{content.Encode, content.Retrieve, content.Rerank, content.Generate}
+
+// bench is one entry VM before a small fleet.
+type bench struct {
+	control  *fakeControl
+	recorder *fakeRecorder
+	fleet    *standin.Fleet
+	server   *Server
+	url      string
+}
+
+func newBench() *bench {
+	cfg, err := standin.Preset(standin.PresetDev)
+	Expect(err).NotTo(HaveOccurred())
+	cfg.TimeScale = 0.2
+	fleet, err := standin.StartFleet(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(fleet.Close)
+	b := &bench{control: newFakeControl(), recorder: newFakeRecorder(), fleet: fleet}
+	res := b.control.apply("first", testDocument())
+	Expect(res.Change).NotTo(BeNil())
+	Expect(string(res.Change.State)).To(Equal("accepted"), res.Change.Detail)
+	b.server, err = NewServer(Options{
+		VM: "entry-1", Region: "one", Listen: "127.0.0.1:0", Control: b.control, Audit: b.recorder,
+		MembersURL: fleet.MembersURL(), Seed: 1, DrainWait: time.Millisecond,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(b.server.Start()).To(Succeed())
+	DeferCleanup(b.server.Close)
+	b.url = "http://" + b.server.Addr()
+	Eventually(b.server.ready).WithTimeout(20 * time.Second).Should(Succeed())
+	return b
+}
+
+// post sends a request and gives the response with its body read.
+func (b *bench) post(path string, body any, header ...string) (*http.Response, []byte) {
+	raw, isBytes := body.([]byte)
+	if !isBytes {
+		var err error
+		raw, err = json.Marshal(body)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	req, err := http.NewRequest(http.MethodPost, b.url+path, bytes.NewReader(raw))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	out, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return resp, out
+}
+
+func problemOf(raw []byte) problem.Problem {
+	var p problem.Problem
+	Expect(json.Unmarshal(raw, &p)).To(Succeed(), string(raw))
+	return p
+}
+
+var _ = Describe("a request's whole path", func() {
+	It("answers a pipeline with its own content and accounts for every stage", func() {
+		b := newBench()
+		resp, raw := b.post("/v1/pipelines/answer", PipelineRequest{Input: "where is the red wig", MaxTokens: 40})
+		Expect(resp.StatusCode).To(Equal(http.StatusOK), string(raw))
+		var out PipelineResponse
+		Expect(json.Unmarshal(raw, &out)).To(Succeed())
+		Expect(out.Output).To(Equal(content.Pipeline(answerStages, "where is the red wig", 40)))
+		Expect(out.Stages).To(HaveLen(4))
+		kinds := map[audit.Kind]int{}
+		for _, r := range b.recorder.of(out.Request) {
+			kinds[r.Kind]++
+		}
+		Expect(kinds[audit.Begin]).To(Equal(1))
+		Expect(kinds[audit.Dispatch]).To(BeNumerically(">=", 4))
+		Eventually(func() int { return len(b.recorder.of(out.Request)) }).Should(BeNumerically(">=", 10))
+	})
+
+	It("streams every token once, with an end that counts them, and resumes", func() {
+		b := newBench()
+		resp, raw := b.post("/v1/pipelines/answer", PipelineRequest{Input: "long report", MaxTokens: 60, Stream: true})
+		Expect(resp.StatusCode).To(Equal(http.StatusOK), string(raw))
+		tokens, done := readEvents(raw)
+		Expect(strings.Join(tokens, "")).To(Equal(content.Pipeline(answerStages, "long report", 60)))
+		Expect(done.Complete).To(BeTrue())
+		Expect(done.Count).To(Equal(len(tokens)))
+
+		req, err := http.NewRequest(http.MethodGet, resp.Header.Get(HeaderResumeURL), nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("Authorization", "Bearer "+testToken)
+		req.Header.Set("Last-Event-ID", "2")
+		again, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		rest, err := io.ReadAll(again.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Body.Close()).To(Succeed())
+		tail, _ := readEvents(rest)
+		Expect(tail).To(Equal(tokens[2:]))
+	})
+
+	It("serves an unchanged OpenAI client, streaming and not", func() {
+		b := newBench()
+		client := openai.NewClient(option.WithBaseURL(b.url+"/v1"), option.WithAPIKey(testToken))
+		params := openai.ChatCompletionNewParams{
+			Model:     "answer",
+			Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+			MaxTokens: openai.Int(30),
+		}
+		want := strings.Join(content.ChatTokens(answerStages, []content.Message{{Role: "user", Content: "hello"}}, 30), "")
+		whole, err := client.Chat.Completions.New(context.Background(), params)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(whole.Choices[0].Message.Content).To(Equal(want))
+		events := client.Chat.Completions.NewStreaming(context.Background(), params)
+		acc := openai.ChatCompletionAccumulator{}
+		for events.Next() {
+			acc.AddChunk(events.Current())
+		}
+		Expect(events.Err()).NotTo(HaveOccurred())
+		Expect(acc.Choices[0].Message.Content).To(Equal(want))
+		models, err := client.Models.List(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(models.Data).To(HaveLen(1))
+	})
+
+	It("runs a booking once and repeats its stored answer", func() {
+		b := newBench()
+		body := []byte(`{"house":"north","beard":"long"}`)
+		first, one := b.post("/v1/services/bookings/book", body, HeaderKey, "key-1")
+		Expect(first.StatusCode).To(Equal(http.StatusOK), string(one))
+		second, two := b.post("/v1/services/bookings/book", body, HeaderKey, "key-1")
+		Expect(second.StatusCode).To(Equal(http.StatusOK), string(two))
+		Expect(two).To(Equal(one))
+		Expect(second.Header.Get(HeaderReplayed)).To(Equal("true"))
+		Expect(b.fleet.Executions("key-1")).To(Equal(1))
+		conflict, raw := b.post("/v1/services/bookings/book", []byte(`{}`), HeaderKey, "key-1")
+		Expect(conflict.StatusCode).To(Equal(http.StatusUnprocessableEntity))
+		Expect(problemOf(raw).Reason).To(Equal(problem.KeyConflict))
+	})
+
+	It("answers a repeatable operation without a key", func() {
+		b := newBench()
+		resp, raw := b.post("/v1/services/bookings/lookup", []byte("slot"))
+		Expect(resp.StatusCode).To(Equal(http.StatusOK), string(raw))
+	})
+
+	It("does not dispatch when the claim is granted after the dispatch window", func() {
+		b := newBench()
+		b.control.mu.Lock()
+		b.control.after = func(c *command.Command, _ *command.Result) {
+			if c.Claim != nil {
+				// Ends the session as if the VM had been frozen past its lease.
+				end := command.Command{ExpireSession: &command.ExpireSession{Session: c.Claim.Request.Session}}
+				raw, _ := command.Encode(&end)
+				b.control.index++
+				b.control.machine.Apply(b.control.index, raw)
+				b.server.sub.published.Store(&snapshot{tree: b.server.sub.snapshot().tree})
+			}
+		}
+		b.control.mu.Unlock()
+		resp, raw := b.post("/v1/services/bookings/book", []byte(`{}`), HeaderKey, "key-2")
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable), string(raw))
+		Expect(problemOf(raw).Execution).To(Equal(problem.NotRun))
+		Expect(b.fleet.Executions("key-2")).To(BeZero())
+	})
+
+	It("refuses with not_run after its settings lease has run out", func() {
+		b := newBench()
+		b.control.setCut(true)
+		Eventually(b.server.ready).WithTimeout(20 * time.Second).ShouldNot(Succeed())
+		resp, raw := b.post("/v1/pipelines/answer", PipelineRequest{Input: "x"})
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(problemOf(raw).Reason).To(Equal(problem.SettingsStale))
+		b.control.setCut(false)
+		Eventually(b.server.ready).WithTimeout(20 * time.Second).Should(Succeed())
+	})
+
+	DescribeTable("refuses bad input with nothing run", func(path, body string, header []string, kind problem.Kind) {
+		b := newBench()
+		resp, raw := b.post(path, []byte(body), header...)
+		p := problemOf(raw)
+		Expect(p.Reason).To(Equal(kind))
+		Expect(resp.StatusCode).To(Equal(kind.Status()))
+		Expect(p.Execution).To(Equal(problem.NotRun))
+		Expect(p.Remedy).NotTo(BeEmpty())
+		Expect(resp.Header.Get("Content-Type")).To(Equal(problem.ContentType))
+		Expect(b.fleet.Counters(standin.Selector{}).Executed).To(BeZero())
+	},
+		Entry("unknown pipeline", "/v1/pipelines/none", `{}`, nil, problem.UnknownPipeline),
+		Entry("unknown service", "/v1/services/none/op", `{}`, nil, problem.UnknownService),
+		Entry("broken JSON", "/v1/pipelines/answer", `{"input":`, nil, problem.BadRequest),
+		Entry("broken chat JSON", "/v1/chat/completions", `{`, nil, problem.BadRequest),
+		Entry("missing key", "/v1/services/bookings/book", `{}`, nil, problem.KeyMissing),
+		Entry("past deadline", "/v1/pipelines/answer", `{}`, []string{HeaderDeadline, "0"}, problem.DeadlinePast),
+		Entry("unknown workspace", "/v1/pipelines/answer", `{}`, []string{HeaderWorkspace, "none"}, problem.UnknownWorkspace),
+		Entry("bad token", "/v1/pipelines/answer", `{}`, []string{"Authorization", "Bearer wrong"}, problem.Unauthenticated),
+		Entry("body too large", "/v1/pipelines/answer", strings.Repeat(" ", 2<<20), nil, problem.BodyTooLarge),
+		Entry("unknown path", "/v2/none", `{}`, nil, problem.NotFound),
+	)
+})
+
+// readEvents gives the token texts and the last event of a native stream.
+func readEvents(raw []byte) (tokens []string, done DoneEvent) {
+	name := ""
+	lines := bufio.NewScanner(bytes.NewReader(raw))
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		line := lines.Text()
+		if v, ok := strings.CutPrefix(line, "event: "); ok {
+			name = v
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		switch name {
+		case "token":
+			var t TokenEvent
+			Expect(json.Unmarshal([]byte(data), &t)).To(Succeed())
+			tokens = append(tokens, t.Text)
+		case "done":
+			Expect(json.Unmarshal([]byte(data), &done)).To(Succeed())
+		}
+	}
+	return tokens, done
+}
--- a/entry/service_keyed.go
+++ b/entry/service_keyed.go
@@ -109,7 +109,7 @@
 func (s *Server) dispatchKeyed(ctx context.Context, j *serviceJob, c *claim) keyedEnd {
 	policy := retry.Policy{
 		MoveNotExecuted: true,
-		MaxAttempts:     j.q.tree.Int(j.q.branch, settings.RetryMaxAttempts),
+		MaxAttempts:     int(j.q.tree.Int(j.q.branch, settings.RetryMaxAttempts)),
 		Deadline:        j.q.deadline,
 		MinRemaining:    minAttemptTime,
 	}
--- a/entry/subscriber.go
+++ b/entry/subscriber.go
@@ -114,6 +114,7 @@
 		return fmt.Errorf("open session %s: %s", session, res.Detail)
 	}
 	s.seq.open(session)
+	s.seq.extend(session, res.UpTo)
 	next := &snapshot{session: session}
 	if old := s.snapshot(); old != nil {
 		next.tree = old.tree
