--- a/standin/engine.go
+++ b/standin/engine.go
@@ -27,6 +27,13 @@
 
 // NewEngine makes an engine and starts its step loop. Close ends it.
 func NewEngine(o EngineOptions) *Engine {
+	e := newEngine(o)
+	go e.run()
+	return e
+}
+
+// newEngine makes an engine whose steps are not yet taken.
+func newEngine(o EngineOptions) *Engine {
 	o.setDefaults()
 	e := &Engine{
 		core:    newCore(o.Common),
@@ -42,7 +49,6 @@
 	e.mux.HandleFunc("GET /state", e.orders.serveState)
 	e.mux.HandleFunc("GET /kv/{id}", e.serveExport)
 	e.mux.HandleFunc("PUT /kv/{id}", e.serveImport)
-	go e.run()
 	return e
 }
 
