fence, session: tests of token handover in real time, weight budget and reservations

Cause: the state machine's time follows a wall clock that may jump, so holders must not overlap by it, and the weight budget must not refill by it. After: TestOneHolder runs real time beside a jumping clock; TestBudget bounds the bytes of every span by the rate and one burst. Open: a clock that runs too fast, or jumps forward again and again, gains up to one second of the rate with each jump.

--- /dev/null
+++ b/fence/fence_test.go
@@ -0,0 +1,199 @@
+package fence
+
+import (
+	"flag"
+	"reflect"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "400")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+func TestFence(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fence")
+}
+
+func vm(name string) ids.SessionID { return ids.SessionID{VM: ids.VMID(name), Incarnation: 1} }
+
+func acquire(name string, termMS uint32, nonce uint64) *command.Acquire {
+	return &command.Acquire{Upstream: "u", Session: vm(name), TermMS: termMS, Nonce: nonce}
+}
+
+var _ = Describe("fencing tokens", func() {
+	margin := uint32((OrderExpiry + NetworkDelay).Milliseconds())
+
+	It("grow from holder to holder and stay the same in a renewal", func() {
+		t := NewTable()
+		first := t.Acquire(acquire("a", 1000, 1), 0)
+		Expect(first).To(Equal(command.Result{Fence: 1}), "nobody is to be waited for")
+		Expect(t.Acquire(acquire("a", 1000, 1), 10)).To(Equal(first))
+		Expect(t.Acquire(acquire("b", 1000, 1), 500)).To(HaveField("Code", command.FenceHeld))
+		Expect(t.Acquire(acquire("a", 1000, 2), 900)).To(Equal(first))
+		Expect(t.Acquire(acquire("b", 1000, 1), 1899).WaitMS).To(Equal(uint32(1)))
+		second := t.Acquire(acquire("b", 500, 1), 1900)
+		Expect(second.Fence).To(Equal(uint64(2)))
+		Expect(second.WaitMS).To(Equal(1000+margin), "the predecessor's whole term, since the clock may have jumped")
+	})
+
+	It("make a successor wait out every earlier holder that did not give its right back", func() {
+		t := NewTable()
+		t.Acquire(acquire("a", 9000, 1), 0)
+		t.EndSession(vm("a"), 1)
+		b := t.Acquire(acquire("b", 100, 1), 2)
+		Expect(t.Drop(&command.Drop{Upstream: "u", Number: b.Fence}).Code).To(Equal(command.OK))
+		Expect(t.Acquire(acquire("b", 100, 1), 3).Code).To(Equal(command.NotOwner), "a repeated message")
+		Expect(t.Acquire(acquire("c", 100, 1), 4).WaitMS).To(Equal(9000 + margin))
+		Expect(t.Drop(&command.Drop{Upstream: "u", Number: b.Fence}).Code).To(Equal(command.NotOwner))
+	})
+
+	It("make a successor wait for orders under way only, after a drop", func() {
+		t := NewTable()
+		a := t.Acquire(acquire("a", 9000, 1), 0)
+		t.Drop(&command.Drop{Upstream: "u", Number: a.Fence})
+		Expect(t.Acquire(acquire("c", 100, 1), 1).WaitMS).To(Equal(margin))
+	})
+})
+
+// TestOneHolder guards against two holders whose rights overlap in real time
+// at an upstream that ignores tokens. Real time runs on its own; the state
+// machine's time is fed by a clock that jumps. A holder counts its term from
+// before its message was sent, as the entry VM does.
+func TestOneHolder(t *testing.T) {
+	handovers := 0
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		type right struct {
+			session ids.SessionID
+			token   uint64
+			// from and last are the first and last moment, in real time, at
+			// which an order with the token may take effect.
+			from, last int64
+		}
+		var rights []right
+		real, state := int64(0), int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			real += rapid.Int64Range(0, 3000).Draw(t, "real")
+			state += rapid.SampledFrom([]int64{0, 10, 1000, 1e6}).Draw(t, "jump")
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "vm")
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0:
+				table.EndSession(vm(name), state)
+			case 1:
+				if n := len(rights); n > 0 && table.Drop(&command.Drop{Upstream: "u", Number: rights[n-1].token}).Code == command.OK {
+					// The holder stops now; its last order takes effect later.
+					r := &rights[n-1]
+					r.last = min(r.last, real+(OrderExpiry+NetworkDelay).Milliseconds())
+				}
+			default:
+				term := rapid.Uint32Range(1, 9000).Draw(t, "term")
+				c := acquire(name, term, uint64(len(rights))+uint64(real)<<16)
+				sent := real
+				real += rapid.Int64Range(0, 2000).Draw(t, "round trip")
+				got := table.Acquire(c, state)
+				if got.Code != command.OK {
+					continue
+				}
+				last := sent + int64(term) + (OrderExpiry + NetworkDelay).Milliseconds()
+				if n := len(rights); n > 0 && rights[n-1].token == got.Fence {
+					rights[n-1].last = max(rights[n-1].last, last)
+					continue
+				}
+				next := right{session: vm(name), token: got.Fence, from: real + int64(got.WaitMS), last: last}
+				for _, r := range rights {
+					if r.token >= next.token {
+						t.Fatalf("token %d does not grow from %d", next.token, r.token)
+					}
+					if r.last > next.from && r.session != next.session {
+						t.Fatalf("token %d of %s may act from %d, token %d of %s until %d", next.token, next.session, next.from, r.token, r.session, r.last)
+					}
+				}
+				if len(rights) > 0 {
+					handovers++
+				}
+				rights = append(rights, next)
+			}
+			restored, err := TableFromFile(table.File())
+			if err != nil || !reflect.DeepEqual(restored, table) {
+				t.Fatalf("a restored table differs: %v", err)
+			}
+			table = restored
+		}
+	})
+	if handovers < 100 {
+		t.Fatalf("only %d handovers", handovers)
+	}
+}
+
+// TestBudget guards against draws beyond the weight store's rate. Over any
+// span of the state machine's time all VMs together draw at most the rate
+// times the span plus one burst; a clock that goes back or stands adds
+// nothing, and a repeated message draws nothing.
+func TestBudget(t *testing.T) {
+	granted, refused := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget()
+		rate := rapid.Int64Range(1, 2000).Draw(t, "rate")
+		type draw struct{ at, bytes int64 }
+		var draws []draw
+		now, newest := int64(100_000), int64(0)
+		for n := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += rapid.SampledFrom([]int64{0, 1, 7, 100, 900, -500, 5000}).Draw(t, "clock")
+			newest = max(newest, now)
+			c := &command.DrawWeights{
+				Session: vm(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "vm")),
+				Bytes:   rapid.Uint64Range(1, Most(rate)).Draw(t, "bytes"), Nonce: uint64(n),
+			}
+			r := b.Draw(c, rate, now)
+			if r.Code == command.RateExhausted {
+				refused++
+				checkWait(t, b, c, rate, newest, int64(r.WaitMS))
+				continue
+			}
+			granted++
+			draws = append(draws, draw{newest, int64(c.Bytes)})
+			if again := b.Draw(c, rate, now); again.Code != command.OK {
+				t.Fatalf("the repeat of a granted draw has code %d", again.Code)
+			}
+			restored, err := BudgetFromFile(b.File())
+			if err != nil || !reflect.DeepEqual(restored, b) {
+				t.Fatalf("a restored budget differs: %v", err)
+			}
+			b = restored
+		}
+		for i := range draws {
+			sum := int64(0)
+			for _, d := range draws[i:] {
+				sum += d.bytes
+				if most := rate + rate*(d.at-draws[i].at)/1000; sum > most {
+					t.Fatalf("%d bytes from %d to %d ms, the rate of %d allows %d", sum, draws[i].at, d.at, rate, most)
+				}
+			}
+		}
+	})
+	if granted < 1000 || refused < 1000 {
+		t.Fatalf("%d draws granted, %d refused: the generator no longer meets both", granted, refused)
+	}
+}
+
+// checkWait checks that a refused draw succeeds after the wait that it was
+// given, if nobody else draws.
+func checkWait(t *rapid.T, b *Budget, c *command.DrawWeights, rate, now, wait int64) {
+	copied, err := BudgetFromFile(b.File())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := copied.Draw(c, rate, now+wait+1); r.Code != command.OK {
+		t.Fatalf("a draw is refused after its wait of %d ms", wait)
+	}
+}
--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,80 @@
+package session
+
+import (
+	"reflect"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+func TestSession(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "session")
+}
+
+func id(inc ids.Incarnation) ids.SessionID { return ids.SessionID{VM: "a", Incarnation: inc} }
+
+var _ = Describe("sessions", func() {
+	var t *Table
+	BeforeEach(func() {
+		t = NewTable()
+		_, r := t.Open(&command.OpenSession{Session: id(2), Region: "lagos"}, 10)
+		Expect(r).To(Equal(command.Result{UpTo: Block}))
+	})
+	AfterEach(func() {
+		restored, err := FromFile(t.File())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reflect.DeepEqual(restored.File(), t.File())).To(BeTrue())
+	})
+
+	It("replaces an older incarnation and never opens an ended one again", func() {
+		replaced, _ := t.Open(&command.OpenSession{Session: id(3)}, 20)
+		Expect(*replaced).To(Equal(id(2)))
+		for _, old := range []ids.Incarnation{1, 2} {
+			_, r := t.Open(&command.OpenSession{Session: id(old)}, 30)
+			Expect(r.Code).To(Equal(command.SessionEnded))
+		}
+		t.Expire(id(3), 40)
+		_, r := t.Open(&command.OpenSession{Session: id(3)}, 50)
+		Expect(r.Code).To(Equal(command.SessionEnded))
+		Expect(t.Ended()).To(HaveLen(2))
+		info, ok := t.Find(id(2))
+		Expect(ok).To(BeTrue())
+		Expect(info.End).To(Equal(Replaced))
+		Expect(info.UpTo).To(Equal(uint64(Block)))
+	})
+
+	It("reserves whole blocks and accepts no request beyond them", func() {
+		request := ids.RequestID{Session: id(2), Seq: Block + 1}
+		Expect(t.Check(request).Code).To(Equal(command.Malformed))
+		Expect(t.Reserve(&command.Reserve{Session: id(2), UpTo: Block + 1}).UpTo).To(Equal(uint64(2 * Block)))
+		Expect(t.Reserve(&command.Reserve{Session: id(2), UpTo: 5}).UpTo).To(Equal(uint64(2 * Block)))
+		Expect(t.Check(request).Code).To(Equal(command.OK))
+		Expect(t.Reserve(&command.Reserve{Session: id(2), UpTo: 1 << 63}).Code).To(Equal(command.Malformed))
+		Expect(t.Check(ids.RequestID{Session: id(1), Seq: 1}).Code).To(Equal(command.SessionEnded))
+		Expect(t.Check(ids.RequestID{Session: id(2)}).Code).To(Equal(command.Malformed))
+	})
+
+	It("closes once and answers a repeat alike", func() {
+		Expect(t.Close(&command.CloseSession{Session: id(2), LastSeq: Block + 1}, 20).Code).To(Equal(command.Malformed))
+		for range 2 {
+			Expect(t.Close(&command.CloseSession{Session: id(2), LastSeq: 7}, 20).Code).To(Equal(command.OK))
+		}
+		info, _ := t.Find(id(2))
+		Expect(info).To(HaveField("LastSeq", uint64(7)))
+		Expect(t.OpenSessions()).To(BeEmpty())
+	})
+
+	It("keeps the newest ended sessions whatever the clock says", func() {
+		for n := range endedMin + 5 {
+			t.Open(&command.OpenSession{Session: id(ids.Incarnation(n + 3))}, int64(n+20))
+		}
+		t.Retire(1 << 60)
+		Expect(t.Ended()).To(HaveLen(endedMin))
+		Expect(t.Ended()[0].Session).To(Equal(id(7)))
+	})
+})
