--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"damaskbridge.example/damaskbridge/budget"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/retry"
 	"damaskbridge.example/damaskbridge/routing"
@@ -51,8 +52,8 @@
 
 // attempts runs a stage that may be repeated until one attempt wins or the
 // retry policy ends it, and fills in the report.
-func attempts[T outcome](ctx context.Context, s *Server, q *request, st settings.Stage, report *StageReport, run attemptFunc[T]) (T, error) {
-	policy := s.retryPolicy(q, st)
+func attempts[T outcome](ctx context.Context, s *Server, q *request, st settings.Stage, grant budget.Grant, report *StageReport, run attemptFunc[T]) (T, error) {
+	policy := s.retryPolicy(q, st, grant)
 	d := &driver[T]{
 		s: s, q: q, stage: st, run: run,
 		call:   retry.NewCall(q.id, st.Name, policy, s.budgets.of(st.Pool)),
--- a/entry/budgets.go
+++ b/entry/budgets.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"damaskbridge.example/damaskbridge/budget"
 	"damaskbridge.example/damaskbridge/retry"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -32,8 +33,9 @@
 	return shared
 }
 
-// retryPolicy is the policy for a stage that may be repeated.
-func (s *Server) retryPolicy(q *request, st settings.Stage) retry.Policy {
+// retryPolicy is the policy for a stage that may be repeated. The stage is given
+// up when the later ones could not end in the time left.
+func (s *Server) retryPolicy(q *request, st settings.Stage, grant budget.Grant) retry.Policy {
 	branch := childBranch(q.branch, st.Name)
 	p := retry.Policy{
 		Idempotent:   true,
@@ -41,9 +43,22 @@
 		Deadline:     q.deadline,
 		MinRemaining: minAttemptTime,
 	}
+	if grant.CancelAfter > 0 {
+		p.Deadline = earlier(p.Deadline, time.Now().Add(grant.CancelAfter))
+	}
+	if !s.opts.Policy.NoHedge && q.tree.Bool(branch, settings.HedgeEnabled) {
+		p.HedgeAfter = grant.HedgeAfter
+	}
 	return p
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // countRetries adds a call's counts to the metrics.
 func (s *Server) countRetries(c retry.Counts) {
 	for reason, n := range c.Attempts {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"damaskbridge.example/damaskbridge/budget"
 	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/upstream"
 )
@@ -33,10 +34,11 @@
 		MaxTokens: e.maxTokens,
 		Priority:  string(e.q.priority),
 	}
-	g, err := attempts(ctx, s, e.q, st, report, func(ctx context.Context, addr string, a upstream.Attempt) (generation, error) {
+	g, err := attempts(ctx, s, e.q, st, budget.Grant{}, report, func(ctx context.Context, addr string, a upstream.Attempt) (generation, error) {
 		return s.chat(ctx, e, addr, a, req)
 	})
 	e.usage = g.end
+	report.first = g.first
 	report.CostUnits = float64(g.end.PromptTokens-g.end.CachedTokens) + float64(g.end.Tokens)
 	return err
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -26,6 +26,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("damask_entry_retries_total{reason=%q}", reason)).Inc()
 }
 
+// shed counts a request that got no place in a pool, by reason.
+func (c *counters) shed(pool, reason string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("damask_entry_shed_total{pool=%q,reason=%q}", pool, reason)).Inc()
+}
+
 // attempt counts an ended attempt by pool and outcome.
 func (c *counters) attempt(pool, outcome string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("damask_entry_attempts_total{pool=%q,outcome=%q}", pool, outcome)).Inc()
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"time"
 
+	"damaskbridge.example/damaskbridge/budget"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/upstream"
@@ -46,33 +47,53 @@
 // runStages runs the stages one after the other. The output of the last one
 // goes to the execution's tokens.
 func (s *Server) runStages(ctx context.Context, e *execution) error {
+	if err := s.feasible(e.q, e.pipeline.Stages, e.maxTokens); err != nil {
+		return err
+	}
 	if err := e.q.begin(ctx); err != nil {
 		return err
 	}
 	prior := ""
-	last := len(e.pipeline.Stages) - 1
 	for i, st := range e.pipeline.Stages {
-		start := time.Now()
-		report := StageReport{Name: st.Name, Kind: string(st.Kind)}
-		var err error
-		if st.Kind == settings.Generate {
-			err = s.generate(ctx, e, st, prior, &report)
-		} else {
-			prior, err = s.unary(ctx, e, st, prior, &report)
-		}
-		report.MS = float64(time.Since(start).Microseconds()) / 1000
-		s.counters.cost(st.Pool, report.CostUnits)
-		e.reports = append(e.reports, report)
+		out, err := s.runStage(ctx, e, i, prior)
 		if err != nil {
 			return err
 		}
-		if i == last && st.Kind != settings.Generate {
-			return e.whole(prior)
+		prior = out
+		if i == len(e.pipeline.Stages)-1 && st.Kind != settings.Generate {
+			return e.whole(out)
 		}
 	}
 	return nil
 }
 
+// runStage runs one stage with the time that the budget grants it.
+func (s *Server) runStage(ctx context.Context, e *execution, i int, prior string) (string, error) {
+	st := e.pipeline.Stages[i]
+	plan := s.times.Plan(stageKeys(e.pipeline.Stages[i:], e.maxTokens), time.Until(e.q.deadline), time.Now())
+	p, err := s.admit(ctx, e.q, st.Pool, plan.Need)
+	if err != nil {
+		return "", err
+	}
+	start := time.Now()
+	report := StageReport{Name: st.Name, Kind: string(st.Kind)}
+	out := ""
+	if st.Kind == settings.Generate {
+		err = s.generate(ctx, e, st, prior, &report)
+	} else {
+		out, err = s.unary(ctx, e, st, prior, plan.Grants[0], &report)
+	}
+	took := time.Since(start)
+	p.release(report.served(took), err)
+	if err == nil {
+		s.times.Observe(stageKey(st, e.maxTokens), took, time.Now())
+	}
+	report.MS = float64(took.Microseconds()) / 1000
+	s.counters.cost(st.Pool, report.CostUnits)
+	e.reports = append(e.reports, report)
+	return out, err
+}
+
 // whole makes the output of a last stage that does not generate the only token.
 func (e *execution) whole(output string) error {
 	e.tokens.Begin(1, time.Now())
@@ -84,9 +105,9 @@
 }
 
 // unary runs an encode, retrieve or rerank stage, which may be repeated.
-func (s *Server) unary(ctx context.Context, e *execution, st settings.Stage, prior string, report *StageReport) (string, error) {
+func (s *Server) unary(ctx context.Context, e *execution, st settings.Stage, prior string, grant budget.Grant, report *StageReport) (string, error) {
 	in := upstream.StageRequest{Input: e.input, Prior: prior}
-	out, err := attempts(ctx, s, e.q, st, report, func(ctx context.Context, addr string, a upstream.Attempt) (stageOutput, error) {
+	out, err := attempts(ctx, s, e.q, st, grant, report, func(ctx context.Context, addr string, a upstream.Attempt) (stageOutput, error) {
 		r, err := s.client.Stage(ctx, addr, a, string(st.Kind), string(e.q.priority), in)
 		return stageOutput{result: r}, err
 	})
--- a/entry/server.go
+++ b/entry/server.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"damaskbridge.example/damaskbridge/admission"
+	"damaskbridge.example/damaskbridge/budget"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
@@ -25,6 +27,8 @@
 	client   *upstream.Client
 	runners  *runners
 	budgets  *budgets
+	gates    *admission.Shared
+	times    *budget.Shared
 	seq      *sequence
 	sub      *subscriber
 	streams  *streams
@@ -47,7 +51,8 @@
 	o = o.withDefaults()
 	s := &Server{
 		opts: o, log: o.Logger, counters: newCounters(), client: upstream.NewClient(o.Upstream),
-		budgets: newBudgets(), seq: newSequence(), streams: newStreams(),
+		budgets: newBudgets(), gates: admission.NewShared(admission.DefaultOptions()),
+		times: budget.NewShared(budget.DefaultOptions()), seq: newSequence(), streams: newStreams(),
 		started: time.Now().Truncate(time.Second),
 	}
 	s.runners = newRunners(o, s.client)
@@ -71,6 +76,7 @@
 	s.loop(func() { s.sub.run(ctx) })
 	s.loop(func() { s.sub.runReserver(ctx) })
 	s.loop(func() { s.runners.run(ctx) })
+	s.loop(func() { s.runAdvance(ctx) })
 	s.loop(func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error().Err(err).Msg("entry: the listener has failed")
--- a/entry/service_keyed.go
+++ b/entry/service_keyed.go
@@ -70,6 +70,23 @@
 func (s *Server) runKeyed(ctx context.Context, j *serviceJob) keyedEnd {
 	before, cancel := context.WithDeadline(ctx, j.q.deadline)
 	defer cancel()
+	p, err := s.admit(before, j.q, j.svc.Pool, 0)
+	if err != nil {
+		return keyedEnd{err: s.explain(before, j.q, err)}
+	}
+	start := time.Now()
+	end := s.runAdmitted(ctx, before, j, &start)
+	if end.replayed {
+		p.cancel()
+		return end
+	}
+	p.release(time.Since(start), end.err)
+	return end
+}
+
+// runAdmitted claims and dispatches a call that has its place. start is set to
+// the time of the dispatch.
+func (s *Server) runAdmitted(ctx, before context.Context, j *serviceJob, start *time.Time) keyedEnd {
 	begun := make(chan error, 1)
 	go func() { begun <- j.q.begin(before) }()
 	c := &claim{s: s, q: j.q}
@@ -86,6 +103,7 @@
 	if beginErr != nil {
 		return s.releaseKeyed(ctx, c, beginErr)
 	}
+	*start = time.Now()
 	return s.dispatchKeyed(ctx, j, c)
 }
 
--- a/entry/service_repeatable.go
+++ b/entry/service_repeatable.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/upstream"
 )
 
@@ -35,16 +36,29 @@
 }
 
 func (s *Server) callRepeatable(ctx context.Context, j *serviceJob) (*command.Answer, error) {
+	stages := []settings.Stage{j.stage()}
+	if err := s.feasible(j.q, stages, 0); err != nil {
+		return nil, err
+	}
 	if err := j.q.begin(ctx); err != nil {
 		return nil, err
 	}
-	out, err := attempts(ctx, s, j.q, j.stage(), &StageReport{}, func(ctx context.Context, addr string, a upstream.Attempt) (serviceOutput, error) {
+	plan := s.times.Plan(stageKeys(stages, 0), time.Until(j.q.deadline), time.Now())
+	p, err := s.admit(ctx, j.q, j.svc.Pool, plan.Need)
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	out, err := attempts(ctx, s, j.q, stages[0], plan.Grants[0], &StageReport{}, func(ctx context.Context, addr string, a upstream.Attempt) (serviceOutput, error) {
 		res, err := s.client.Service(ctx, addr, a, j.call)
 		return serviceOutput{result: res}, err
 	})
+	took := time.Since(start)
+	p.release(took, err)
 	if err != nil {
 		return nil, err
 	}
+	s.times.Observe(stageKey(stages[0], 0), took, time.Now())
 	return answerOf(&out.result), nil
 }
 
--- a/entry/wiretypes.go
+++ b/entry/wiretypes.go
@@ -1,6 +1,10 @@
 package entry
 
-import "damaskbridge.example/damaskbridge/upstream"
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/upstream"
+)
 
 // PipelineRequest is the body of POST /v1/pipelines/{name}.
 type PipelineRequest struct {
@@ -19,6 +23,17 @@
 	// MS is the stage's duration in milliseconds.
 	MS        float64 `json:"ms"`
 	CostUnits float64 `json:"cost_units"`
+	// first is the time to the first token of the winning attempt.
+	first time.Duration
+}
+
+// served is the latency that admission compares: for a generate stage the time
+// to the first token, since the whole time depends on the answer's length.
+func (r *StageReport) served(took time.Duration) time.Duration {
+	if r.first > 0 {
+		return r.first
+	}
+	return took
 }
 
 // PipelineResponse is the answer of a pipeline that is not streamed.
