--- a/raft/errors.go
+++ b/raft/errors.go
@@ -39,3 +39,13 @@
 func (e *StaleIdentityError) Error() string {
 	return fmt.Sprintf("raft: replica %s was replaced by %s; move its data folder away and restart it, so that it joins under a new incarnation", e.ID, e.Known)
 }
+
+// GapError says that stored entries do not follow each other.
+type GapError struct {
+	Want uint64
+	Got  uint64
+}
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("raft: the stored log continues at index %d instead of %d; move the data folder away and restart, so that the replica joins under a new incarnation", e.Got, e.Want)
+}
