--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -165,7 +165,7 @@
 	var e *upstream.Error
 	errors.As(err, &e)
 	switch upstream.CauseOf(err) {
-	case upstream.NotSent, upstream.GuardFailed:
+	case upstream.NotSent, upstream.Unsent, upstream.GuardFailed:
 		return retry.Refused
 	case upstream.Draining, upstream.Overloaded:
 		return retry.NotExecuted
--- a/entry/options.go
+++ b/entry/options.go
@@ -20,8 +20,6 @@
 	dispatchWindow = 2 * time.Second
 	// proposeTimeout limits one background proposal.
 	proposeTimeout = 5 * time.Second
-	// memberInterval is the time between reads of the membership list.
-	memberInterval = time.Second
 	// loadInterval is the time between reads of an idle runner's load.
 	loadInterval = 500 * time.Millisecond
 )
@@ -36,7 +34,15 @@
 	Audit   Recorder
 	// MembersURL is the platform's membership list.
 	MembersURL string
-	Upstream   upstream.Options
+	// MembersEvery is the time between reads of the list. Default 1 s.
+	MembersEvery time.Duration
+	Upstream     upstream.Options
+	// HeaderTimeout limits the reading of a caller's headers, IdleTimeout the
+	// time that an unused connection of a caller is kept, and MaxHeader the
+	// bytes of the headers. Defaults 5 s, 2 min and 64 KiB.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	MaxHeader     int
 	// DrainWait is how long the listener stays open after the VM has reported
 	// not ready, so that the load balancer notices. Default 3 s.
 	DrainWait time.Duration
@@ -80,7 +86,24 @@
 	const (
 		defaultDrainWait  = 3 * time.Second
 		defaultDrainLimit = time.Minute
+
+		defaultMembersEvery  = time.Second
+		defaultHeaderTimeout = 5 * time.Second
+		defaultIdleTimeout   = 2 * time.Minute
+		defaultMaxHeader     = 64 << 10
 	)
+	if o.MembersEvery <= 0 {
+		o.MembersEvery = defaultMembersEvery
+	}
+	if o.HeaderTimeout <= 0 {
+		o.HeaderTimeout = defaultHeaderTimeout
+	}
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	if o.MaxHeader <= 0 {
+		o.MaxHeader = defaultMaxHeader
+	}
 	if o.DrainWait <= 0 {
 		o.DrainWait = defaultDrainWait
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -25,7 +25,7 @@
 	deadline time.Time
 	key      string
 	account  *account
-	// begun is true once the begin record was accepted.
+	// begun is true once the begin record was handed to the recorder.
 	begun bool
 	// mayHaveRun counts attempts that may have been executed. It is raised
 	// before an attempt's first byte and lowered only on proof that nothing
@@ -52,10 +52,12 @@
 	} else {
 		err = q.account.to.Begin(ctx, r)
 	}
+	// A begin record whose durability is not known may still be written; the
+	// end record that follows says that nothing ran.
+	q.begun = true
 	if err != nil {
 		return problem.New(problem.AuditDown, problem.NotRun, "%v", err).For(q.id.String()).After(time.Second)
 	}
-	q.begun = true
 	return nil
 }
 
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -18,6 +18,7 @@
 	self       ids.VMID
 	region     ids.Region
 	membersURL string
+	every      time.Duration
 	members    *membership.Shared
 	router     *routing.Shared
 	client     *upstream.Client
@@ -30,6 +31,7 @@
 		self:       o.VM,
 		region:     o.Region,
 		membersURL: o.MembersURL,
+		every:      o.MembersEvery,
 		members:    membership.NewShared(membership.DefaultOptions(o.VM)),
 		router:     routing.NewShared(routing.DefaultOptions(o.Region), rng),
 		client:     client,
@@ -39,7 +41,7 @@
 
 // run reads the membership list and the runners' loads until ctx ends.
 func (r *runners) run(ctx context.Context) {
-	list := time.NewTicker(memberInterval)
+	list := time.NewTicker(r.every)
 	defer list.Stop()
 	loads := time.NewTicker(loadInterval)
 	defer loads.Stop()
@@ -56,9 +58,12 @@
 	}
 }
 
+// memberTimeout limits one read of the membership list.
+const memberTimeout = time.Second
+
 // readList reads the platform's membership list once.
 func (r *runners) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, memberInterval)
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
 	list, err := r.client.Members(ctx, r.membersURL)
 	if err != nil {
@@ -140,7 +145,7 @@
 		return routing.ConnectFailure
 	case upstream.Draining, upstream.Overloaded:
 		return routing.Overloaded
-	case upstream.Cancelled, upstream.GuardFailed, upstream.Silent:
+	case upstream.Cancelled, upstream.Unsent, upstream.GuardFailed, upstream.Silent:
 		return routing.Cancelled
 	default:
 		return routing.Failure
--- a/entry/server.go
+++ b/entry/server.go
@@ -70,7 +70,12 @@
 		return fmt.Errorf("entry: listen on %s: %w; choose a free address", s.opts.Listen, err)
 	}
 	s.listener = l
-	s.http = &http.Server{Handler: s.mux(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.http = &http.Server{
+		Handler:           s.mux(),
+		ReadHeaderTimeout: s.opts.HeaderTimeout,
+		IdleTimeout:       s.opts.IdleTimeout,
+		MaxHeaderBytes:    s.opts.MaxHeader,
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	s.loop(func() { s.sub.run(ctx) })
@@ -85,11 +90,6 @@
 	return nil
 }
 
-const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-)
-
 // Addr gives the address for callers.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -151,9 +151,6 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	s.sub.draining.Store(true)
-	// Idle connections are closed with the next response, so that no request
-	// is sent on one that the shutdown is about to close.
-	s.http.SetKeepAlivesEnabled(false)
 	s.log.Info().Msg("entry: draining")
 	select {
 	case <-time.After(s.opts.DrainWait):
@@ -230,13 +227,18 @@
 // handle turns the error of a handler into a problem response.
 func (s *Server) handle(h handlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			// Callers drop the connection after this response, so that no
+			// request is sent on one that the shutdown is about to close.
+			w.Header().Set("Connection", "close")
+		}
 		err := h(w, r)
 		if err == nil {
 			return
 		}
 		p, ok := problem.As(err)
 		if !ok {
-			p = problem.New(problem.UpstreamFailed, problem.Unknown, "%v", err)
+			p = fallback(r, err)
 		}
 		s.counters.refused(string(p.Reason), string(p.Execution))
 		if p.Instance != "" {
@@ -245,3 +247,12 @@
 		p.Write(w)
 	})
 }
+
+// fallback is the problem of an error that is not one, such as a caller that
+// has closed its connection.
+func fallback(r *http.Request, err error) *problem.Problem {
+	if r.Context().Err() != nil {
+		return problem.New(problem.CallerGone, problem.Unknown, "%v", err)
+	}
+	return problem.New(problem.UpstreamFailed, problem.Unknown, "%v", err)
+}
--- a/entry/subscriber.go
+++ b/entry/subscriber.go
@@ -91,9 +91,19 @@
 			return err
 		}
 	}
+	err := s.renew(ctx)
+	if !errors.Is(err, errSessionEnded) {
+		return err
+	}
+	if err := s.open(ctx); err != nil {
+		return err
+	}
 	return s.renew(ctx)
 }
 
+// errSessionEnded asks for a new session.
+var errSessionEnded = errors.New("the session has ended")
+
 // open registers a new session. The incarnation starts at the wall time and is
 // raised above the highest known one, so that a clock that went back can't
 // make this life look like an earlier one.
@@ -137,7 +147,7 @@
 		return fmt.Errorf("renew: %w", err)
 	}
 	if reply.SessionEnded {
-		return s.open(ctx)
+		return errSessionEnded
 	}
 	if !reply.OK {
 		return errors.New("renew: the control VM can't prove that it is current")
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -50,29 +50,29 @@
 	defer c.mu.Unlock()
 	t, ok := c.runners[addr]
 	if !ok {
-		t = c.newTransport(nil)
+		t = c.newTransport(nil, c.opts.ProgressTimeout)
 		c.runners[addr] = t
 	}
 	return t
 }
 
-func (c *Client) newTransport(g Guard) *http.Transport {
+func (c *Client) newTransport(g Guard, progress time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         c.dialer(g),
+		DialContext:         c.dialer(g, progress),
 		MaxIdleConnsPerHost: c.opts.MaxIdle,
 		IdleConnTimeout:     c.opts.ProgressTimeout,
 		DisableCompression:  true,
 	}
 }
 
-func (c *Client) dialer(g Guard) func(context.Context, string, string) (net.Conn, error) {
+func (c *Client) dialer(g Guard, progress time.Duration) func(context.Context, string, string) (net.Conn, error) {
 	d := net.Dialer{Timeout: c.opts.DialTimeout, KeepAlive: time.Second}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &progressConn{Conn: conn, timeout: c.opts.ProgressTimeout, guard: g}, nil
+		return &progressConn{Conn: conn, timeout: progress, guard: g}, nil
 	}
 }
 
@@ -116,12 +116,14 @@
 }
 
 // transportFor gives a transport of its own to a guarded call, so that it goes
-// over a new connection that nothing in between can have lost track of.
+// over a new connection that nothing in between can have lost track of. It has
+// no progress timeout: giving up such a call early would only turn an answer
+// into an unknown end.
 func (c *Client) transportFor(k call) *http.Transport {
 	if k.guard == nil {
 		return c.shared(k.addr)
 	}
-	t := c.newTransport(k.guard)
+	t := c.newTransport(k.guard, 0)
 	t.DisableKeepAlives = true
 	return t
 }
@@ -132,6 +134,8 @@
 	switch {
 	case errors.As(err, &g):
 		return &Error{Cause: GuardFailed, Address: addr, Err: g.err}
+	case !written && ctx.Err() != nil:
+		return &Error{Cause: Unsent, Address: addr, Err: ctx.Err()}
 	case !written:
 		return &Error{Cause: NotSent, Address: addr, Err: err}
 	case ctx.Err() != nil:
--- a/upstream/error.go
+++ b/upstream/error.go
@@ -24,7 +24,9 @@
 	Status Cause = "error_status"
 	// Mismatch: the response belongs to another attempt or is damaged.
 	Mismatch Cause = "response_mismatch"
-	// Cancelled: the caller's context ended.
+	// Unsent: the caller's context ended before any byte was written.
+	Unsent Cause = "cancelled_before_send"
+	// Cancelled: the caller's context ended after the request was sent.
 	Cancelled Cause = "cancelled"
 	// GuardFailed: the check directly before the first byte failed.
 	GuardFailed Cause = "guard_failed"
@@ -51,7 +53,7 @@
 // is false only if there is proof that it has not.
 func (e *Error) Started() bool {
 	switch e.Cause {
-	case NotSent, Draining, Overloaded, GuardFailed:
+	case NotSent, Unsent, Draining, Overloaded, GuardFailed:
 		return false
 	default:
 		return true
