Hedge the first token of generate stages, only with spare capacity

Cause: a slow engine delayed the first token until the stall limit; but hedges in a saturated pool add load. Ruled out: hedging by the retry budget alone. Before: no hedge of generate stages. After: the first token of one attempt cancels the other.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -22,8 +22,9 @@
 	load() upstream.LoadReport
 }
 
-// attemptFunc makes one attempt at a runner.
-type attemptFunc[T outcome] func(ctx context.Context, addr string, a upstream.Attempt) (T, error)
+// attemptFunc makes one attempt at a runner. It calls progress when the result
+// has begun to arrive.
+type attemptFunc[T outcome] func(ctx context.Context, addr string, a upstream.Attempt, progress func()) (T, error)
 
 // attemptEvent is the end of one attempt.
 type attemptEvent[T outcome] struct {
@@ -43,6 +44,7 @@
 	call    *retry.Call
 	run     attemptFunc[T]
 	events  chan attemptEvent[T]
+	begun   chan int
 	cancels []context.CancelFunc
 	used    []string
 	value   T
@@ -58,6 +60,7 @@
 		s: s, q: q, stage: st, run: run,
 		call:   retry.NewCall(q.id, st.Name, policy, s.budgets.of(st.Pool)),
 		events: make(chan attemptEvent[T], policy.MaxAttempts),
+		begun:  make(chan int, policy.MaxAttempts),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -80,6 +83,8 @@
 		select {
 		case ev := <-d.events:
 			d.do(ctx, d.take(&ev))
+		case n := <-d.begun:
+			d.do(ctx, d.call.Progress(n))
 		case <-timer.C:
 			d.do(ctx, d.call.Tick(time.Now()))
 		case <-ctx.Done():
@@ -152,7 +157,7 @@
 		defer cancel()
 		ev := attemptEvent[T]{number: number}
 		ev.done = d.s.try(ctx, d.q, c, choice, func(ctx context.Context, addr string, a upstream.Attempt) (int, time.Duration, upstream.LoadReport, error) {
-			v, err := d.run(ctx, addr, a)
+			v, err := d.run(ctx, addr, a, func() { d.begun <- number })
 			ev.value = v
 			return v.wire(), v.served(), v.load(), err
 		})
--- a/entry/budgets.go
+++ b/entry/budgets.go
@@ -46,12 +46,21 @@
 	if grant.CancelAfter > 0 {
 		p.Deadline = earlier(p.Deadline, time.Now().Add(grant.CancelAfter))
 	}
-	if !s.opts.Policy.NoHedge && q.tree.Bool(branch, settings.HedgeEnabled) {
+	if s.mayHedge(q, st, branch) {
 		p.HedgeAfter = grant.HedgeAfter
 	}
 	return p
 }
 
+// mayHedge allows hedges only in a pool with spare capacity. In a saturated
+// pool a slow attempt is slow because of the load, and a hedge adds to it.
+func (s *Server) mayHedge(q *request, st settings.Stage, branch string) bool {
+	if s.opts.Policy.NoHedge || !q.tree.Bool(branch, settings.HedgeEnabled) {
+		return false
+	}
+	return s.gates.Wait(st.Pool, s.admissionRequest(q, 0), time.Now()) == 0
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -34,15 +34,33 @@
 		MaxTokens: e.maxTokens,
 		Priority:  string(e.q.priority),
 	}
-	g, err := attempts(ctx, s, e.q, st, budget.Grant{}, report, func(ctx context.Context, addr string, a upstream.Attempt) (generation, error) {
-		return s.chat(ctx, e, addr, a, req)
+	first := firstTokenKey(st, req.Messages)
+	grant := s.times.Plan([]budget.Key{first}, time.Until(e.q.deadline), time.Now()).Grants[0]
+	// The grant is that of the first token alone; the whole stage may go on
+	// until the deadline.
+	grant.CancelAfter = 0
+	g, err := attempts(ctx, s, e.q, st, grant, report, func(ctx context.Context, addr string, a upstream.Attempt, progress func()) (generation, error) {
+		return s.chat(ctx, e, addr, a, req, progress)
 	})
+	if err == nil && g.first > 0 {
+		s.times.Observe(first, g.first, time.Now())
+	}
 	e.usage = g.end
 	report.first = g.first
 	report.CostUnits = float64(g.end.PromptTokens-g.end.CachedTokens) + float64(g.end.Tokens)
 	return err
 }
 
+// firstTokenKey names the distribution of the time to the first token, by the
+// size of the prompt.
+func firstTokenKey(st settings.Stage, messages []upstream.Message) budget.Key {
+	size := 0
+	for _, m := range messages {
+		size += len(m.Content)
+	}
+	return budget.Key{Stage: st.Pool + "/first_token", Class: budget.SizeClass(size)}
+}
+
 // prompt puts the previous stage's output before the caller's messages.
 func (e *execution) prompt(prior string) []upstream.Message {
 	if prior == "" {
@@ -54,7 +72,7 @@
 }
 
 // chat makes one attempt and writes its tokens to the execution.
-func (s *Server) chat(ctx context.Context, e *execution, addr string, a upstream.Attempt, req upstream.ChatRequest) (generation, error) {
+func (s *Server) chat(ctx context.Context, e *execution, addr string, a upstream.Attempt, req upstream.ChatRequest, progress func()) (generation, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	start := time.Now()
@@ -66,6 +84,7 @@
 	end, err := s.client.Chat(ctx, addr, a, req, func(_ int, text string) error {
 		if g.first == 0 {
 			g.first = time.Since(start)
+			progress()
 		}
 		if err := e.room(ctx, a.Number); err != nil {
 			return err
--- a/retry/call.go
+++ b/retry/call.go
@@ -238,6 +238,17 @@
 	return c.dispatch(Hedge, now)
 }
 
+// Progress records that an attempt has begun to give its result, such as the
+// first token of a stream. The other open attempts are cancelled and no hedge
+// follows: from here on only a failure of this attempt starts another one.
+func (c *Call) Progress(number int) []Action {
+	if c.ended || c.open(number) == nil {
+		return nil
+	}
+	c.hedged = true
+	return c.cancelOthers(number, Lost)
+}
+
 // Abandon ends the call because its caller has gone.
 func (c *Call) Abandon() []Action { return c.end(CallerGone) }
 
@@ -284,10 +295,15 @@
 
 // cancelOpen closes the open attempts. A sent one may still have run.
 func (c *Call) cancelOpen(reason Reason) []Action {
+	return c.cancelOthers(0, reason)
+}
+
+// cancelOthers closes the open attempts but the one to keep.
+func (c *Call) cancelOthers(keep int, reason Reason) []Action {
 	var actions []Action
 	for i := range c.attempts {
 		a := &c.attempts[i]
-		if !a.open {
+		if !a.open || i+1 == keep {
 			continue
 		}
 		a.open = false
