damaskctl: apply, get, diff, history, status, drain, check and audit

Cause: operators need a tool that resends lost changes without applying them twice. Base and id are fixed before the first attempt; a lost reply goes to the next control address with the same id; if the outcome stays unknown the resend command is printed. Tests run over HTTP on loopback with replies lost after the call ran.

--- /dev/null
+++ b/ctl/ctl_test.go
@@ -0,0 +1,217 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/admin"
+	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/machine"
+	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/settings"
+)
+
+func TestCtl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ctl")
+}
+
+// backend is a control VM without replication.
+type backend struct {
+	mu      sync.Mutex
+	machine *machine.Machine
+	index   uint64
+}
+
+func (b *backend) Propose(_ context.Context, c command.Command) (command.Result, error) {
+	data, err := command.Encode(&c)
+	if err != nil {
+		return command.Result{}, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.index++
+	return b.machine.Apply(b.index, data), nil
+}
+
+func (b *backend) tree() *settings.Tree {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.machine.Tree()
+}
+
+func (b *backend) Tree(context.Context) (*settings.Tree, time.Duration, error) {
+	return b.tree(), 0, nil
+}
+
+func (b *backend) WaitInEffect(context.Context, uint64) (uint64, error) {
+	return b.tree().Version(), nil
+}
+
+func (b *backend) Status(context.Context) (admin.Status, error) {
+	return admin.Status{
+		VM: "c1", Leader: "c2", Control: []admin.ControlStatus{{VM: "c2", Role: "leader"}},
+		Entries: []admin.EntryStatus{{VM: "e1", InForce: 7, Draining: true}},
+	}, nil
+}
+
+func (b *backend) Drain(_ context.Context, vm ids.VMID) error {
+	if vm != "e1" {
+		return problem.New(problem.NotFound, problem.NotRun, "no session of %s is open", vm)
+	}
+	return nil
+}
+
+func (b *backend) Audit(_ context.Context, q admin.AuditQuery) (admin.AuditReply, error) {
+	return admin.AuditReply{Records: []json.RawMessage{json.RawMessage(fmt.Sprintf(`{"request":%q}`, q.Request))}, Missing: []ids.VMID{"c3"}}, nil
+}
+
+const document = "branches:\n  guild:\n    deadline.default: 4s\npools:\n  - {name: p, kind: encode}\n"
+
+var _ = Describe("damaskctl", func() {
+	var b *backend
+	var api http.Handler
+	// lost counts the replies that are still to be lost after the call ran.
+	var lost atomic.Int64
+	var servers []*httptest.Server
+	var file string
+	var environment map[string]string
+
+	BeforeEach(func() {
+		b = &backend{machine: machine.New()}
+		operators, err := admin.NewOperators([]admin.Operator{{Name: "ada", TokenSHA256: []string{admin.TokenDigest("secret")}}})
+		Expect(err).NotTo(HaveOccurred())
+		api = admin.New(b, operators)
+		lost.Store(0)
+		lossy := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet || lost.Add(-1) < 0 {
+				api.ServeHTTP(w, r)
+				return
+			}
+			api.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		})
+		servers = []*httptest.Server{httptest.NewServer(lossy), httptest.NewServer(lossy)}
+		DeferCleanup(func() {
+			for _, s := range servers {
+				s.Close()
+			}
+		})
+		file = filepath.Join(GinkgoT().TempDir(), "d.yaml")
+		Expect(os.WriteFile(file, []byte(document), 0o600)).To(Succeed())
+		environment = map[string]string{"DAMASK_CONTROL": servers[0].URL + "," + servers[1].URL, "DAMASK_TOKEN": "secret"}
+	})
+
+	damaskctl := func(args ...string) (code int, stdout, stderr string) {
+		var out, errs bytes.Buffer
+		env := Env{Stdout: &out, Stderr: &errs, Getenv: func(k string) string { return environment[k] }, ReadFile: os.ReadFile}
+		code = Main(context.Background(), args, env)
+		return code, out.String(), errs.String()
+	}
+
+	It("sends a change whose reply was lost again, with the same id, to the next control VM", func() {
+		lost.Store(1)
+		code, out, errs := damaskctl("apply", "-f", file, "-id", "x1", "-wait")
+		Expect(code).To(Equal(ExitOK), errs)
+		Expect(out).To(ContainSubstring("change x1 is accepted, version 1"))
+		Expect(out).To(ContainSubstring("in effect on every entry VM"))
+		Expect(b.index).To(Equal(uint64(2)), "the change was proposed twice")
+		Expect(b.machine.Tree().Version()).To(Equal(uint64(1)), "and applied once")
+	})
+
+	It("says how to resend a change whose outcome stays unknown", func() {
+		lost.Store(1 << 40)
+		code, _, errs := damaskctl("apply", "-f", file, "-base", "0", "-timeout", "50ms")
+		Expect(code).To(Equal(ExitFailed))
+		Expect(errs).To(ContainSubstring("may have been accepted"))
+		i := strings.Index(errs, "damaskctl apply")
+		resend := strings.Fields(errs[i:])[1:8]
+		Expect(resend).To(ContainElement("-id"))
+		lost.Store(0)
+		code, out, errs := damaskctl(append(resend, "-json")...)
+		Expect(code).To(Equal(ExitOK), errs)
+		Expect(out).To(ContainSubstring(`"version": 1`))
+	})
+
+	It("shows the winner of a conflict", func() {
+		damaskctl("apply", "-f", file, "-id", "first")
+		code, _, errs := damaskctl("apply", "-f", file, "-id", "second", "-base", "0")
+		Expect(code).To(Equal(ExitConflict))
+		Expect(errs).To(ContainSubstring(`"id": "first"`))
+	})
+
+	It("checks a document without a server, with file and line", func() {
+		environment = nil
+		code, out, _ := damaskctl("check", "-f", file)
+		Expect(code).To(Equal(ExitOK))
+		Expect(out).To(ContainSubstring("put_pool"))
+		Expect(os.WriteFile(file, []byte(document+"pipelines:\n  - {name: q, stages: [{name: s, kind: rerank, pool: p}]}\n"), 0o600)).To(Succeed())
+		code, _, errs := damaskctl("check", "-f", file)
+		Expect(code).To(Equal(ExitInvalid))
+		Expect(errs).To(ContainSubstring(file + `:7: pipeline "q", stage s`))
+	})
+
+	DescribeTable("output", func(want string, args ...string) {
+		damaskctl("apply", "-f", file, "-id", "first")
+		code, out, errs := damaskctl(args...)
+		Expect(code).To(Equal(ExitOK), errs)
+		Expect(out).To(ContainSubstring(want))
+		if out[0] == '{' {
+			Expect(json.Valid([]byte(out))).To(BeTrue())
+		}
+	},
+		Entry(nil, "deadline.default  4s     duration  /guild  1", "get", "-branch", "guild/w", "-key", "deadline.default"),
+		Entry(nil, `"value": "5s"`, "get", "-key", "deadline.default", "-json"),
+		Entry(nil, `"kind": "encode"`, "get", "pool", "p"),
+		Entry(nil, "1ms to 1h0m0s", "get", "-keys"),
+		Entry(nil, "first", "history"),
+		Entry(nil, "set /guild deadline.default and 1 more", "history", "-limit", "5"),
+		Entry(nil, "draining", "status"),
+		Entry(nil, `"leader": "c2"`, "status", "-json"),
+		Entry(nil, "e1 is draining", "drain", "e1"),
+		Entry(nil, `{"request":"e1.1.2"}`, "audit", "-request", "e1.1.2"),
+		Entry(nil, "addresses, the token", "-check"),
+		Entry(nil, "damaskctl", "-version"),
+		Entry(nil, "SUBCOMMAND", "help"),
+	)
+
+	It("shows no difference after a document was applied", func() {
+		_, out, _ := damaskctl("diff", "-f", "/dev/null")
+		Expect(out).To(BeEmpty())
+		code, out, _ := damaskctl("diff", "-f", file)
+		Expect(code).To(Equal(ExitOK))
+		Expect(out).To(ContainSubstring("2 operations on version 0"))
+		damaskctl("apply", "-f", file)
+		_, out, _ = damaskctl("diff", "-f", file)
+		Expect(out).To(ContainSubstring("no difference from version 1"))
+	})
+
+	DescribeTable("mistakes", func(code int, want string, args ...string) {
+		got, _, errs := damaskctl(args...)
+		Expect(got).To(Equal(code))
+		Expect(errs).To(ContainSubstring(want))
+	},
+		Entry(nil, ExitUsage, "not known", "aply"),
+		Entry(nil, ExitUsage, "give -f FILE", "apply"),
+		Entry(nil, ExitUsage, "flag provided but not defined", "get", "-x"),
+		Entry(nil, ExitUsage, "takes 1 to 1 arguments", "drain"),
+		Entry(nil, ExitUsage, "is not a URL", "status", "-control", "10.0.0.1"),
+		Entry(nil, ExitFailed, "token file", "status", "-token-file", "/nonexistent"),
+		Entry(nil, ExitFailed, "no session of e2", "drain", "e2"),
+	)
+})
--- a/settings/spec.go
+++ b/settings/spec.go
@@ -211,3 +211,14 @@
 	}
 	return strconv.FormatInt(n, 10)
 }
+
+// Allowed describes the values that the key takes.
+func (s *Spec) Allowed() string {
+	switch s.Unit {
+	case UnitBool:
+		return "true, false"
+	case UnitChoice:
+		return strings.Join(s.Choices, ", ")
+	}
+	return s.format(s.Min) + " to " + s.format(s.Max)
+}
