--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -35,14 +35,23 @@
 	choice error
 }
 
+// stageWork is what a stage's attempts have in common.
+type stageWork struct {
+	grant budget.Grant
+	// prefix is the prompt's block chain at a generate stage.
+	prefix []uint64
+}
+
 // driver carries out the actions of a retry.Call for one stage of one request.
 // It runs on the request's goroutine; each attempt has a goroutine of its own.
 type driver[T outcome] struct {
-	s       *Server
-	q       *request
-	stage   settings.Stage
-	call    *retry.Call
-	run     attemptFunc[T]
+	s     *Server
+	q     *request
+	stage settings.Stage
+	call  *retry.Call
+	run   attemptFunc[T]
+	// prefix is the prompt's block chain at a generate stage.
+	prefix  []uint64
 	events  chan attemptEvent[T]
 	begun   chan int
 	cancels []context.CancelFunc
@@ -54,10 +63,10 @@
 
 // attempts runs a stage that may be repeated until one attempt wins or the
 // retry policy ends it, and fills in the report.
-func attempts[T outcome](ctx context.Context, s *Server, q *request, st settings.Stage, grant budget.Grant, report *StageReport, run attemptFunc[T]) (T, error) {
-	policy := s.retryPolicy(q, st, grant)
+func attempts[T outcome](ctx context.Context, s *Server, q *request, st settings.Stage, work stageWork, report *StageReport, run attemptFunc[T]) (T, error) {
+	policy := s.retryPolicy(q, st, work.grant)
 	d := &driver[T]{
-		s: s, q: q, stage: st, run: run,
+		s: s, q: q, stage: st, run: run, prefix: work.prefix,
 		call:   retry.NewCall(q.id, st.Name, policy, s.budgets.of(st.Pool)),
 		events: make(chan attemptEvent[T], policy.MaxAttempts),
 		begun:  make(chan int, policy.MaxAttempts),
@@ -146,7 +155,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	d.cancels = append(d.cancels, cancel)
 	c := attemptCall{stage: d.stage.Name, pool: d.stage.Pool, number: number}
-	c.route = routing.Request{Pool: d.stage.Pool, Model: d.stage.Model, Adapter: d.stage.Adapter, Excluded: d.used}
+	c.route = routing.Request{Pool: d.stage.Pool, Model: d.stage.Model, Adapter: d.stage.Adapter, Prefix: d.prefix, Excluded: d.used}
 	choice, err := d.s.choose(c)
 	if err != nil {
 		d.events <- attemptEvent[T]{number: number, choice: err}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -39,7 +39,8 @@
 	// The grant is that of the first token alone; the whole stage may go on
 	// until the deadline.
 	grant.CancelAfter = 0
-	g, err := attempts(ctx, s, e.q, st, grant, report, func(ctx context.Context, addr string, a upstream.Attempt, progress func()) (generation, error) {
+	work := stageWork{grant: grant, prefix: upstream.PrefixChain(req.Messages)}
+	g, err := attempts(ctx, s, e.q, st, work, report, func(ctx context.Context, addr string, a upstream.Attempt, progress func()) (generation, error) {
 		return s.chat(ctx, e, addr, a, req, progress)
 	})
 	if err == nil && g.first > 0 {
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -107,7 +107,7 @@
 // unary runs an encode, retrieve or rerank stage, which may be repeated.
 func (s *Server) unary(ctx context.Context, e *execution, st settings.Stage, prior string, grant budget.Grant, report *StageReport) (string, error) {
 	in := upstream.StageRequest{Input: e.input, Prior: prior}
-	out, err := attempts(ctx, s, e.q, st, grant, report, func(ctx context.Context, addr string, a upstream.Attempt, _ func()) (stageOutput, error) {
+	out, err := attempts(ctx, s, e.q, st, stageWork{grant: grant}, report, func(ctx context.Context, addr string, a upstream.Attempt, _ func()) (stageOutput, error) {
 		r, err := s.client.Stage(ctx, addr, a, string(st.Kind), string(e.q.priority), in)
 		return stageOutput{result: r}, err
 	})
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -63,8 +63,10 @@
 	d := &Deployment{
 		Name: standin.PresetGuild, generatePool: "drafting", model: "fitting-notes", pipeline: "answer", chat: "draft",
 		services: []service{
-			{"bookings", "lookup", "book"}, {"membership", "lookup", "enroll"},
-			{"returns", "lookup", "record"}, {"notices", "lookup", "post"},
+			{"bookings", "lookup", "book"},
+			{"membership", "lookup", "enroll"},
+			{"returns", "lookup", "record"},
+			{"notices", "lookup", "post"},
 		},
 	}
 	return d.complete([]string{"weddings", "theatre", "film", "carnival", "school"})
@@ -74,8 +76,10 @@
 	d := &Deployment{
 		Name: standin.PresetNilegate, generatePool: "language", model: "gate-reports", pipeline: "answer", chat: "report",
 		services: []service{
-			{"orders", "lookup", "order"}, {"crew", "lookup", "assign"},
-			{"parts", "lookup", "reserve"}, {"billing", "lookup", "charge"},
+			{"orders", "lookup", "order"},
+			{"crew", "lookup", "assign"},
+			{"parts", "lookup", "reserve"},
+			{"billing", "lookup", "charge"},
 		},
 	}
 	return d.complete([]string{"delta-crews", "upper-crews", "fayoum-crews", "district", "dispatch"})
