--- a/control/client.go
+++ b/control/client.go
@@ -52,21 +52,20 @@
 		return command.Result{}, err
 	}
 	last := ErrNoControl
-	for attempt := 0; ; attempt++ {
-		addr := c.target(attempt)
+	for {
+		addr := c.target()
 		reply, err := c.proposeAt(ctx, addr, body)
 		if err == nil && reply.Done {
-			c.setLeader(addr, attempt)
 			return reply.Result, nil
 		}
 		if err != nil {
 			last = err
 		}
-		c.follow(reply.Leader)
-		if reply.Leader == "" || reply.Leader == addr {
-			if !pause(ctx, retryPause) {
-				return command.Result{}, errors.Join(ctx.Err(), last)
-			}
+		c.leave(addr)
+		if reply.Leader != "" && reply.Leader != addr {
+			c.follow(reply.Leader)
+		} else {
+			pause(ctx, retryPause)
 		}
 		if ctx.Err() != nil {
 			return command.Result{}, errors.Join(ctx.Err(), last)
@@ -143,36 +142,33 @@
 	return wire.Decode(b, reply)
 }
 
-// target gives the known leader first and then each control VM in turn.
-func (c *Client) target(attempt int) string {
+// target gives the leader, if this client was sent to it, else the nearest
+// control VM.
+func (c *Client) target() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leader != "" {
-		leader := c.leader
-		c.leader = ""
-		return leader
-	}
-	if len(c.addrs) == 0 {
-		return ""
+	if c.leader != "" || len(c.addrs) == 0 {
+		return c.leader
 	}
-	return c.addrs[(c.nearest+attempt)%len(c.addrs)]
+	return c.addrs[c.nearest]
 }
 
 func (c *Client) follow(leader string) {
-	if leader == "" {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = leader
 }
 
-// setLeader keeps an address that the client was redirected to. The nearest
-// control VM forwards by itself and needs no note.
-func (c *Client) setLeader(addr string, attempt int) {
-	if attempt > 0 {
-		c.follow(addr)
+// leave forgets a control VM that could not have a command replicated.
+func (c *Client) leave(addr string) {
+	c.mu.Lock()
+	if c.leader == addr {
+		c.leader = ""
+		c.mu.Unlock()
+		return
 	}
+	c.mu.Unlock()
+	c.moveOn(addr)
 }
 
 func (c *Client) current() string {
@@ -185,7 +181,7 @@
 func (c *Client) moveOn(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.addrs[c.nearest] == addr {
+	if len(c.addrs) > 0 && c.addrs[c.nearest] == addr {
 		c.nearest = (c.nearest + 1) % len(c.addrs)
 	}
 }
--- /dev/null
+++ b/control/lead.go
@@ -0,0 +1,72 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+// lead does the leader's regular work: it expires sessions, promotes learners
+// and lets the state machine retire old answers.
+func (s *Server) lead(ctx context.Context) {
+	ticker := time.NewTicker(s.opts.RelayEvery)
+	defer ticker.Stop()
+	retired := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		v := s.replica.published.Load()
+		if v.proof.IsZero() {
+			continue
+		}
+		s.expireSessions(ctx, v)
+		_ = s.replica.Do(ctx, s.replica.promote)
+		if now := time.Now(); now.Sub(retired) >= s.opts.RetireEvery {
+			retired = now
+			s.retire(ctx, now)
+		}
+	}
+}
+
+// expireSessions ends the sessions that have not been renewed in time.
+func (s *Server) expireSessions(ctx context.Context, v *view) {
+	open, err := s.openSessions(ctx, nil)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	list := s.hub.expire(time.Now(), v, open)
+	s.mu.Unlock()
+	for _, id := range list {
+		s.expireSession(ctx, id)
+	}
+}
+
+func (s *Server) expireSession(ctx context.Context, id ids.SessionID) {
+	ctx, cancel := context.WithTimeout(ctx, electionWait)
+	defer cancel()
+	// What fails is tried again in the next round.
+	reply, err := s.replica.Propose(ctx, command.Command{ExpireSession: &command.ExpireSession{Session: id}})
+	if err == nil && reply.Done {
+		s.count.expiredSessions.Inc()
+		s.opts.Logger.Info().Str("session", id.String()).Msg("control: session expired")
+	}
+}
+
+func (s *Server) retire(ctx context.Context, now time.Time) {
+	if s.opts.Views.RetireBefore == nil {
+		return
+	}
+	var before int64
+	if s.replica.Do(ctx, func() { before = s.opts.Views.RetireBefore(now.UnixMilli()) }) != nil || before <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, electionWait)
+	defer cancel()
+	_, _ = s.replica.Propose(ctx, command.Command{Retire: &command.Retire{BeforeUnixMS: before}})
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -25,4 +25,6 @@
 type Views struct {
 	Settings func() SettingsView
 	Sessions func() []ids.SessionID
+	// RetireBefore gives the time of the next Retire command; nil for none.
+	RetireBefore func(nowUnixMS int64) int64
 }
--- a/control/options.go
+++ b/control/options.go
@@ -17,7 +17,11 @@
 type Options struct {
 	Self  ids.VMID
 	Group ids.GroupID
-	// Peers lists every control VM, this one included.
+	// Addr is this VM's own "ip:port", as others reach it. It may be empty if
+	// the VM is one of Peers.
+	Addr string
+	// Peers lists the control VMs that form the group. Other control VMs join
+	// as learners and relay for their entry VMs.
 	Peers []Peer
 	// Dir is the folder of this group's files.
 	Dir string
@@ -36,6 +40,8 @@
 	SessionExpiry time.Duration
 	// RelayEvery is the time between two reports to the leader.
 	RelayEvery time.Duration
+	// RetireEvery is the time between two Retire commands of the leader.
+	RetireEvery time.Duration
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
 	// AdminHandler serves the admin API on the HTTP listener; may be nil.
@@ -44,7 +50,10 @@
 }
 
 const (
-	defaultTick           = 50 * time.Millisecond
+	// defaultTick makes an election start 0.8 to 1.6 s after the last
+	// heartbeat, so that a new leader is there before the settings leases of
+	// 3 s have run out.
+	defaultTick           = 40 * time.Millisecond
 	defaultElectionTicks  = 20
 	defaultHeartbeatTicks = 2
 	defaultLeaseTerm      = 3 * time.Second
@@ -53,6 +62,7 @@
 	// so that the next Renew (every 500 ms) delivers it in about a second.
 	defaultRelayEvery      = 250 * time.Millisecond
 	defaultSnapshotEntries = 10_000
+	defaultRetireEvery     = 10 * time.Second
 )
 
 func (o *Options) setDefaults() {
@@ -63,6 +73,7 @@
 	setDuration(&o.LeaseTerm, defaultLeaseTerm)
 	setDuration(&o.SessionExpiry, defaultSessionExpiry)
 	setDuration(&o.RelayEvery, defaultRelayEvery)
+	setDuration(&o.RetireEvery, defaultRetireEvery)
 	if o.ElectionTicks == 0 {
 		o.ElectionTicks = defaultElectionTicks
 	}
@@ -76,6 +87,9 @@
 		o.Logger = &log.Logger{Level: log.PanicLevel}
 	}
 	o.Peers = withVoters(o.Peers)
+	if p, ok := o.peer(o.Self); ok && o.Addr == "" {
+		o.Addr = p.Addr
+	}
 }
 
 func setDuration(d *time.Duration, value time.Duration) {
@@ -86,8 +100,8 @@
 
 // check says what is wrong with the options.
 func (o *Options) check() error {
-	if _, ok := o.peer(o.Self); !ok {
-		return fmt.Errorf("control: VM %q is not in the list of peers; add it with its address", o.Self)
+	if o.Addr == "" {
+		return fmt.Errorf("control: VM %q has no address; add it to the peers or set its address", o.Self)
 	}
 	if o.Machine == nil || o.Caller == nil || o.Views.Settings == nil || o.Views.Sessions == nil {
 		return fmt.Errorf("control: Machine, Views and Caller must be set")
--- /dev/null
+++ b/control/view.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/raft"
+)
+
+// view is what the replica's goroutine publishes for all others after each
+// round. It does not change afterwards.
+type view struct {
+	role     raft.Role
+	term     uint64
+	leader   raft.ReplicaID
+	members  raft.Members
+	commit   uint64
+	applied  uint64
+	snapshot uint64
+	match    map[raft.ReplicaID]uint64
+	settings SettingsView
+	// proof is the start of the newest round in which a majority confirmed
+	// this leader; zero on others. At that time no settings version newer
+	// than settings' was accepted anywhere.
+	proof time.Time
+	// leaderSince is when this replica could first serve as a leader in this
+	// term; zero on others.
+	leaderSince time.Time
+}
+
+func (v *view) isLeader() bool { return v.role == raft.Leader }
--- a/wal/open.go
+++ b/wal/open.go
@@ -44,6 +44,9 @@
 	if err != nil {
 		return nil, nil, &FailedError{Op: "reading the folder", Err: err}
 	}
+	if err := l.removeTemps(names); err != nil {
+		return nil, nil, err
+	}
 	var segments []string
 	for _, name := range names {
 		if strings.HasPrefix(name, segmentPrefix) && strings.HasSuffix(name, segmentSuffix) {
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -75,7 +75,19 @@
 		return &FailedError{Op: "reading the folder", Err: err}
 	}
 	for _, name := range names {
-		if isSnapshot(name) && name < newest || strings.HasSuffix(name, tempSuffix) && name < newest {
+		if isSnapshot(name) && name < newest {
+			if err := l.removeFile(filepath.Join(l.dir, name)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// removeTemps removes what an interrupted SaveSnapshot has left.
+func (l *Log) removeTemps(names []string) error {
+	for _, name := range names {
+		if strings.HasSuffix(name, tempSuffix) {
 			if err := l.removeFile(filepath.Join(l.dir, name)); err != nil {
 				return err
 			}
