--- /dev/null
+++ b/controlvm/run.go
@@ -0,0 +1,65 @@
+package controlvm
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"damaskbridge.example/damaskbridge/admin"
+	"damaskbridge.example/damaskbridge/config"
+	"damaskbridge.example/damaskbridge/control"
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/keys"
+	"github.com/phuslu/log"
+)
+
+// Run serves as a control VM with the given settings until ctx ends, then hands
+// leadership over and flushes. It returns an error if the replica stops by
+// itself, as after a failed fsync.
+func Run(ctx context.Context, c *config.Control) error {
+	logger := &log.Logger{Level: log.ParseLevel(string(c.Process.LogLevel)), Writer: log.IOWriter{Writer: os.Stderr}}
+	creds, err := keys.Open(string(c.Keys))
+	if err != nil {
+		return fmt.Errorf("control: keys: %w", err)
+	}
+	o := optionsOf(c)
+	o.Creds = creds
+	o.Logger = logger
+	v, err := Start(o)
+	if err != nil {
+		return err
+	}
+	logger.Info().Str("address", v.Addr()).Str("admin", v.AdminAddr()).Msg("control: serving")
+	select {
+	case <-ctx.Done():
+	case <-v.Done():
+		v.Close()
+		return fmt.Errorf("control: the replica has stopped: %w", v.Err())
+	}
+	limit, cancel := context.WithTimeout(context.Background(), time.Duration(c.Process.DrainWait))
+	defer cancel()
+	return v.Drain(limit)
+}
+
+// optionsOf maps the settings file to options.
+func optionsOf(c *config.Control) Options {
+	o := Options{
+		VM:           ids.VMID(c.VM.Name),
+		Region:       ids.Region(c.VM.Region),
+		Listen:       string(c.Listen),
+		Admin:        string(c.Admin),
+		Data:         string(c.Data),
+		SegmentBytes: int64(c.Audit.Segment),
+		Retention:    time.Duration(c.Audit.Retention),
+		CopyTo:       string(c.Audit.CopyTo),
+	}
+	for _, p := range c.Voters {
+		o.Peers = append(o.Peers, control.Peer{VM: ids.VMID(p.VM), Region: ids.Region(p.Region), Addr: string(p.Address), Voter: true})
+	}
+	for i, digest := range c.OperatorTokens {
+		name := fmt.Sprintf("operator-%d", i+1)
+		o.Operators = append(o.Operators, admin.Operator{Name: name, TokenSHA256: []string{string(digest)}})
+	}
+	return o
+}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -83,7 +83,7 @@
 	Expect(b.server.Start()).To(Succeed())
 	DeferCleanup(b.server.Close)
 	b.url = "http://" + b.server.Addr()
-	Eventually(b.server.ready).WithTimeout(20 * time.Second).Should(Succeed())
+	Eventually(b.server.Ready).WithTimeout(20 * time.Second).Should(Succeed())
 	return b
 }
 
@@ -223,12 +223,12 @@
 	It("refuses with not_run after its settings lease has run out", func() {
 		b := newBench()
 		b.control.setCut(true)
-		Eventually(b.server.ready).WithTimeout(20 * time.Second).ShouldNot(Succeed())
+		Eventually(b.server.Ready).WithTimeout(20 * time.Second).ShouldNot(Succeed())
 		resp, raw := b.post("/v1/pipelines/answer", PipelineRequest{Input: "x"})
 		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(problemOf(raw).Reason).To(Equal(problem.SettingsStale))
 		b.control.setCut(false)
-		Eventually(b.server.ready).WithTimeout(20 * time.Second).Should(Succeed())
+		Eventually(b.server.Ready).WithTimeout(20 * time.Second).Should(Succeed())
 	})
 
 	DescribeTable("refuses bad input with nothing run", func(path, body string, header []string, kind problem.Kind) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -127,8 +127,8 @@
 	}()
 }
 
-// ready says whether the load balancer should send requests here.
-func (s *Server) ready() error {
+// Ready says why the load balancer should send no requests here; nil if it may.
+func (s *Server) Ready() error {
 	now := time.Now()
 	snap := s.sub.snapshot()
 	switch {
@@ -218,7 +218,7 @@
 }
 
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if err := s.ready(); err != nil {
+	if err := s.Ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
