settings: accept values of a newer program in replays, bound the shown winner

Cause: during an upgrade an older entry VM must not refuse a tree that the control VMs accepted; a conflict with a document of thousands of operations would carry megabytes. After: Replay and DecodeTree keep values that this program's registry does not know or allow; Apply stays strict. A conflict shows at most 100 operations of its winner. Adds benchmarks at the target size.

--- a/ledger/file.go
+++ b/ledger/file.go
@@ -18,6 +18,9 @@
 // count can make a reader allocate.
 const minEntryBytes = 16 + 16 + 1 + 4
 
+// usualEntryBytes is the size to reserve for each entry when encoding.
+const usualEntryBytes = 80
+
 var errFile = errors.New("ledger: restore: the data is damaged; fetch another snapshot")
 
 // Frozen is the content of a ledger at one moment. It is immutable, so that it
@@ -50,7 +53,8 @@
 
 // Encode writes the content so that equal contents have equal bytes.
 func (f *Frozen) Encode() []byte {
-	b := binary.AppendUvarint(nil, fileFormat)
+	b := make([]byte, 0, f.used*usualEntryBytes+f.tombs.count*tombstoneBytes)
+	b = binary.AppendUvarint(b, fileFormat)
 	b = binary.AppendVarint(b, f.watermark)
 	numbers := make(map[ids.SessionID]uint64, len(f.holders))
 	b = binary.AppendUvarint(b, uint64(len(f.holders)))
--- a/settings/apply.go
+++ b/settings/apply.go
@@ -16,6 +16,9 @@
 	// about two days at the target of 11,000 changes a day. An entry VM that
 	// is further behind gets a snapshot.
 	historyMin = 20_000
+	// maxWinnerOps bounds the operations that a conflict shows of its winner,
+	// which may be a document with thousands.
+	maxWinnerOps = 100
 	// dropsPerChange bounds the work of one change for items past their age.
 	dropsPerChange = 4
 )
@@ -105,6 +108,12 @@
 		return r
 	}
 	r.Winner = winner
+	if n := len(winner.Ops); n > maxWinnerOps {
+		short := *winner
+		short.Ops = winner.Ops[:maxWinnerOps]
+		r.Winner = &short
+		r.Detail += fmt.Sprintf("; %d of the winning change's %d operations are shown, the history has all", maxWinnerOps, n)
+	}
 	return r
 }
 
--- /dev/null
+++ b/settings/bench_test.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+)
+
+const (
+	benchWorkspaces = 19_000
+	benchPipelines  = 34
+)
+
+// benchTree gives a tree of the target size: 34 pipelines of 3 to 6 stages and
+// 19,000 workspaces, one in ten with a value of its own.
+var benchTree = sync.OnceValue(func() *Tree {
+	var ops []Op
+	kinds := []StageKind{Encode, Retrieve, Rerank, Generate}
+	for _, k := range kinds {
+		ops = append(ops, Op{Kind: PutPool, Pool: &Pool{Name: "pool-" + string(k), Kind: k}})
+	}
+	for p := range benchPipelines {
+		var stages []Stage
+		for s := range 2 + p%4 {
+			k := kinds[s%3]
+			stages = append(stages, Stage{Name: fmt.Sprint("stage-", s), Kind: k, Pool: "pool-" + string(k)})
+		}
+		stages = append(stages, Stage{Name: "generate", Kind: Generate, Pool: "pool-generate", Model: fmt.Sprint("model-", p%6)})
+		ops = append(ops, Op{Kind: PutPipeline, Pipeline: &Pipeline{Name: fmt.Sprint("pipeline-", p), Stages: stages}})
+	}
+	for w := range benchWorkspaces {
+		name := fmt.Sprintf("workspace-%05d", w)
+		ops = append(ops, Op{Kind: PutWorkspace, Workspace: &Workspace{
+			Name: name, Branch: "tenants/" + name,
+			TokenSHA256: []string{fmt.Sprintf("%x", sha256.Sum256([]byte(name)))},
+			Pipelines:   []string{fmt.Sprint("pipeline-", w%benchPipelines), fmt.Sprint("pipeline-", (w+1)%benchPipelines)},
+		}})
+		if w%10 == 0 {
+			ops = append(ops, Op{Kind: SetValue, Branch: "tenants/" + name, Key: WorkspaceWeight, Value: "2"})
+		}
+	}
+	t, r := NewTree().Apply(Change{ID: "bench", Operator: "bench", Ops: ops})
+	if r.State != Accepted {
+		panic(r.Detail)
+	}
+	return t
+})
+
+// BenchmarkChange applies one change to a tree of the target size.
+func BenchmarkChange(b *testing.B) {
+	for name, op := range map[string]func(i int) Op{
+		"value-of-a-workspace": func(i int) Op {
+			return set(fmt.Sprintf("tenants/workspace-%05d", i%benchWorkspaces), DeadlineDefault, "3s")
+		},
+		"value-of-the-root": func(i int) Op { return set("", DeadlineDefault, fmt.Sprintf("%ds", 1+i%9)) },
+		"workspace": func(i int) Op {
+			name := fmt.Sprintf("new-%05d", i)
+			return Op{Kind: PutWorkspace, Workspace: &Workspace{Name: name, Branch: "tenants/" + name, Pipelines: []string{"pipeline-1"}}}
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			t := benchTree()
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				next, r := t.Apply(Change{ID: fmt.Sprint(i), Operator: "bench", Base: t.Version(), Ops: []Op{op(i)}})
+				if r.State != Accepted {
+					b.Fatal(r.Detail)
+				}
+				t = next
+			}
+			delta, err := encMode.Marshal(t.History(0, 1)[0])
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(delta)), "delta-B")
+		})
+	}
+}
+
+// BenchmarkEncode writes a whole tree, as an entry VM gets it that is too far
+// behind for deltas.
+func BenchmarkEncode(b *testing.B) {
+	t := benchTree()
+	var n int
+	for b.Loop() {
+		bytes, err := t.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		n = len(bytes)
+	}
+	b.ReportMetric(float64(n), "tree-B")
+}
+
+// BenchmarkDecode reads a whole tree and reports the memory that it takes on
+// an entry VM.
+func BenchmarkDecode(b *testing.B) {
+	bytes, err := benchTree().Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	before := heapBytes()
+	t, err := DecodeTree(bytes)
+	if err != nil {
+		b.Fatal(err)
+	}
+	heap := heapBytes() - before
+	runtime.KeepAlive(t)
+	for b.Loop() {
+		if _, err := DecodeTree(bytes); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(heap), "heap-B")
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // The second collection finishes the sweep of the first.
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkLookup reads as each request does.
+func BenchmarkLookup(b *testing.B) {
+	t := benchTree()
+	digest := fmt.Sprintf("%x", sha256.Sum256([]byte("workspace-09000")))
+	b.Run("workspace-by-token", func(b *testing.B) {
+		for b.Loop() {
+			if _, ok := t.WorkspaceByToken(digest); !ok {
+				b.Fatal("no workspace")
+			}
+		}
+	})
+	b.Run("duration-of-a-stage", func(b *testing.B) {
+		for b.Loop() {
+			t.Duration("tenants/workspace-09000/pipeline-1/stage-1", DeadlineDefault)
+		}
+	})
+	b.Run("effective", func(b *testing.B) {
+		for b.Loop() {
+			t.Effective("tenants/workspace-09000/pipeline-1/stage-1", WorkspaceWeight)
+		}
+	})
+}
--- a/settings/edit.go
+++ b/settings/edit.go
@@ -68,9 +68,9 @@
 		return
 	}
 	s := setting{key: op.Key, value: op.Value, version: e.version}
-	k, known := specs[op.Key]
-	if known {
-		number, err := k.parse(op.Value)
+	k := specs[op.Key]
+	if k != nil {
+		number, err := k.accept(op.Value, check)
 		if err != nil {
 			e.faults.add(where, string(op.Key), "correct the value", "%v", err)
 			return
--- a/settings/property_test.go
+++ b/settings/property_test.go
@@ -122,12 +122,30 @@
 // checkVerdict compares the verdict with a validation of the whole result.
 func checkVerdict(t *rapid.T, tree *Tree, ops []Op, r ChangeResult) {
 	out, faults := tree.edit(ops, tree.version+1, false)
-	valid := len(faults) == 0 && out.Validate() == nil
+	valid := len(faults) == 0 && out.Validate() == nil && soundValues(ops)
 	if valid != (r.State == Accepted) {
 		t.Fatalf("verdict %s (%s), whole-tree validation: faults %v, error %v", r.State, r.Detail, faults, out.Validate())
 	}
 }
 
+// soundValues says whether every value that is set is allowed by itself, also
+// one that a later operation of the change takes back.
+func soundValues(ops []Op) bool {
+	for _, op := range ops {
+		if op.Kind != SetValue {
+			continue
+		}
+		k, ok := specs[op.Key]
+		if !ok || (k.RootOnly && op.Branch != "") {
+			return false
+		}
+		if _, err := k.parse(op.Value); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // checkShape compares the tree with one that is made anew from its content:
 // use counts, digests and the shapes of the tries depend on content only.
 func checkShape(t *rapid.T, tree *Tree) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -117,6 +117,31 @@
 		Expect(other.Detail).To(ContainSubstring("use a new id"))
 	})
 
+	It("shows a bounded part of a large winner", func() {
+		ops := make([]Op, maxWinnerOps+1)
+		for i := range ops {
+			ops[i] = set(fmt.Sprint("b", i), HedgeEnabled, "true")
+		}
+		t, _ := NewTree().Apply(Change{ID: "large", Ops: ops})
+		_, r := t.Apply(Change{ID: "late", Ops: ops})
+		Expect(r.Winner.Ops).To(HaveLen(maxWinnerOps))
+		Expect(r.Detail).To(ContainSubstring("100 of the winning change's 101 operations"))
+		Expect(t.History(0, 1)[0].Ops).To(HaveLen(maxWinnerOps + 1))
+	})
+
+	It("replays and decodes values of a newer program", func() {
+		newer := []Op{set("", "new.key", "1"), set("", DeadlineMax, "90h"), set("", PriorityDefault, "urgent")}
+		t, err := NewTree().Replay([]Change{{Version: 1, Ops: newer}})
+		Expect(err).NotTo(HaveOccurred())
+		b, err := t.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		t, err = DecodeTree(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Duration("", DeadlineMax)).To(Equal(90 * time.Hour))
+		Expect(t.String("", PriorityDefault)).To(Equal("urgent"))
+		Expect(t.Validate()).To(MatchError(And(ContainSubstring("new.key"), ContainSubstring("deadline.max"), ContainSubstring("priority.default"))))
+	})
+
 	It("keeps the last 100,000 results and all of the last 30 days", func() {
 		t := NewTree()
 		add := func(n int, at int64) {
--- a/settings/spec.go
+++ b/settings/spec.go
@@ -137,6 +137,19 @@
 	return number, nil
 }
 
+// accept reads a value. Without check it takes what was accepted elsewhere:
+// during an upgrade that may be a value beyond this program's bounds, or one
+// that it cannot read and that counts as the default.
+func (k *known) accept(value string, check bool) (int64, error) {
+	if check {
+		return k.parse(value)
+	}
+	if number, ok := k.read(value); ok {
+		return number, nil
+	}
+	return k.number, nil
+}
+
 func (s *Spec) read(value string) (number int64, ok bool) {
 	switch s.Unit {
 	case UnitDuration:
