--- /dev/null
+++ b/entry/budgets.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"damaskbridge.example/damaskbridge/budget"
+	"damaskbridge.example/damaskbridge/retry"
+	"damaskbridge.example/damaskbridge/settings"
+)
+
+// minAttemptTime is the remaining time below which no further attempt begins.
+const minAttemptTime = 5 * time.Millisecond
+
+// budgets keeps one retry budget for each pool. It is safe for concurrent use.
+type budgets struct {
+	mu    sync.Mutex
+	pools map[string]*retry.SharedBudget
+}
+
+func newBudgets() *budgets {
+	return &budgets{pools: make(map[string]*retry.SharedBudget)}
+}
+
+func (b *budgets) of(pool string) *retry.SharedBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shared, ok := b.pools[pool]
+	if !ok {
+		shared = retry.NewSharedBudget(retry.DefaultBudgetOptions())
+		b.pools[pool] = shared
+	}
+	return shared
+}
+
+// retryPolicy is the policy for a stage that may be repeated. The stage is given
+// up when the later ones could not end in the time left.
+func (s *Server) retryPolicy(q *request, st settings.Stage, grant budget.Grant) retry.Policy {
+	branch := childBranch(q.branch, st.Name)
+	p := retry.Policy{
+		Idempotent:   true,
+		MaxAttempts:  int(q.tree.Int(branch, settings.RetryMaxAttempts)),
+		Deadline:     q.deadline,
+		MinRemaining: minAttemptTime,
+	}
+	if grant.CancelAfter > 0 {
+		p.Deadline = earlier(p.Deadline, time.Now().Add(grant.CancelAfter))
+	}
+	if s.mayHedge(q, st, branch) {
+		p.HedgeAfter = grant.HedgeAfter
+	}
+	return p
+}
+
+// mayHedge allows hedges only in a pool with spare capacity. In a saturated
+// pool a slow attempt is slow because of the load, and a hedge adds to it.
+func (s *Server) mayHedge(q *request, st settings.Stage, branch string) bool {
+	if s.opts.Policy.NoHedge || !q.tree.Bool(branch, settings.HedgeEnabled) {
+		return false
+	}
+	return s.gates.Wait(st.Pool, s.admissionRequest(q, 0), time.Now()) == 0
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// countRetries adds a call's counts to the metrics.
+func (s *Server) countRetries(c retry.Counts) {
+	for reason, n := range c.Attempts {
+		for range n {
+			s.counters.retried(string(reason))
+		}
+	}
+}
