audit: retention of copies, and an anchor for copies that begin late

Cause: copies were never deleted, and a copy whose source had deleted older segments first could not be verified. Before: VerifyDir of such a copy reported segment 1 as missing. After: verified; a retired segment is not copied again.

--- a/audit/copy.go
+++ b/audit/copy.go
@@ -20,6 +20,9 @@
 type Held struct {
 	// Sizes maps segment numbers to the durable bytes of the copy.
 	Sizes map[uint64]int64 `cbor:"1,keyasint"`
+	// First is the first segment that the copy keeps; older ones are past its
+	// retention.
+	First uint64 `cbor:"2,keyasint"`
 }
 
 // Chunk is a piece of a segment on its way to a copy.
@@ -28,9 +31,6 @@
 	Segment uint64   `cbor:"2,keyasint"`
 	Offset  int64    `cbor:"3,keyasint"`
 	Data    []byte   `cbor:"4,keyasint"`
-	// First is the source's first segment; the copy keeps its older ones
-	// until its own retention.
-	First uint64 `cbor:"5,keyasint"`
 }
 
 // Target is where a store copies its segments. Put is durable on return.
@@ -48,20 +48,23 @@
 	if err != nil {
 		return fmt.Errorf("audit: ask copy: %w", err)
 	}
-	a, views := s.views()
+	_, views := s.views()
 	for _, v := range views {
+		if v.number < held.First {
+			continue
+		}
 		have := held.Sizes[v.number]
 		if have > v.size {
 			return &CorruptError{Path: v.path, Offset: v.size, Detail: fmt.Sprintf("the copy has %d bytes of it and this file %d", have, v.size)}
 		}
-		if err := copySegment(ctx, source, v, have, a.First, target); err != nil {
+		if err := copySegment(ctx, source, v, have, target); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func copySegment(ctx context.Context, source ids.VMID, v segment, from int64, first uint64, target Target) error {
+func copySegment(ctx context.Context, source ids.VMID, v segment, from int64, target Target) error {
 	if from == v.size {
 		return nil
 	}
@@ -78,7 +81,7 @@
 		if _, err := file.ReadAt(data, from); err != nil && !errors.Is(err, io.EOF) {
 			return fmt.Errorf("audit: read segment: %w", err)
 		}
-		c := Chunk{Source: source, Segment: v.number, Offset: from, Data: data, First: first}
+		c := Chunk{Source: source, Segment: v.number, Offset: from, Data: data}
 		if err := target.Put(ctx, c); err != nil {
 			return fmt.Errorf("audit: copy segment %d: %w", v.number, err)
 		}
@@ -119,6 +122,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	a, err := readAnchor(d.Dir(source))
+	if err != nil {
+		return h, err
+	}
+	h.First = a.First
 	numbers, err := listSegments(d.Dir(source))
 	if errors.Is(err, os.ErrNotExist) {
 		return h, nil
@@ -148,6 +156,9 @@
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return err
 	}
+	if err := beginCopy(dir, c); err != nil {
+		return err
+	}
 	path := segmentPath(dir, c.Segment)
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
--- a/audit/writer_test.go
+++ b/audit/writer_test.go
@@ -248,6 +248,37 @@
 		Expect(store.Close()).To(Succeed())
 	})
 
+	ginkgo.It("has copies that stay verifiable when they begin late or are retired", func() {
+		dir := ginkgo.GinkgoT().TempDir()
+		now := time.UnixMilli(1_000_000)
+		o := Options{SegmentBytes: 400, Retention: time.Hour, Now: func() time.Time { return now }}
+		fill(dir, 10, o)
+		now = now.Add(2 * time.Hour)
+		store, err := Open(dir, o)
+		Expect(err).NotTo(HaveOccurred())
+		defer store.Close() //nolint:errcheck // nothing waits
+		Expect(store.Retire()).To(BeNumerically(">", 1))
+		late, early := NewCopyDir(ginkgo.GinkgoT().TempDir()), NewCopyDir(ginkgo.GinkgoT().TempDir())
+		Expect(store.Replicate(ctx, "c1", late)).To(Succeed())
+		report, err := store.Verify()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(VerifyDir(late.Dir("c1"))).To(Equal(report))
+
+		fill(dir+"2", 10, o)
+		second, err := Open(dir+"2", o)
+		Expect(err).NotTo(HaveOccurred())
+		defer second.Close() //nolint:errcheck // nothing waits
+		Expect(second.Replicate(ctx, "c2", early)).To(Succeed())
+		Expect(early.Retire(now.Add(2*time.Hour), time.Hour)).To(BeNumerically(">", 1))
+		Expect(second.Replicate(ctx, "c2", early)).To(Succeed())
+		copied, err := VerifyDir(early.Dir("c2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(copied.First).To(BeNumerically(">", 1), "a retired segment is not copied again")
+		whole, err := second.Verify()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(copied.Head).To(Equal(whole.Head))
+	})
+
 	ginkgo.It("has its records found in the copy while their control VM does not answer", func() {
 		w := start(WriterOptions{})
 		Expect(w.Begin(ctx, begin)).To(Succeed())
