--- a/transport/server.go
+++ b/transport/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 )
@@ -43,7 +44,7 @@
 	mu       sync.Mutex
 	draining bool
 	empty    chan struct{} // closed when draining and no connection is left
-	conns    map[*quic.Conn]struct{}
+	conns    map[*quic.Conn]*activity
 	loops    sync.WaitGroup
 }
 
@@ -74,7 +75,7 @@
 	s := &Server{
 		handler: h, options: o, socket: socket, quic: tr, listener: listener,
 		slots: make(chan struct{}, o.MaxCalls), ctx: ctx, cancel: cancel,
-		empty: make(chan struct{}), conns: make(map[*quic.Conn]struct{}),
+		empty: make(chan struct{}), conns: make(map[*quic.Conn]*activity),
 	}
 	s.loops.Add(1)
 	go s.acceptConns()
@@ -91,25 +92,27 @@
 		if err != nil {
 			return
 		}
-		if !s.add(conn) {
+		a, ok := s.add(conn)
+		if !ok {
 			_ = conn.CloseWithError(codeClosed, "the server is closed")
 			continue
 		}
 		connsAccepted.Inc()
-		go s.serveConn(conn)
+		go s.serveConn(conn, a)
 	}
 }
 
 // add registers conn and its loop unless the server is closed.
-func (s *Server) add(conn *quic.Conn) bool {
+func (s *Server) add(conn *quic.Conn) (a *activity, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining || s.ctx.Err() != nil {
-		return false
+		return nil, false
 	}
-	s.conns[conn] = struct{}{}
+	a = newActivity(time.Now())
+	s.conns[conn] = a
 	s.loops.Add(1)
-	return true
+	return a, true
 }
 
 func (s *Server) remove(conn *quic.Conn) {
@@ -121,7 +124,7 @@
 	s.mu.Unlock()
 }
 
-func (s *Server) serveConn(conn *quic.Conn) {
+func (s *Server) serveConn(conn *quic.Conn, a *activity) {
 	defer s.loops.Done()
 	defer s.remove(conn)
 	peer, err := PeerOf(conn.ConnectionState().TLS)
@@ -142,7 +145,11 @@
 		case <-conn.Context().Done():
 			return
 		}
-		go s.serveStream(stream, peer)
+		a.begin()
+		go func() {
+			defer a.end(time.Now)
+			s.serveStream(stream, peer)
+		}()
 	}
 }
 
@@ -226,9 +233,10 @@
 // Drain stops accepting connections and calls, lets the running calls finish
 // and asks every client to close its connection once it has read its answers.
 // QUIC drops unacknowledged data when a connection is closed, so only the
-// client's close shows that the last answers arrived. Drain closes the server
-// when all connections are gone or ctx ends; in the second case it returns an
-// error.
+// client's close shows that the last answers arrived. A client that is lost
+// never closes, so a connection without a running call for drainQuiet is closed
+// as well. Drain closes the server when all connections are gone or ctx ends; in
+// the second case it returns an error.
 func (s *Server) Drain(ctx context.Context) error {
 	_ = s.listener.Close()
 	s.mu.Lock()
@@ -236,6 +244,10 @@
 	if len(s.conns) == 0 {
 		s.closeEmpty()
 	}
+	now := time.Now()
+	for _, a := range s.conns {
+		a.touch(now)
+	}
 	conns := make([]*quic.Conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
@@ -244,15 +256,49 @@
 	for _, c := range conns {
 		go announceDrain(c)
 	}
-	var err error
-	select {
-	case <-s.empty:
-	case <-ctx.Done():
-		err = fmt.Errorf("transport: drain of %s ended with open connections: %w", s.Addr(), ctx.Err())
-	}
+	err := s.awaitEmpty(ctx)
 	return errors.Join(err, s.Close())
 }
 
+const (
+	// drainQuiet is longer than the time in which a client that is alive has
+	// acknowledged its last answer and closed its connection.
+	drainQuiet = time.Second
+	// drainCheck is the time between two looks for quiet connections.
+	drainCheck = 50 * time.Millisecond
+)
+
+// awaitEmpty waits until no connection is left and closes quiet ones.
+func (s *Server) awaitEmpty(ctx context.Context) error {
+	tick := time.NewTicker(drainCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.empty:
+			return nil
+		case now := <-tick.C:
+			s.closeQuiet(now)
+		case <-ctx.Done():
+			return fmt.Errorf("transport: drain of %s ended with open connections: %w", s.Addr(), ctx.Err())
+		}
+	}
+}
+
+// closeQuiet closes the connections that have had no call for drainQuiet.
+func (s *Server) closeQuiet(now time.Time) {
+	s.mu.Lock()
+	var quiet []*quic.Conn
+	for c, a := range s.conns {
+		if a.quiet(now) >= drainQuiet {
+			quiet = append(quiet, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range quiet {
+		_ = c.CloseWithError(codeClosed, "the server is closed")
+	}
+}
+
 // announceDrain tells the client to use another connection. A failure means
 // that the connection is gone.
 func announceDrain(c *quic.Conn) {
@@ -278,7 +324,7 @@
 	s.mu.Lock()
 	s.cancel()
 	conns := s.conns
-	s.conns = make(map[*quic.Conn]struct{})
+	s.conns = make(map[*quic.Conn]*activity)
 	s.mu.Unlock()
 	for c := range conns {
 		_ = c.CloseWithError(codeClosed, "the server is closed")
