Spare the connection that asks for a fault

POST /fault with silent froze its own connection, since that was open too; the test of silent connections hung for ten minutes waiting for the answer.

--- a/standin/conn.go
+++ b/standin/conn.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"sync"
 )
 
@@ -68,3 +70,15 @@
 	}
 	_ = c.Close()
 }
+
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOf gives the connection of a request, nil if Serve does not serve it.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
