--- /dev/null
+++ b/audit/bench_test.go
@@ -0,0 +1,219 @@
+package audit
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/keys"
+	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/transport"
+)
+
+// request gives the records of a request with a pipeline of four stages.
+func request(s ids.SessionID, seq uint64) []Record {
+	at := func(k Kind) Record {
+		return Record{Kind: k, Request: ids.RequestID{Session: s, Seq: seq}, AtUnixMS: 1_790_000_000_000 + int64(seq)}
+	}
+	begin := at(Begin)
+	begin.Workspace, begin.Target, begin.DeadlineMS, begin.SettingsVersion = "fittings", "draft-note", 5000, 12_345
+	records := []Record{begin}
+	for i, stage := range []string{"encode", "retrieve", "rerank", "generate"} {
+		d, e := at(Dispatch), at(StageEnd)
+		d.Stage, d.Attempt, d.Upstream = stage, 1, fmt.Sprintf("10.1.%d.17:9100", i)
+		e.Stage, e.Attempt, e.Outcome = stage, 1, OK
+		records = append(records, d, e)
+	}
+	end := at(End)
+	end.Outcome, end.Execution, end.ResponseDigest = OK, problem.Ran, make([]byte, 32)
+	return append(records, end)
+}
+
+// recordsOf gives n records of whole requests.
+func recordsOf(s ids.SessionID, firstSeq uint64, n int) []Record {
+	var all []Record
+	for seq := firstSeq; len(all) < n; seq++ {
+		all = append(all, request(s, seq)...)
+	}
+	return all[:n]
+}
+
+// BenchmarkAppend gives durable records a second by batch size and by the
+// number of sessions that append at the same time, and the bytes of a record.
+func BenchmarkAppend(b *testing.B) {
+	for _, sessions := range []int{1, 20} {
+		for _, records := range []int{1, 10, 100} {
+			b.Run(fmt.Sprintf("sessions=%d/batch=%d", sessions, records), func(b *testing.B) {
+				s, err := Open(b.TempDir(), Options{})
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer s.Close() //nolint:errcheck // nothing waits
+				var left atomic.Int64
+				left.Store(int64(b.N))
+				var wg sync.WaitGroup
+				b.ResetTimer()
+				for i := range sessions {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						session := sessionOf(fmt.Sprintf("entry-lagos-%d", i))
+						batch := recordsOf(session, 1, records)
+						for n := uint64(1); left.Add(-1) >= 0; n++ {
+							if err := s.Append(session, Batch{Number: n, Records: batch}); err != nil {
+								b.Error(err)
+								return
+							}
+						}
+					}()
+				}
+				wg.Wait()
+				b.StopTimer()
+				st := s.Stats()
+				b.ReportMetric(float64(st.Records)/b.Elapsed().Seconds(), "records/s")
+				b.ReportMetric(float64(st.Bytes)/float64(st.Records), "disk-bytes/record")
+			})
+		}
+	}
+}
+
+// BenchmarkBegin gives the median and the 99th percentile of Begin over QUIC
+// on loopback, durable and asynchronous.
+func BenchmarkBegin(b *testing.B) {
+	for _, async := range []bool{false, true} {
+		for _, callers := range []int{1, 32} {
+			b.Run(fmt.Sprintf("async=%v/callers=%d", async, callers), func(b *testing.B) {
+				w := benchWriter(b, WriterOptions{Async: async, BufferRecords: 1 << 20})
+				times := make([]time.Duration, b.N)
+				var next atomic.Int64
+				var wg sync.WaitGroup
+				b.ResetTimer()
+				for range callers {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						for i := next.Add(1) - 1; i < int64(b.N); i = next.Add(1) - 1 {
+							r := request(sessionOf("e1"), uint64(i)+1)[0]
+							start := time.Now()
+							if err := w.Begin(context.Background(), r); err != nil {
+								b.Error(err)
+								return
+							}
+							times[i] = time.Since(start)
+						}
+					}()
+				}
+				wg.Wait()
+				b.StopTimer()
+				sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+				b.ReportMetric(float64(times[len(times)/2].Nanoseconds())/1000, "p50-µs")
+				b.ReportMetric(float64(times[len(times)*99/100].Nanoseconds())/1000, "p99-µs")
+				if err := w.Flush(context.Background()); err != nil {
+					b.Fatal(err)
+				}
+			})
+		}
+	}
+}
+
+func benchWriter(b *testing.B, o WriterOptions) *Writer {
+	creds, err := keys.Ephemeral(transport.Peer{VM: "c1", Role: transport.RoleControl}, transport.Peer{VM: "e1", Role: transport.RoleEntry})
+	if err != nil {
+		b.Fatal(err)
+	}
+	store, err := Open(b.TempDir(), Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	server, err := transport.Listen("127.0.0.1:0", creds["c1"], transport.HandlerFunc(func(ctx context.Context, p transport.Peer, _ transport.Method, body []byte) ([]byte, error) {
+		return store.ServeAppend(ctx, p, body, nil)
+	}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	client := transport.NewClient(creds["e1"])
+	w, err := NewWriter(sessionOf("e1"), client, []string{server.Addr()}, o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = w.Close()
+		_ = client.Close()
+		_ = server.Close()
+		_ = store.Close()
+	})
+	return w
+}
+
+// BenchmarkMillion gives the times of a query, an open and a verification over
+// a million records of 50 sessions.
+func BenchmarkMillion(b *testing.B) {
+	const sessions, batches, records = 50, 400, 50
+	dir := b.TempDir()
+	s, err := Open(dir, Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	fillMillion(b, s, sessions, batches, records)
+	st := s.Stats()
+	if err := s.Close(); err != nil {
+		b.Fatal(err)
+	}
+	b.Run("open", func(b *testing.B) {
+		for range b.N {
+			if s, err = load(dir, Options{}); err != nil {
+				b.Fatal(err)
+			}
+			_ = s.file.Close()
+		}
+		b.ReportMetric(float64(st.Records), "records")
+		b.ReportMetric(float64(st.Bytes)/(1<<20), "MiB")
+		b.ReportMetric(float64(st.IndexSpans), "index-spans")
+	})
+	b.Run("verify", func(b *testing.B) {
+		for range b.N {
+			if _, err := s.Verify(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("query", func(b *testing.B) {
+		random := rand.New(rand.NewSource(1))
+		for range b.N {
+			session := sessionOf(fmt.Sprintf("entry-%d", random.Intn(sessions)))
+			id := ids.RequestID{Session: session, Seq: uint64(random.Intn(batches*records/10)) + 1}
+			found, err := s.Query(id)
+			if err != nil || len(found) != 10 {
+				b.Fatal(len(found), err)
+			}
+		}
+	})
+}
+
+// fillMillion appends the sessions' batches in turn, as a control VM gets them.
+func fillMillion(b *testing.B, s *Store, sessions, batches, records int) {
+	for n := range batches {
+		group := make([]*pending, sessions)
+		for i := range group {
+			session := sessionOf(fmt.Sprintf("entry-%d", i))
+			first := uint64(n*records/10) + 1
+			e, err := encodeBatch(session, &Batch{Number: uint64(n) + 1, Records: recordsOf(session, first, records)})
+			if err != nil {
+				b.Fatal(err)
+			}
+			group[i] = &pending{batch: e, done: make(chan error, 1)}
+			s.queue <- group[i]
+		}
+		for _, p := range group {
+			if err := <-p.done; err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
--- a/transport/relay_test.go
+++ b/transport/relay_test.go
@@ -15,6 +15,8 @@
 	front  *net.UDPConn
 	server *net.UDPAddr
 
+	bytes, count atomic.Int64 // of datagrams in both directions
+
 	mu    sync.Mutex
 	flows map[string]*flow
 }
@@ -26,14 +28,19 @@
 }
 
 func newRelay(server string) *udpRelay {
+	r := &udpRelay{}
+	r.start(server)
+	ginkgo.DeferCleanup(r.close)
+	return r
+}
+
+func (r *udpRelay) start(server string) {
 	to, err := net.ResolveUDPAddr("udp", server)
 	Expect(err).NotTo(HaveOccurred())
 	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	Expect(err).NotTo(HaveOccurred())
-	r := &udpRelay{front: front, server: to, flows: map[string]*flow{}}
+	r.front, r.server, r.flows = front, to, map[string]*flow{}
 	go r.forward()
-	ginkgo.DeferCleanup(r.close)
-	return r
 }
 
 func (r *udpRelay) addr() string { return r.front.LocalAddr().String() }
@@ -78,6 +85,8 @@
 		}
 		f := r.flow(client)
 		f.toServer.Add(1)
+		r.bytes.Add(int64(n))
+		r.count.Add(1)
 		if !f.silenced.Load() {
 			_, _ = f.back.Write(buf[:n])
 		}
@@ -107,6 +116,8 @@
 		if err != nil {
 			return
 		}
+		r.bytes.Add(int64(n))
+		r.count.Add(1)
 		if !f.silenced.Load() {
 			_, _ = r.front.WriteToUDP(buf[:n], client)
 		}
