damaskctl keys; HTTPS for the operators' API; newest incarnation in refusals

Cause: operators make certificates and tokens with damaskctl; a token alone should not open the API over a network; an entry VM whose clock went back needs the newest incarnation to choose a greater one (entry reads it from Result.Owner).

--- a/admin/operators.go
+++ b/admin/operators.go
@@ -35,6 +35,17 @@
 	return o, nil
 }
 
+// OperatorsOf indexes token digests without names. Each operator is named by
+// the first eight digits of the digest, so that the history still tells whose
+// token made a change.
+func OperatorsOf(digests []string) (*Operators, error) {
+	list := make([]Operator, len(digests))
+	for i, d := range digests {
+		list[i] = Operator{Name: "token-" + d[:min(len(d), 8)], TokenSHA256: []string{d}}
+	}
+	return NewOperators(list)
+}
+
 func (o *Operators) add(name, text string) error {
 	raw, err := hex.DecodeString(text)
 	if err != nil || len(raw) != sha256.Size {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -21,6 +21,7 @@
 	"damaskbridge.example/damaskbridge/admin"
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/keys"
 	"damaskbridge.example/damaskbridge/machine"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
@@ -190,6 +191,50 @@
 		Entry(nil, "SUBCOMMAND", "help"),
 	)
 
+	It("makes keys and tokens, and calls over TLS with an operator's certificate", func() {
+		dir := filepath.Join(GinkgoT().TempDir(), "ca")
+		issue := func(vm, role string) string {
+			code, out, errs := damaskctl("keys", "issue", "-dir", dir, "-vm", vm, "-role", role, "-addresses", "127.0.0.1", "-json")
+			Expect(code).To(Equal(ExitOK), errs)
+			var reply keyReply
+			Expect(json.Unmarshal([]byte(out), &reply)).To(Succeed())
+			return reply.Folder
+		}
+		code, _, errs := damaskctl("keys", "init", "-dir", dir)
+		Expect(code).To(Equal(ExitOK), errs)
+		control, err := keys.Open(issue("c1", "control"))
+		Expect(err).NotTo(HaveOccurred())
+		secure := httptest.NewUnstartedServer(api)
+		secure.TLS = admin.TLSConfig(control)
+		secure.StartTLS()
+		defer secure.Close()
+		environment["DAMASK_CONTROL"] = secure.URL
+		code, out, errs := damaskctl("status", "-identity", issue("ada", "operator"))
+		Expect(code).To(Equal(ExitOK), errs)
+		Expect(out).To(ContainSubstring("leader c2"))
+		refused := func(identity, why string) {
+			o := options{control: secure.URL, token: "secret", identity: identity}
+			c, err := o.connect(Env{ReadFile: os.ReadFile})
+			Expect(err).NotTo(HaveOccurred())
+			c.Pause = func(context.Context, time.Duration) error { return context.Canceled }
+			_, err = c.Version(context.Background())
+			Expect(err).To(MatchError(ContainSubstring(why)))
+		}
+		refused(issue("e1", "entry"), "tls: bad certificate")
+		refused("", "failed to verify certificate")
+		for _, step := range []string{"rotate", "renew", "retire"} {
+			code, _, errs := damaskctl("keys", step, "-dir", dir)
+			Expect(code).To(Equal(ExitOK), errs)
+		}
+		_, out, _ = damaskctl("keys", "token", "-kind", "operator", "-json")
+		var token keyReply
+		Expect(json.Unmarshal([]byte(out), &token)).To(Succeed())
+		environment["DAMASK_TOKEN"] = token.Token
+		_, out, _ = damaskctl("keys", "digest")
+		Expect(strings.TrimSpace(out)).To(Equal(token.SHA256))
+		Expect(admin.TokenDigest(token.Token)).To(Equal(token.SHA256))
+	})
+
 	It("shows no difference after a document was applied", func() {
 		_, out, _ := damaskctl("diff", "-f", "/dev/null")
 		Expect(out).To(BeEmpty())
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -49,6 +49,7 @@
 		{"drain", "drain an entry VM: drain VM", (*run).drain},
 		{"get", "show effective values, or one object: get pool NAME", (*run).get},
 		{"history", "show accepted changes, newest first", (*run).history},
+		{"keys", "make certificates and tokens: keys init|issue|rotate|renew|retire|token|digest", (*run).keys},
 		{"status", "show control VMs and entry VMs", (*run).status},
 	}
 }
@@ -181,7 +182,7 @@
 	control   string
 	token     string
 	tokenFile string
-	caFile    string
+	identity  string
 	json      bool
 	timeout   time.Duration
 }
@@ -191,7 +192,7 @@
 func (o *options) register(f *flag.FlagSet, env Env) {
 	f.StringVar(&o.control, "control", env.Getenv("DAMASK_CONTROL"), "control VMs' admin `URLs`, nearest first, separated by commas")
 	f.StringVar(&o.tokenFile, "token-file", env.Getenv("DAMASK_TOKEN_FILE"), "`file` with the operator's token")
-	f.StringVar(&o.caFile, "ca", env.Getenv("DAMASK_CA_FILE"), "`file` with the CA certificate of the control VMs")
+	f.StringVar(&o.identity, "identity", env.Getenv("DAMASK_IDENTITY"), "`folder` with the operator's certificate, for https addresses")
 	f.BoolVar(&o.json, "json", false, "print JSON")
 	f.DurationVar(&o.timeout, "timeout", defaultTimeout, "time for the whole call")
 	o.token = env.Getenv("DAMASK_TOKEN")
--- a/session/session.go
+++ b/session/session.go
@@ -73,7 +73,9 @@
 
 // Open opens a session. An older session of the same VM ends; it is given
 // back, so that its claims can be settled. Opening an open session again
-// changes nothing.
+// changes nothing. An incarnation that is not newer than all before is
+// refused; the result's owner then has the newest one, so that a VM whose
+// clock went back can choose a greater number.
 func (t *Table) Open(c *command.OpenSession, nowUnixMS int64) (replaced *ids.SessionID, r command.Result) {
 	vm := c.Session.VM
 	if vm == "" || len(vm) > maxVMBytes || len(c.Region) > maxVMBytes {
@@ -83,7 +85,9 @@
 		return nil, command.Result{UpTo: s.UpTo}
 	}
 	if newest, ok := t.newest[vm]; ok && c.Session.Incarnation <= newest {
-		return nil, ended(c.Session)
+		r := ended(c.Session)
+		r.Owner.Session = ids.SessionID{VM: vm, Incarnation: newest}
+		return nil, r
 	}
 	if s, ok := t.open[vm]; ok {
 		old := s.Session
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -37,6 +37,7 @@
 		for _, old := range []ids.Incarnation{1, 2} {
 			_, r := t.Open(&command.OpenSession{Session: id(old)}, 30)
 			Expect(r.Code).To(Equal(command.SessionEnded))
+			Expect(r.Owner.Session).To(Equal(id(3)), "the newest incarnation")
 		}
 		t.Expire(id(3), 40)
 		_, r := t.Open(&command.OpenSession{Session: id(3)}, 50)
