--- a/machine/snapshot.go
+++ b/machine/snapshot.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// SnapshotLater freezes the state and gives a function that encodes it, which
+// another goroutine may call.
+func (m *Machine) SnapshotLater() func() ([]byte, error) {
+	return m.Freeze().Encode
+}
+
 // Applied is the index of the newest command in the frozen state.
 func (f *Frozen) Applied() uint64 { return f.head.Applied }
 
--- a/settings/bench_test.go
+++ b/settings/bench_test.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"fmt"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -85,11 +87,11 @@
 	t := benchTree()
 	var n int
 	for b.Loop() {
-		bytes, err := t.Encode()
+		out, err := t.encode(t.file()) // Encode keeps its result.
 		if err != nil {
 			b.Fatal(err)
 		}
-		n = len(bytes)
+		n = len(out)
 	}
 	b.ReportMetric(float64(n), "tree-B")
 }
@@ -97,19 +99,19 @@
 // BenchmarkDecode reads a whole tree and reports the memory that it takes on
 // an entry VM.
 func BenchmarkDecode(b *testing.B) {
-	bytes, err := benchTree().Encode()
+	encoded, err := benchTree().Encode()
 	if err != nil {
 		b.Fatal(err)
 	}
 	before := heapBytes()
-	t, err := DecodeTree(bytes)
+	t, err := DecodeTree(encoded)
 	if err != nil {
 		b.Fatal(err)
 	}
 	heap := heapBytes() - before
 	runtime.KeepAlive(t)
 	for b.Loop() {
-		if _, err := DecodeTree(bytes); err != nil {
+		if _, err := DecodeTree(encoded); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -146,3 +148,24 @@
 		}
 	})
 }
+
+// BenchmarkDocument reads a document with all workspaces of the target size,
+// of which one differs from the tree.
+func BenchmarkDocument(b *testing.B) {
+	var doc bytes.Buffer
+	doc.WriteString("workspaces:\n")
+	for _, w := range benchTree().Workspaces() {
+		if w.Name == "workspace-00007" {
+			w.Branch = "moved"
+		}
+		fmt.Fprintf(&doc, "  - name: %s\n    branch: %s\n    token_sha256: [%q]\n    pipelines: [%s]\n", w.Name, w.Branch, w.TokenSHA256[0], strings.Join(w.Pipelines, ", "))
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		ops, err := ParseDocument("d.yaml", doc.Bytes(), benchTree())
+		if err != nil || len(ops) != 1 {
+			b.Fatal(len(ops), err)
+		}
+	}
+	b.ReportMetric(float64(doc.Len()), "document-B")
+}
--- a/settings/edit.go
+++ b/settings/edit.go
@@ -17,6 +17,7 @@
 func (t *Tree) edit(ops []Op, version uint64, check bool) (*Tree, Faults) {
 	out := *t
 	out.version = version
+	out.encoded = &encoding{}
 	e := &edit{
 		tree: &out, version: version,
 		pools: map[string]bool{}, pipelines: map[string]bool{}, services: map[string]bool{},
--- a/settings/encode.go
+++ b/settings/encode.go
@@ -73,9 +73,12 @@
 }
 
 // Encode writes the settings without history and results of change ids, as
-// entry VMs need them. Equal settings give equal bytes.
+// entry VMs need them. Equal settings give equal bytes. The bytes are shared by
+// all callers and must not be changed.
 func (t *Tree) Encode() ([]byte, error) {
-	return t.encode(t.file())
+	e := t.encoded
+	e.once.Do(func() { e.bytes, e.err = t.encode(t.file()) })
+	return e.bytes, e.err
 }
 
 // EncodeAll writes everything, as snapshots of the replicated state need it.
@@ -137,6 +140,7 @@
 	if len(faults) > 0 {
 		return nil, fmt.Errorf("settings: decode tree: %w", faults)
 	}
+	// Nothing has been encoded yet, so the versions can still be written.
 	f.stampValues(out)
 	if err := f.checkCounts(out); err != nil {
 		return nil, err
--- a/settings/property_test.go
+++ b/settings/property_test.go
@@ -111,7 +111,7 @@
 				follower = follow(t, tree, follower)
 			}
 		}
-		checkCopies(t, tree, follow(t, tree, follower))
+		follow(t, tree, follower)
 	})
 	t.Logf("accepted %d, refused %d", accepted, refused)
 	if accepted < refused/9 || refused < accepted/9 {
@@ -162,6 +162,7 @@
 	}
 }
 
+// follow replays what the follower lacks and then compares both.
 func follow(t *rapid.T, tree, follower *Tree) *Tree {
 	changes, ok := tree.Since(follower.Version())
 	if !ok {
@@ -171,6 +172,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	checkCopies(t, tree, next)
 	return next
 }
 
@@ -183,6 +185,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if fresh, err := tree.encode(tree.file()); err != nil || !bytes.Equal(fresh, want) {
+		t.Fatalf("Encode gives the bytes of another tree: %v", err)
+	}
 	if !bytes.Equal(want, got) {
 		t.Fatalf("a replayed tree differs from the leader's")
 	}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"sync"
 	"time"
 )
 
@@ -24,11 +25,21 @@
 	// same by id.
 	outcomes log[outcome]
 	byID     trie[*outcome]
+	// encoded is the result of Encode. Trees with the same settings share it.
+	encoded *encoding
+}
+
+// encoding is made on its first use. A control VM sends the same bytes to
+// every entry VM that needs the whole tree.
+type encoding struct {
+	once  sync.Once
+	bytes []byte
+	err   error
 }
 
 // NewTree gives the empty tree at version 0.
 func NewTree() *Tree {
-	return &Tree{root: &branch{}}
+	return &Tree{root: &branch{}, encoded: &encoding{}}
 }
 
 // Version is the number of accepted changes.
