--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -35,33 +35,45 @@
 
 	It("grow from holder to holder and stay the same in a renewal", func() {
 		t := NewTable()
-		first := t.Acquire(acquire("a", 1000, 1), 0)
+		first := t.Acquire(acquire("a", 1000, 1), 0, 1)
 		Expect(first).To(Equal(command.Result{Fence: 1}), "nobody is to be waited for")
-		Expect(t.Acquire(acquire("a", 1000, 1), 10)).To(Equal(first))
-		Expect(t.Acquire(acquire("b", 1000, 1), 500)).To(HaveField("Code", command.FenceHeld))
-		Expect(t.Acquire(acquire("a", 1000, 2), 900)).To(Equal(first))
-		Expect(t.Acquire(acquire("b", 1000, 1), 1899).WaitMS).To(Equal(uint32(1)))
-		second := t.Acquire(acquire("b", 500, 1), 1900)
+		Expect(t.Acquire(acquire("a", 1000, 1), 10, 1)).To(Equal(first))
+		Expect(t.Acquire(acquire("b", 1000, 1), 500, 1)).To(HaveField("Code", command.FenceHeld))
+		Expect(t.Acquire(acquire("a", 1000, 2), 900, 1)).To(Equal(first))
+		Expect(t.Acquire(acquire("b", 1000, 1), 1899, 1).WaitMS).To(Equal(uint32(1)))
+		second := t.Acquire(acquire("b", 500, 1), 1900, 1)
 		Expect(second.Fence).To(Equal(uint64(2)))
 		Expect(second.WaitMS).To(Equal(1000+margin), "the predecessor's whole term, since the clock may have jumped")
 	})
 
 	It("make a successor wait out every earlier holder that did not give its right back", func() {
 		t := NewTable()
-		t.Acquire(acquire("a", 9000, 1), 0)
+		t.Acquire(acquire("a", 9000, 1), 0, 1)
 		t.EndSession(vm("a"), 1)
-		b := t.Acquire(acquire("b", 100, 1), 2)
+		b := t.Acquire(acquire("b", 100, 1), 2, 1)
 		Expect(t.Drop(&command.Drop{Upstream: "u", Number: b.Fence}).Code).To(Equal(command.OK))
-		Expect(t.Acquire(acquire("b", 100, 1), 3).Code).To(Equal(command.NotOwner), "a repeated message")
-		Expect(t.Acquire(acquire("c", 100, 1), 4).WaitMS).To(Equal(9000 + margin))
+		Expect(t.Acquire(acquire("b", 100, 1), 3, 1).Code).To(Equal(command.NotOwner), "a repeated message")
+		Expect(t.Acquire(acquire("c", 100, 1), 4, 1).WaitMS).To(Equal(9000 + margin))
 		Expect(t.Drop(&command.Drop{Upstream: "u", Number: b.Fence}).Code).To(Equal(command.NotOwner))
 	})
 
+	It("grow for an upstream that was forgotten, which needs time and commands", func() {
+		t := NewTable()
+		t.Acquire(acquire("a", 1000, 1), 0, 1)
+		day := sweepAge.Milliseconds()
+		t.Sweep(day+1001, 1+sweepCommands)
+		t.Sweep(day+1000, 2+sweepCommands)
+		Expect(t.Holdings()).To(HaveLen(1), "one condition does not do")
+		t.Sweep(day+1001, 2+sweepCommands)
+		Expect(t.Holdings()).To(BeEmpty())
+		Expect(t.Acquire(acquire("b", 1000, 1), day+2000, 3+sweepCommands)).To(Equal(command.Result{Fence: 2}))
+	})
+
 	It("make a successor wait for orders under way only, after a drop", func() {
 		t := NewTable()
-		a := t.Acquire(acquire("a", 9000, 1), 0)
+		a := t.Acquire(acquire("a", 9000, 1), 0, 1)
 		t.Drop(&command.Drop{Upstream: "u", Number: a.Fence})
-		Expect(t.Acquire(acquire("c", 100, 1), 1).WaitMS).To(Equal(margin))
+		Expect(t.Acquire(acquire("c", 100, 1), 1, 1).WaitMS).To(Equal(margin))
 	})
 })
 
@@ -100,7 +112,7 @@
 				c := acquire(name, term, uint64(len(rights))+uint64(real)<<16)
 				sent := real
 				real += rapid.Int64Range(0, 2000).Draw(t, "round trip")
-				got := table.Acquire(c, state)
+				got := table.Acquire(c, state, 1)
 				if got.Code != command.OK {
 					continue
 				}
--- a/fence/table.go
+++ b/fence/table.go
@@ -17,6 +17,12 @@
 	OrderExpiry = 5 * time.Second
 	// NetworkDelay bounds the time for which the network holds an order back.
 	NetworkDelay = time.Second
+	// sweepAge and sweepCommands say when an upstream that nobody holds is
+	// forgotten: after both. The age alone would trust the clock; that many
+	// commands take longer than MaxTerm, OrderExpiry and NetworkDelay
+	// together at any rate up to 250,000 commands/s.
+	sweepAge      = 24 * time.Hour
+	sweepCommands = 1 << 24
 	// maxUpstreamBytes bounds the name of an upstream.
 	maxUpstreamBytes = 255
 )
@@ -39,6 +45,8 @@
 	OwedMS uint32 `cbor:"8,keyasint,omitempty" json:"owed_ms,omitempty"`
 	// WaitMS is the wait that the holder was given with its token.
 	WaitMS uint32 `cbor:"9,keyasint,omitempty" json:"wait_ms,omitempty"`
+	// Touched is the log index of the newest Acquire of the holder.
+	Touched uint64 `cbor:"10,keyasint" json:"-"`
 }
 
 // Table holds the rights of all upstreams. It is not safe for concurrent use.
@@ -55,8 +63,16 @@
 }
 
 // Acquire grants or renews the right to give orders to an upstream. The
-// session must be open.
-func (t *Table) Acquire(c *command.Acquire, nowUnixMS int64) command.Result {
+// session must be open. index is the command's place in the log.
+func (t *Table) Acquire(c *command.Acquire, nowUnixMS int64, index uint64) command.Result {
+	r := t.acquire(c, nowUnixMS)
+	if r.Code == command.OK {
+		t.upstreams[c.Upstream].Touched = index
+	}
+	return r
+}
+
+func (t *Table) acquire(c *command.Acquire, nowUnixMS int64) command.Result {
 	if r, ok := checkAcquire(c); !ok {
 		return r
 	}
@@ -138,6 +154,17 @@
 	}
 }
 
+// Sweep forgets upstreams whose last right ended long ago, so that replaced
+// VMs do not add up. Tokens of one that returns still grow.
+func (t *Table) Sweep(nowUnixMS int64, index uint64) {
+	oldest := nowUnixMS - sweepAge.Milliseconds()
+	for name, h := range t.upstreams {
+		if h.ExpiresUnixMS < oldest && index-h.Touched > sweepCommands {
+			delete(t.upstreams, name)
+		}
+	}
+}
+
 // Holdings gives the state of all upstreams by name.
 func (t *Table) Holdings() []Holding {
 	all := make([]Holding, 0, len(t.upstreams))
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -150,6 +150,7 @@
 // retire never removes answers that are younger than the setting
 // ledger.answer_retention, whatever time the command names.
 func (m *Machine) retire(c *command.Retire) command.Result {
+	m.fences.Sweep(m.now, m.applied)
 	newest := m.now - m.tree.Duration("", settings.AnswerRetention).Milliseconds()
 	return m.ledger.Retire(min(c.BeforeUnixMS, newest), m.now)
 }
@@ -167,7 +168,7 @@
 	if !m.sessions.IsOpen(c.Session) {
 		return sessionEnded(c.Session)
 	}
-	return m.fences.Acquire(c, m.now)
+	return m.fences.Acquire(c, m.now, m.applied)
 }
 
 func (m *Machine) drawWeights(c *command.DrawWeights) command.Result {
