--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,28 @@
+package settings
+
+import "testing"
+
+// FuzzDocument guards against a panic on a document, and against operations
+// that do not lead to it.
+func FuzzDocument(f *testing.F) {
+	f.Add([]byte(document1))
+	f.Add([]byte("branches:\n  \"\": {deadline.default: 4s}\n"))
+	f.Add([]byte("pools: [{name: a, kind: encode}, {name: a}]\n"))
+	f.Add([]byte("pools: &x\n  - *x\n"))
+	f.Add([]byte("branches: {a: {b: [1]}}\n---\n"))
+	f.Add([]byte("workspaces:\n- name: !!binary x\n"))
+	f.Fuzz(func(t *testing.T, doc []byte) {
+		ops, err := ParseDocument("d.yaml", doc, NewTree())
+		if err != nil || len(ops) == 0 {
+			return
+		}
+		tree, r := NewTree().Apply(Change{ID: "d", Ops: ops})
+		if r.State != Accepted {
+			t.Fatalf("the operations of an accepted document are refused: %s", r.Detail)
+		}
+		rest, err := ParseDocument("d.yaml", doc, tree)
+		if err != nil || len(rest) > 0 {
+			t.Fatalf("the document still differs after it was applied: %v, error %v", rest, err)
+		}
+	})
+}
