ledger: freeze by copy on write

Cause: freezing a million keys copied 80 MB and held the replica's goroutine. The test freezes before each kind of change and encodes on another goroutine (clean under -race); with any one of the copies left out it fails.

--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
 )
@@ -59,31 +61,46 @@
 	released map[uint64]struct{}
 }
 
-// chunkLen is the number of entries that are allocated together.
-const chunkLen = 1024
+// chunkLen is the number of entries that are allocated, and copied, together.
+const chunkLen = 256
 
 // slot is the place of an entry in a slab.
 type slot uint32
 
-// slab stores entries in chunks, so that growth moves nothing and a copy of
-// all entries is a few plain memory copies.
+// slab stores entries in chunks, so that growth moves nothing. A frozen copy
+// shares the chunks; the slab copies a shared chunk before it writes to it, so
+// that freezing millions of entries takes no time worth mentioning.
 type slab struct {
 	chunks []*[chunkLen]entry
+	// shared tells which chunks a frozen copy may still read.
+	shared []bool
 	unused []slot
 	used   int
 }
 
+// at gives an entry to read. The pointer is stale after the next edit.
 func (s *slab) at(i slot) *entry {
 	return &s.chunks[i/chunkLen][i%chunkLen]
 }
 
+// edit gives an entry to write to.
+func (s *slab) edit(i slot) *entry {
+	c := i / chunkLen
+	if s.shared[c] {
+		copied := *s.chunks[c]
+		s.chunks[c] = &copied
+		s.shared[c] = false
+	}
+	return s.at(i)
+}
+
 func (s *slab) add(e entry) slot {
 	if len(s.unused) == 0 {
 		s.grow()
 	}
 	i := s.unused[len(s.unused)-1]
 	s.unused = s.unused[:len(s.unused)-1]
-	*s.at(i) = e
+	*s.edit(i) = e
 	s.used++
 	return i
 }
@@ -91,23 +108,22 @@
 func (s *slab) grow() {
 	first := slot(len(s.chunks) * chunkLen)
 	s.chunks = append(s.chunks, new([chunkLen]entry))
+	s.shared = append(s.shared, false)
 	for i := chunkLen - 1; i >= 0; i-- {
 		s.unused = append(s.unused, first+slot(i))
 	}
 }
 
 func (s *slab) remove(i slot) {
-	*s.at(i) = entry{}
+	*s.edit(i) = entry{}
 	s.unused = append(s.unused, i)
 	s.used--
 }
 
-// clone gives a copy that shares only what never changes.
-func (s *slab) clone() []*[chunkLen]entry {
-	chunks := make([]*[chunkLen]entry, len(s.chunks))
-	for i, c := range s.chunks {
-		copied := *c
-		chunks[i] = &copied
+// freeze gives chunks that will never change.
+func (s *slab) freeze() []*[chunkLen]entry {
+	for i := range s.shared {
+		s.shared[i] = true
 	}
-	return chunks
+	return slices.Clone(s.chunks)
 }
--- a/ledger/file.go
+++ b/ledger/file.go
@@ -38,10 +38,10 @@
 	released []uint64
 }
 
-// Freeze copies the ledger's content. The time that it takes is that of
-// copying 100 bytes for each entry; answers are shared.
+// Freeze gives the ledger's present content. It shares the entries, which the
+// ledger copies before it changes them.
 func (l *Ledger) Freeze() *Frozen {
-	f := &Frozen{chunks: l.slab.clone(), watermark: l.watermark, tombs: l.tombs.clone(), used: l.slab.used}
+	f := &Frozen{chunks: l.slab.freeze(), watermark: l.watermark, tombs: l.tombs.clone(), used: l.slab.used}
 	for _, h := range l.holders {
 		f.holders = append(f.holders, frozenHolder{session: h.session, released: sortedSeqs(h.released)})
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -106,13 +106,12 @@
 	if !ok {
 		return r
 	}
-	e := l.slab.at(i)
-	if e.state == done {
+	if l.slab.at(i).state == done {
 		return command.Result{Owner: c.Request}
 	}
 	answer := c.Answer
 	answer.Body = bytes.Clone(c.Answer.Body)
-	e.answer = &answer
+	l.slab.edit(i).answer = &answer
 	l.settle(i, done, nowUnixMS)
 	return command.Result{Owner: c.Request}
 }
@@ -209,7 +208,7 @@
 
 // settle makes a claimed entry done or unknown, or an unknown one done.
 func (l *Ledger) settle(i slot, s state, nowUnixMS int64) {
-	e := l.slab.at(i)
+	e := l.slab.edit(i)
 	before := e.state
 	e.state = s
 	e.settled = nowUnixMS
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -166,10 +166,23 @@
 		}
 		f := l.Freeze()
 		before := f.Encode()
-		for n := range 50 {
-			l.Record(record(fmt.Sprint(n), request("a", uint64(n+1)), "x"), 5)
+		change := []func(){
+			func() { l.Claim(claim("new", request("b", 1))) },
+			func() { l.Record(record("0", request("a", 1), "x"), 5) },
+			func() { l.Release(release("1", request("a", 2))) },
+			func() { l.EndSession(request("a", 1).Session, 6) },
+			func() { l.Record(record("2", request("a", 3), "late"), 7) },
+			func() { l.Retire(20, 20) },
+		}
+		encoded := make(chan []byte)
+		go func() { encoded <- f.Encode() }()
+		for i, f := range change {
+			next := l.Freeze()
+			want := next.Encode()
+			f()
+			Expect(bytes.Equal(want, next.Encode())).To(BeTrue(), "change %d", i)
 		}
-		l.Retire(10, 10)
+		Expect(bytes.Equal(before, <-encoded)).To(BeTrue())
 		Expect(bytes.Equal(before, f.Encode())).To(BeTrue())
 		Expect(bytes.Equal(before, l.Freeze().Encode())).To(BeFalse())
 	})
