--- a/audit/writer_test.go
+++ b/audit/writer_test.go
@@ -37,7 +37,7 @@
 		s.stores[name], s.copies[name] = store, copies
 		s.endpoint(name, transport.RoleControl).Listen(transport.HandlerFunc(func(ctx context.Context, p transport.Peer, m transport.Method, body []byte) ([]byte, error) {
 			if m == transport.MethodAuditQuery {
-				return store.ServeQuery(p, body)
+				return store.ServeQueryCopies(p, body, copies)
 			}
 			return store.ServeAppend(ctx, p, body, copies)
 		}))
@@ -248,6 +248,51 @@
 		Expect(store.Close()).To(Succeed())
 	})
 
+	ginkgo.It("has copies that stay verifiable when they begin late or are retired", func() {
+		dir := ginkgo.GinkgoT().TempDir()
+		now := time.UnixMilli(1_000_000)
+		o := Options{SegmentBytes: 400, Retention: time.Hour, Now: func() time.Time { return now }}
+		fill(dir, 10, o)
+		now = now.Add(2 * time.Hour)
+		store, err := Open(dir, o)
+		Expect(err).NotTo(HaveOccurred())
+		defer store.Close() //nolint:errcheck // nothing waits
+		Expect(store.Retire()).To(BeNumerically(">", 1))
+		late, early := NewCopyDir(ginkgo.GinkgoT().TempDir()), NewCopyDir(ginkgo.GinkgoT().TempDir())
+		Expect(store.Replicate(ctx, "c1", late)).To(Succeed())
+		report, err := store.Verify()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(VerifyDir(late.Dir("c1"))).To(Equal(report))
+
+		fill(dir+"2", 10, o)
+		second, err := Open(dir+"2", o)
+		Expect(err).NotTo(HaveOccurred())
+		defer second.Close() //nolint:errcheck // nothing waits
+		Expect(second.Replicate(ctx, "c2", early)).To(Succeed())
+		Expect(early.Retire(now.Add(2*time.Hour), time.Hour)).To(BeNumerically(">", 1))
+		Expect(second.Replicate(ctx, "c2", early)).To(Succeed())
+		copied, err := VerifyDir(early.Dir("c2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(copied.First).To(BeNumerically(">", 1), "a retired segment is not copied again")
+		whole, err := second.Verify()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(copied.Head).To(Equal(whole.Head))
+	})
+
+	ginkgo.It("has its records found in the copy while their control VM does not answer", func() {
+		w := start(WriterOptions{})
+		Expect(w.Begin(ctx, begin)).To(Succeed())
+		target := &RemoteTarget{Caller: place.endpoint("c1", transport.RoleControl), Addr: "c2"}
+		Expect(place.stores["c1"].Replicate(ctx, "c1", target)).To(Succeed())
+		reader := place.reader()
+		place.network.Isolate("c1")
+		found, missing := reader.Query(ctx, begin.Request)
+		Expect(found).To(HaveLen(1))
+		Expect(missing).To(Equal([]string{"c1"}))
+		found, _ = reader.Session(ctx, begin.Request.Session)
+		Expect(found).To(HaveLen(1))
+	})
+
 	ginkgo.It("pages through a long session", func() {
 		w := start(WriterOptions{BatchRecords: 4096})
 		for seq := uint64(1); seq <= pageEntries+5000; seq++ {
