machine: ask for a Retire only when an entry is due or the watermark lags

Cause: one Retire removes at most 5,000 entries; at 10 s that is 500 keys/s. After: RetireBefore gives 0 when nothing is due, so that a leader can ask every second (RetireEvery) without filling the log.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -185,6 +185,16 @@
 	}
 }
 
+// IsDue says whether Retire with this time would look at an entry.
+func (l *Ledger) IsDue(beforeUnixMS int64) bool {
+	d, ok := l.queue.first()
+	return ok && d.at < beforeUnixMS
+}
+
+// Watermark is the embedded time up to which UUIDv7 keys that are not stored
+// count as used, in milliseconds since 1970.
+func (l *Ledger) Watermark() int64 { return l.watermark }
+
 // retire removes a settled entry so that its key stays used: a UUIDv7 key by
 // the watermark, any other by a tombstone.
 func (l *Ledger) retire(i slot) {
--- a/machine/machine_test.go
+++ b/machine/machine_test.go
@@ -79,6 +79,9 @@
 		hour := int64(3_600_000)
 		apply(claim("a", 1))
 		apply(command.Command{NowUnixMS: 200, Record: &command.Record{Workspace: "w", Key: "k", Request: ids.RequestID{Session: sid("a", 1), Seq: 1}}})
+		Expect(m.RetireBefore(200+hour)).To(BeZero(), "nothing is due")
+		Expect(m.RetireBefore(201 + hour)).To(Equal(int64(201)))
+		Expect(m.RetireBefore(hour + 60_000)).To(Equal(int64(60_000)))
 		retire := command.Command{NowUnixMS: 200 + hour, Retire: &command.Retire{BeforeUnixMS: 1 << 40}}
 		apply(retire)
 		Expect(apply(claim("a", 1)).Code).To(Equal(command.ClaimDone))
--- a/machine/view.go
+++ b/machine/view.go
@@ -34,10 +34,21 @@
 // Holdings gives the holders of all upstreams.
 func (m *Machine) Holdings() []fence.Holding { return m.fences.Holdings() }
 
-// RetireBefore is the time to propose in the next Retire command.
+// RetireEvery is how often a leader should ask RetireBefore. One Retire removes
+// a bounded number of entries, so the interval bounds the rate of removal: at
+// 1 s it is 5,000 keys/s.
+const RetireEvery = time.Second
+
+// retireLag is how far the ledger's watermark may stay behind while no entry
+// is due, which saves commands.
+const retireLag = time.Minute
+
+// RetireBefore is the time to propose in a Retire command now, or 0 if none is
+// needed.
 func (m *Machine) RetireBefore(nowUnixMS int64) int64 {
-	return nowUnixMS - m.tree.Duration("", settings.AnswerRetention).Milliseconds()
+	before := nowUnixMS - m.tree.Duration("", settings.AnswerRetention).Milliseconds()
+	if m.ledger.IsDue(before) || before-m.ledger.Watermark() >= retireLag.Milliseconds() {
+		return before
+	}
+	return 0
 }
-
-// RetireEvery is how often a leader should propose a Retire command.
-const RetireEvery = 10 * time.Second
