--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -106,13 +106,12 @@
 	if !ok {
 		return r
 	}
-	e := l.slab.at(i)
-	if e.state == done {
+	if l.slab.at(i).state == done {
 		return command.Result{Owner: c.Request}
 	}
 	answer := c.Answer
 	answer.Body = bytes.Clone(c.Answer.Body)
-	e.answer = &answer
+	l.slab.edit(i).answer = &answer
 	l.settle(i, done, nowUnixMS)
 	return command.Result{Owner: c.Request}
 }
@@ -186,6 +185,16 @@
 	}
 }
 
+// IsDue says whether Retire with this time would look at an entry.
+func (l *Ledger) IsDue(beforeUnixMS int64) bool {
+	d, ok := l.queue.first()
+	return ok && d.at < beforeUnixMS
+}
+
+// Watermark is the embedded time up to which UUIDv7 keys that are not stored
+// count as used, in milliseconds since 1970.
+func (l *Ledger) Watermark() int64 { return l.watermark }
+
 // retire removes a settled entry so that its key stays used: a UUIDv7 key by
 // the watermark, any other by a tombstone.
 func (l *Ledger) retire(i slot) {
@@ -209,7 +218,7 @@
 
 // settle makes a claimed entry done or unknown, or an unknown one done.
 func (l *Ledger) settle(i slot, s state, nowUnixMS int64) {
-	e := l.slab.at(i)
+	e := l.slab.edit(i)
 	before := e.state
 	e.state = s
 	e.settled = nowUnixMS
