--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"os"
 	"time"
 
@@ -114,7 +115,10 @@
 			Expect(c.start(vm)).To(Succeed())
 			m := c.members[vm]
 			Expect(m.replica.published.Load().snapshot).To(BeNumerically(">", 500))
-			Expect(m.replica.node.Status().Last - m.replica.node.Status().Base).To(BeNumerically("<", 500))
+			Expect(m.replica.Do(context.Background(), func() {
+				st := m.replica.node.Status()
+				Expect(st.Last - st.Base).To(BeNumerically("<", 500))
+			})).To(Succeed())
 		}
 		c.claims(5)
 		c.expectKept()
--- a/control/registry.go
+++ b/control/registry.go
@@ -69,9 +69,10 @@
 	return s
 }
 
-// expire gives the open sessions that have not been renewed in time. A session
-// that this leader sees for the first time gets the full time, so that an
-// election ends none.
+// expire gives the open sessions that have not been renewed in time. The time
+// starts at the earliest with this leader's own, since a deposed leader may
+// have granted leases until then that no report shows, and with the first
+// sight of a session.
 func (g *registry) expire(now time.Time, open map[ids.SessionID]bool) []ids.SessionID {
 	var list []ids.SessionID
 	for id := range open {
@@ -79,7 +80,7 @@
 		if s.renewed.IsZero() {
 			s.renewed = now
 		}
-		if now.Sub(s.renewed) > g.expiry {
+		if now.Sub(s.renewed) > g.expiry && now.Sub(g.since) > g.expiry {
 			s.expiring = true
 			list = append(list, id)
 		}
--- /dev/null
+++ b/control/renew_test.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/settings"
+	"damaskbridge.example/damaskbridge/transport"
+	"damaskbridge.example/damaskbridge/wire"
+)
+
+// subscription is an entry VM that renews at one control VM.
+type subscription struct {
+	c       *cluster
+	session ids.SessionID
+	at      ids.VMID
+	caller  *transport.Endpoint
+	tree    *settings.Tree
+}
+
+func (c *cluster) subscribe(vm, at ids.VMID) *subscription {
+	s := &subscription{c: c, session: ids.SessionID{VM: vm, Incarnation: 1}, at: at, tree: settings.NewTree()}
+	s.caller = c.mem.Endpoint(string(vm), transport.Peer{VM: vm, Role: transport.RoleEntry})
+	c.open(s.session)
+	return s
+}
+
+// renew asks until the control VM grants a lease and applies the changes.
+func (s *subscription) renew(signs ...settings.Sign) wire.RenewReply {
+	var reply wire.RenewReply
+	Eventually(func() bool {
+		reply = s.try(signs...)
+		return reply.OK || reply.SessionEnded
+	}, patience, 5*time.Millisecond).Should(BeTrue(), "no lease at %s", s.at)
+	return reply
+}
+
+func (s *subscription) try(signs ...settings.Sign) wire.RenewReply {
+	body, err := wire.Encode(&wire.Renew{Session: s.session, InForce: s.tree.Version(), Signs: signs})
+	Expect(err).NotTo(HaveOccurred())
+	var reply wire.RenewReply
+	b, err := s.caller.Call(context.Background(), string(s.at), transport.MethodRenew, body)
+	if err != nil {
+		return reply
+	}
+	Expect(wire.Decode(b, &reply)).To(Succeed())
+	if reply.OK {
+		s.tree, err = s.tree.Replay(reply.Changes)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.tree.Version()).To(Equal(reply.Version))
+	}
+	return reply
+}
+
+var _ = ginkgo.Describe("Server", func() {
+	var c *cluster
+	It := ginkgo.It
+	start := func(adjust func(*Options)) {
+		c = newCluster(ginkgo.GinkgoT().TempDir(), adjust, "a", "b", "c")
+	}
+	ginkgo.AfterEach(func() { c.stopAll() })
+
+	// Guards against a change that is called effective before each entry VM
+	// has confirmed it, and against one that never is.
+	It("brings a change into effect over all control VMs", func() {
+		start(func(o *Options) { o.LeaseTerm = 30 * time.Second })
+		var subs []*subscription
+		for i, vm := range []ids.VMID{"a", "b", "c"} {
+			s := c.subscribe(ids.VMID("e"+string(vm)), []ids.VMID{"a", "b", "c"}[i])
+			s.renew()
+			subs = append(subs, s)
+		}
+		version := c.change(0, "3s")
+		leader := c.members[c.leader()].server
+		// All reports of the new version are in once each VM has sent two.
+		for _, s := range subs[:2] {
+			Eventually(func() uint64 { s.renew(); return s.tree.Version() }, patience, 5*time.Millisecond).Should(Equal(version))
+			s.renew()
+		}
+		silent, _ := leader.Status(context.Background())
+		Expect(silent.InEffect).To(BeNumerically("<", version), "one entry VM still serves the old version")
+		Expect(subs[2].tree.Version()).To(BeNumerically("<", version))
+	})
+
+	// Guards against a change that waits for ever for a silent entry VM.
+	It("waits for a silent entry VM no longer than its lease", func() {
+		start(func(o *Options) { o.LeaseTerm, o.SessionExpiry = 600*time.Millisecond, 2*time.Second })
+		c.subscribe("silent", "b").renew()
+		version := c.change(0, "3s")
+		for _, m := range c.members {
+			Eventually(func() uint64 {
+				got, err := m.server.WaitInEffect(context.Background(), version)
+				Expect(err).NotTo(HaveOccurred())
+				return got
+			}, patience).Should(Equal(version))
+		}
+	})
+
+	// Guards against a dead entry VM that keeps its claims open, and against
+	// a renewal that brings an ended session back.
+	It("expires a session that is not renewed and keeps one that is", func() {
+		start(func(o *Options) { o.LeaseTerm, o.SessionExpiry = 300*time.Millisecond, 900*time.Millisecond })
+		dead, alive := c.subscribe("dead", "a"), c.subscribe("alive", "b")
+		dead.renew()
+		isOpen := func(s *subscription) bool {
+			var open bool
+			m := c.members[c.leader()]
+			Expect(m.replica.Do(context.Background(), func() {
+				for _, id := range m.machine.OpenSessions() {
+					open = open || id.Session == s.session
+				}
+			})).To(Succeed())
+			return open
+		}
+		Eventually(func() bool {
+			alive.try()
+			return isOpen(dead)
+		}, patience, 10*time.Millisecond).Should(BeFalse())
+		Eventually(func() bool { return dead.try().SessionEnded }, patience, 10*time.Millisecond).Should(BeTrue())
+	})
+
+	// Guards against entry VMs at other control VMs that go on sending to an
+	// upstream that is leaving.
+	It("passes a sign on to the entry VMs of other control VMs, and a drain", func() {
+		start(nil)
+		from, to := c.subscribe("from", "a"), c.subscribe("to", "b")
+		to.renew()
+		from.renew(settings.Sign{Address: "10.0.0.1:80", State: settings.SignLeaving, From: "from"})
+		var got []settings.Sign
+		Eventually(func() []settings.Sign {
+			got = append(got, to.renew().Signs...)
+			return got
+		}, patience, 10*time.Millisecond).ShouldNot(BeEmpty())
+		Expect(got[0].Address).To(Equal("10.0.0.1:80"))
+		Expect(from.renew().Signs).To(BeEmpty(), "its own sign came back")
+		Expect(c.members["c"].server.Drain(context.Background(), "to")).To(Succeed())
+		Eventually(func() bool { return to.renew().Drain }, patience, 10*time.Millisecond).Should(BeTrue())
+		Expect(from.renew().Drain).To(BeFalse())
+	})
+
+	// Guards against a certificate of an entry VM that takes part in the
+	// group or renews for another.
+	It("refuses calls that the peer's role does not allow", func() {
+		start(nil)
+		entry := c.mem.Endpoint("entry-1", transport.Peer{})
+		for _, m := range []transport.Method{transport.MethodRaft, transport.MethodSnapshot} {
+			_, err := entry.Call(context.Background(), "a", m, nil)
+			Expect(err).To(MatchError(ContainSubstring("use a certificate of a control VM")))
+		}
+		body, err := wire.Encode(&wire.Renew{Session: ids.SessionID{VM: "other", Incarnation: 1}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = entry.Call(context.Background(), "a", transport.MethodRenew, body)
+		Expect(err).To(MatchError(ContainSubstring("correct the VM's name")))
+	})
+
+	// Guards against a graceful end that leaves the group without a leader
+	// for an election time, and against a lost acknowledged command.
+	It("hands leadership over when it closes", func() {
+		start(nil)
+		c.claims(5)
+		m := c.members[c.leader()]
+		m.endpoint.Listen(m.server)
+		Expect(m.replica.Close(context.Background())).To(Succeed())
+		Expect(m.replica.published.Load().isLeader()).To(BeFalse())
+		m.endpoint.Listen(nil)
+		m.server.Close()
+		c.claims(5)
+		c.expectKept()
+	})
+
+	// Guards against a replica that goes on after its disk has failed.
+	It("stops for good when the disk fails", func() {
+		disks := map[ids.VMID]*failingFS{}
+		start(func(o *Options) {
+			disks[o.Self] = &failingFS{FS: osFiles()}
+			o.FS = disks[o.Self]
+		})
+		c.claims(3)
+		m := c.members[c.leader()]
+		disks[m.vm].fail.Store(true)
+		c.claims(3)
+		Eventually(m.replica.Done(), patience).Should(BeClosed())
+		Expect(m.replica.Err()).To(MatchError(ContainSubstring("the replica has stopped")))
+		_, err := m.replica.Propose(context.Background(), command.Command{})
+		Expect(err).To(Or(MatchError(ErrStopped), BeNil()))
+		c.expectKept()
+	})
+})
