--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -345,5 +345,11 @@
 				t.Fatalf("%s says that %d is in effect, accepted was %d", c.hub.self, c.hub.inEffect, len(s.accepted))
 			}
 		}
+		late := ids.SessionID{VM: "late", Incarnation: 1}
+		s.open[late] = true
+		s.run(time.Second)
+		if !s.open[late] {
+			t.Fatalf("a session that was opened late expired before its first renewal")
+		}
 	})
 }
