Test the latency, failure and slow-start costs of routing

Cause: each of the three could be switched off without a failing test. Ruled out: a check for an ended call in Complete; its end closes every attempt, so the check never decided anything and is gone. Before: three mechanisms without a proof. After: two specs, seen to fail without them. Conclusion: every scorer now has a test that needs it.

--- a/retry/call.go
+++ b/retry/call.go
@@ -171,9 +171,9 @@
 		return c.Fail(r.Carrier, Mismatch, now)
 	}
 	a := &c.attempts[r.Carrier-1]
-	if c.ended || !a.open {
+	// The end of the call has closed every attempt.
+	if !a.open {
 		c.counts.Late++
-		a.open = false
 		a.state = answered
 		return nil
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -190,6 +190,44 @@
 		Expect(s.credibility).To(BeNumerically("<", 0.05))
 	})
 
+	It("avoids an upstream that is slower or has just failed, before it is ejected", func() {
+		for i := range 5 {
+			now := start.Add(time.Duration(i) * time.Second)
+			serve(0, Success, 25*time.Millisecond, now)
+			for n := 1; n < 4; n++ {
+				serve(n, Success, 10*time.Millisecond, now)
+			}
+		}
+		now := start.Add(5 * time.Second)
+		serve(1, Failure, time.Millisecond, now)
+		for range 30 {
+			c := choose(Request{}, now)
+			Expect(c.Upstream.Address).To(BeElementOf(address(2), address(3)))
+			r.Done(c.Ticket, Outcome{Result: Cancelled}, now)
+		}
+	})
+
+	It("gives a returning upstream little work at first and its share later", func() {
+		count := func(now time.Time) (n int) {
+			var open []Ticket
+			for range 80 {
+				c := choose(Request{}, now)
+				open = append(open, c.Ticket)
+				if c.Upstream.Address == address(0) {
+					n++
+				}
+			}
+			for _, t := range open {
+				r.Done(t, Outcome{Result: Cancelled}, now)
+			}
+			return n
+		}
+		tr.ObserveRefused(address(0), start)
+		back := start.Add(membership.DefaultRefusedHold)
+		Expect(count(back)).To(BeNumerically("~", 4, 3))
+		Expect(count(back.Add(membership.DefaultSlowStart))).To(BeNumerically("~", 20, 5))
+	})
+
 	It("ejects after consecutive failures, probes once with backoff and re-admits", func() {
 		for range DefaultEjectFailures {
 			serve(0, Failure, time.Millisecond, start)
