admission: count the time that a place is held; take samples early

Cause: an engine's place is held beyond the sampled latency of its first token, so the demand was too small, and samples that came with the end of the request came late. Goodput now counts the answers given while requests arrive; before it passed 1 by what was served afterwards. Conclusion: call Progress with the first token.

--- a/admission/experiment_test.go
+++ b/admission/experiment_test.go
@@ -83,8 +83,11 @@
 
 type outcome struct {
 	offered, rejected, good int
-	capacity                float64
-	latencies               []time.Duration
+	// inWindow counts the good answers given before the end of the arrivals, so
+	// that goodput does not exceed capacity by what is served afterwards.
+	inWindow  int
+	capacity  float64
+	latencies []time.Duration
 	// byWorkspace and byPriority count good answers and offers.
 	byWorkspace, offersW []int
 	byPriority, offersP  []int
@@ -109,7 +112,7 @@
 	return modelDeadline
 }
 
-func (o *outcome) goodput() float64 { return float64(o.good) / o.capacity }
+func (o *outcome) goodput() float64 { return float64(o.inWindow) / o.capacity }
 
 // simulate runs one load. With gated false every request is sent at once.
 func simulate(load func(at time.Duration) float64, gated bool, eng engine, seed uint64) *outcome {
@@ -172,11 +175,15 @@
 			o.offersP[prio]++
 		}
 		answer := func() {
+			inTime := c.now-at <= eng.deadline()
+			if inTime && c.now >= modelWarm && c.now <= modelTime {
+				o.inWindow++
+			}
 			if at < modelWarm {
 				return
 			}
 			o.latencies = append(o.latencies, c.now-at)
-			if c.now-at <= eng.deadline() {
+			if inTime {
 				o.good++
 				o.byWorkspace[ws]++
 				o.byPriority[prio]++
@@ -188,7 +195,11 @@
 			var t Ticket
 			run := func() {
 				sent, latency := c.now, time.Duration(0)
-				serve(demand, func() { latency = c.now - sent }, func() {
+				serve(demand, func() {
+					latency = c.now - sent
+					g.Progress(t, latency, start.Add(c.now))
+					drain(vm)
+				}, func() {
 					answer()
 					if !eng {
 						latency = c.now - sent
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -42,6 +42,8 @@
 type grant struct {
 	since time.Time
 	batch bool
+	// latency is the sample given by Progress, if any.
+	latency time.Duration
 }
 
 // NewGate gives a gate with an empty queue. Options are as checked by Check.
@@ -80,19 +82,39 @@
 	return it.ticket
 }
 
+// Progress gives the latency of a granted request before its end, as with the
+// first token of an engine. The limit then reacts by the time that the request
+// is held sooner. Release counts no second latency for it.
+func (g *Gate) Progress(t Ticket, latency time.Duration, now time.Time) {
+	gr, ok := g.granted[t]
+	if !ok || gr.latency != 0 {
+		return
+	}
+	gr.latency = max(1, latency)
+	g.granted[t] = gr
+	g.limiter.Observe(Sample{Latency: latency}, len(g.granted), now)
+	g.Advance(now)
+}
+
 // Release ends a granted request.
 func (g *Gate) Release(t Ticket, s Sample, now time.Time) {
 	gr, ok := g.granted[t]
 	if !ok {
 		return
 	}
-	g.limiter.Observe(s, len(g.granted), now)
+	if gr.latency != 0 {
+		s.Latency = gr.latency
+	}
+	if gr.latency == 0 || s.Outcome == Dropped {
+		g.limiter.Observe(s, len(g.granted), now)
+	}
 	delete(g.granted, t)
 	if gr.batch {
 		g.batch--
 	}
 	if s.Outcome == OK {
 		g.observeHold(now.Sub(gr.since))
+		g.limiter.observeHold(now.Sub(gr.since), s.Latency)
 	}
 	g.Advance(now)
 }
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -63,6 +63,9 @@
 	ramped bool
 	// offered counts the requests offered in the window.
 	offered int
+	// extra is the mean time in nanoseconds that a place is held beyond the
+	// latency of its sample, as by an engine after the first token.
+	extra float64
 }
 
 // NewLimiter gives a limiter at its initial limit.
@@ -152,7 +155,13 @@
 	l.set(l.limit + limitGain*(target-l.limit))
 }
 
-// demand gives the places that the offered requests would hold at once at the
+// observeHold takes the time that a place was held by a request whose latency
+// was sampled.
+func (l *Limiter) observeHold(hold, latency time.Duration) {
+	l.extra += holdGain * (float64(max(0, hold-latency)) - l.extra)
+}
+
+// demand gives the places that the offered requests would hold at once with the
 // long-term latency. With the present latency, the limit would feed on the
 // congestion that it causes.
 func (l *Limiter) demand(now time.Time) float64 {
@@ -160,7 +169,7 @@
 	if elapsed <= 0 {
 		return 0
 	}
-	return float64(l.offered) / elapsed * l.baseline
+	return float64(l.offered) / elapsed * (l.baseline + l.extra)
 }
 
 func (l *Limiter) set(limit float64) {
--- a/admission/shared.go
+++ b/admission/shared.go
@@ -41,6 +41,15 @@
 	return Waiter{Ticket: t, Done: done}
 }
 
+// Progress is Gate.Progress.
+func (s *Shared) Progress(pool string, t Ticket, latency time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.at(pool)
+	w.gate.Progress(t, latency, now)
+	w.deliver()
+}
+
 // Release is Gate.Release.
 func (s *Shared) Release(pool string, t Ticket, sample Sample, now time.Time) {
 	s.mu.Lock()
