admission: lower the limit when most requests under way are overdue

Cause: when a 3x load meets limits from quiet times, the first samples come after the queue has grown beyond the deadline. Conclusion: eight times the tolerated latency, for more than half of the requests.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -327,6 +327,34 @@
 		Expect(limit(12)).To(BeNumerically(">", 3*limit(2)))
 	})
 
+	It("counts a latency given by Progress once and lowers the limit for overdue requests", func() {
+		o := DefaultOptions()
+		g := NewGate(o)
+		now := start
+		var held []Ticket
+		for range 40 {
+			held = append(held, g.Offer(Request{Workspace: "x"}, now))
+		}
+		for range 3 {
+			now = now.Add(o.Limiter.Window)
+			for _, t := range held[:o.Limiter.WindowSamples] {
+				g.Progress(t, 10*time.Millisecond, now)
+				g.Progress(t, time.Hour, now)
+				g.Release(t, Sample{Latency: time.Hour}, now)
+			}
+			held = held[o.Limiter.WindowSamples:]
+		}
+		Expect(g.limiter.Baseline()).To(Equal(10 * time.Millisecond))
+		before := g.Limit()
+		g.Advance(start.Add(o.Limiter.Window))
+		Expect(g.Limit()).To(Equal(before))
+		for range 10 {
+			now = now.Add(o.Limiter.Window)
+			g.Advance(now)
+		}
+		Expect(g.Limit()).To(BeNumerically("<", before/2))
+	})
+
 	It("gives each waiter of Shared one event", func() {
 		s := NewShared(fixed(1))
 		a := s.Offer("p", Request{Workspace: "x"}, start)
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -33,9 +33,11 @@
 	holdMean float64
 	// busySince is when the queue was last empty; zero while it is.
 	busySince time.Time
-	events    []Event
-	counts    Counts
-	hints     uint64
+	// checked is when the requests under way were last checked for their age.
+	checked time.Time
+	events  []Event
+	counts  Counts
+	hints   uint64
 }
 
 // grant is a request under way.
@@ -133,6 +135,7 @@
 // Call it regularly while requests wait.
 func (g *Gate) Advance(now time.Time) {
 	g.shedLate(now)
+	g.checkOverdue(now)
 	for {
 		it := g.choose(now)
 		if it == nil {
@@ -146,6 +149,24 @@
 	}
 }
 
+// checkOverdue looks once per window whether most requests under way are overdue.
+func (g *Gate) checkOverdue(now time.Time) {
+	limit := g.limiter.overdueAfter()
+	if now.Sub(g.checked) < g.opts.Limiter.Window || limit == 0 || len(g.granted) < g.opts.Limiter.WindowSamples {
+		return
+	}
+	g.checked = now
+	overdue := 0
+	for _, gr := range g.granted {
+		if gr.latency == 0 && now.Sub(gr.since) > limit {
+			overdue++
+		}
+	}
+	if 2*overdue > len(g.granted) {
+		g.limiter.Overdue(now)
+	}
+}
+
 // Events gives what has happened since the last call.
 func (g *Gate) Events() []Event {
 	events := g.events
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -13,6 +13,9 @@
 	// long-term minimum is taken. The least of many medians of a few samples
 	// lies far below the usual latency and would look like congestion.
 	smoothGain = 0.2
+	// overdueFactor is how far above Tolerance the age of most requests under
+	// way must be to count as congestion.
+	overdueFactor = 8
 	// gradientFloor bounds how far one window lowers the limit.
 	gradientFloor = 0.6
 	// rampFactor is the growth per window before the first sign of congestion.
@@ -105,6 +108,21 @@
 	}
 }
 
+// overdueAfter gives the age at which a request without a sample shows
+// congestion by itself; 0 while nothing is known.
+func (l *Limiter) overdueAfter() time.Duration {
+	return time.Duration(overdueFactor * l.opts.Tolerance * l.baseline)
+}
+
+// Overdue lowers the limit because most requests under way have had no answer
+// for longer than overdueAfter. Their samples would come too late.
+func (l *Limiter) Overdue(now time.Time) {
+	l.ramped = true
+	l.set(l.limit * (1 - limitGain*(1-gradientFloor)))
+	l.offered = 0
+	l.started = now
+}
+
 func (l *Limiter) adjust(now time.Time) {
 	busy := float64(l.peak) >= l.limit/2
 	if len(l.window) > 0 {
