Test the count of early samples and of the time a place is held

Cause: both could be switched off unseen. Ruled out: nothing. Conclusion: each mechanism of the limiter has a test that needs it.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -308,7 +308,7 @@
 	})
 
 	It("settles at limits in proportion to the demand of VMs that see the same latency", func() {
-		limit := func(offers int) int {
+		limit := func(offers int, hold time.Duration) int {
 			l := NewLimiter(DefaultOptions().Limiter)
 			now := start
 			for i := range 4000 {
@@ -320,11 +320,13 @@
 				if i > 100 {
 					latency = 120 * time.Millisecond
 				}
+				l.observeHold(hold, latency)
 				l.Observe(Sample{Latency: latency}, l.Limit(), now)
 			}
 			return l.Limit()
 		}
-		Expect(limit(12)).To(BeNumerically(">", 3*limit(2)))
+		Expect(limit(12, 0)).To(BeNumerically(">", 3*limit(2, 0)))
+		Expect(limit(2, time.Second)).To(BeNumerically(">", 3*limit(2, 0)), "a place is held beyond the latency")
 	})
 
 	It("counts a latency given by Progress once and lowers the limit for overdue requests", func() {
@@ -345,6 +347,11 @@
 			held = held[o.Limiter.WindowSamples:]
 		}
 		Expect(g.limiter.Baseline()).To(Equal(10 * time.Millisecond))
+		t := g.Offer(Request{Workspace: "x"}, now)
+		samples := g.limiter.samples
+		g.Progress(t, 10*time.Millisecond, now)
+		g.Release(t, Sample{Latency: time.Hour}, now)
+		Expect(g.limiter.samples).To(Equal(samples + 1))
 		before := g.Limit()
 		g.Advance(start.Add(o.Limiter.Window))
 		Expect(g.Limit()).To(Equal(before))
