--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -86,7 +86,7 @@
 		}
 		c.Controls = append(c.Controls, v)
 	}
-	if err := c.applyDocument(ctx); err != nil {
+	if err := c.Apply(ctx, "sample-document", c.opts.Deployment.Document()); err != nil {
 		return err
 	}
 	for i := range c.opts.Entries {
--- a/controlvm/http.go
+++ b/controlvm/http.go
@@ -58,15 +58,6 @@
 	p.Write(w)
 }
 
-// RequestAccount is the answer of GET /v1/audit/requests/{id}.
-type RequestAccount struct {
-	Summary audit.Summary `json:"summary"`
-	Records []audit.Entry `json:"records"`
-	// Complete is false if a control VM could not be asked.
-	Complete bool       `json:"complete"`
-	Missing  []ids.VMID `json:"missing,omitempty"`
-}
-
 // accountRequest accounts for one request.
 func (v *VM) accountRequest(ctx context.Context, r *http.Request) (any, error) {
 	id, err := ids.ParseRequestID(r.PathValue("id"))
@@ -79,18 +70,10 @@
 	}
 	entries, missing := v.reader().Query(ctx, id)
 	b := &backend{vm: v}
-	out := RequestAccount{Summary: audit.Account(id, entries, state), Records: entries, Complete: len(missing) == 0, Missing: b.names(missing)}
+	out := admin.RequestAccount{Summary: audit.Account(id, entries, state), Records: entries, Complete: len(missing) == 0, Missing: b.names(missing)}
 	return out, nil
 }
 
-// UnaccountedAnswer is the answer of GET /v1/audit/unaccounted: what the ended
-// sessions leave open.
-type UnaccountedAnswer struct {
-	Sessions []audit.UnaccountedReport `json:"sessions"`
-	Complete bool                      `json:"complete"`
-	Missing  []ids.VMID                `json:"missing,omitempty"`
-}
-
 // unaccounted lists the requests without an end of all ended sessions.
 func (v *VM) unaccounted(ctx context.Context, _ *http.Request) (any, error) {
 	sessions, err := v.sessions(ctx)
@@ -98,7 +81,7 @@
 		return nil, err
 	}
 	b := &backend{vm: v}
-	out := UnaccountedAnswer{Complete: true, Sessions: []audit.UnaccountedReport{}}
+	out := admin.UnaccountedReply{Complete: true, Sessions: []audit.UnaccountedReport{}}
 	for i := range sessions {
 		state := stateOf(&sessions[i])
 		if !state.Ended {
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -43,6 +43,7 @@
 func commands() []subcommand {
 	return []subcommand{
 		{"apply", "apply a document", (*run).apply},
+		{"account", "account for one request: account REQUEST", (*run).account},
 		{"audit", "query the audit log", (*run).audit},
 		{"check", "check a document without a server", (*run).check},
 		{"diff", "show what a document would change", (*run).diff},
@@ -51,6 +52,8 @@
 		{"history", "show accepted changes, newest first", (*run).history},
 		{"keys", "make certificates and tokens: keys init|issue|rotate|renew|retire|token|digest", (*run).keys},
 		{"status", "show control VMs and entry VMs", (*run).status},
+		{"unaccounted", "list requests without an end of ended sessions", (*run).unaccounted},
+		{"verify", "check the hash chain of every audit log", (*run).verify},
 	}
 }
 
--- a/dev/checks.go
+++ b/dev/checks.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
+	"damaskbridge.example/damaskbridge/admin"
 	"damaskbridge.example/damaskbridge/audit"
-	"damaskbridge.example/damaskbridge/controlvm"
 	"damaskbridge.example/damaskbridge/entry"
 	"damaskbridge.example/damaskbridge/load"
 	"damaskbridge.example/damaskbridge/problem"
@@ -172,9 +172,9 @@
 // account asks the audit log about the request until its end is durable.
 func (s *sampler) account(ctx context.Context, r *result) error {
 	const tries, pause = 100, 50 * time.Millisecond
-	var got controlvm.RequestAccount
+	var got admin.RequestAccount
 	for range tries {
-		if err := s.c.Operator(ctx, http.MethodGet, "/v1/audit/requests/"+r.request, nil, "", &got); err != nil {
+		if err := s.c.Operator().Get(ctx, "/v1/audit/requests/"+r.request, nil, &got); err != nil {
 			return err
 		}
 		if got.Summary.End != nil {
--- a/e2e/settings.go
+++ b/e2e/settings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +11,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/cluster"
+	"damaskbridge.example/damaskbridge/ctl"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/keys"
 	"damaskbridge.example/damaskbridge/transport"
@@ -100,3 +102,8 @@
 	out, err := cmd.CombinedOutput()
 	return string(out), err
 }
+
+// Operator gives a client of the operators' API of all control VMs.
+func (s *System) Operator() *ctl.Client {
+	return &ctl.Client{Addrs: s.AdminURLs(), Token: cluster.OperatorToken, HTTP: http.DefaultClient}
+}
