--- a/relay/direction.go
+++ b/relay/direction.go
@@ -45,6 +45,13 @@
 // Restore ends a cut.
 func (d *Direction) Restore() { d.setCut(false) }
 
+// IsCut says whether the direction is cut.
+func (d *Direction) IsCut() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cut
+}
+
 func (d *Direction) setCut(cut bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -40,6 +40,12 @@
 // RealLoad gives the upstream's present load.
 func (u *Upstream) RealLoad() (running, waiting int) { return u.core.RealLoad() }
 
+// Faulty says whether a fault is in force at the upstream.
+func (u *Upstream) Faulty(kind FaultKind) bool {
+	_, ok := u.core.faults.get(kind)
+	return ok
+}
+
 // Fleet is a running deployment of simulators. It is safe for concurrent use.
 type Fleet struct {
 	config    FleetConfig
