Lead callers of other regions over the links of a fleet

Each region gets a list of members of its own, in which upstreams elsewhere have addresses of relays, so that traffic between regions is delayed, counted and can be cut. The relay now also takes the round trip of a handshake.

--- a/relay/tcp.go
+++ b/relay/tcp.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
 )
@@ -57,8 +58,9 @@
 	}
 }
 
-// serve relays one connection. The target is reached only after the delay of
-// a handshake, and not while the forward direction is cut.
+// serve relays one connection. The target is reached only after the round trip
+// of a handshake, and not while a direction is cut; the caller, whose handshake
+// is with this relay, sees the wait in its first bytes.
 func (r *TCP) serve(caller net.Conn) {
 	t := newTunnel(caller)
 	if !r.add(t) {
@@ -67,7 +69,10 @@
 	}
 	defer r.remove(t)
 	defer t.close()
-	if !r.forward.await(t.stop) {
+	if !waitUntil(r.forward.due(time.Now(), 0), t.stop) || !r.forward.await(t.stop) {
+		return
+	}
+	if !waitUntil(r.back.due(time.Now(), 0), t.stop) || !r.back.await(t.stop) {
 		return
 	}
 	target, err := net.Dial("tcp", r.target)
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"sort"
 	"strconv"
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/relay"
 	"damaskbridge.example/damaskbridge/settings"
 )
 
@@ -56,6 +58,9 @@
 	keys      map[string]*KeyCount
 	admin     *Server
 	store     *Server
+	// network and crossings are nil without links between regions.
+	network   *relay.Network
+	crossings crossings
 }
 
 // StartFleet starts the upstreams of a description and the fleet's own
@@ -97,6 +102,9 @@
 			}
 		}
 	}
+	if err := f.link(); err != nil {
+		return err
+	}
 	f.showMembers()
 	f.admin, err = Serve(f.config.AdminAddress, f.adminHandler())
 	return err
@@ -195,6 +203,9 @@
 		}
 	}
 	f.weights.Close()
+	if f.network != nil {
+		f.network.Close()
+	}
 }
 
 // Config gives the description with its defaults.
@@ -203,9 +214,20 @@
 // Members gives the membership list.
 func (f *Fleet) Members() *Members { return f.members }
 
-// MembersURL gives the URL of the membership list.
+// MembersURL gives the URL of the membership list with the upstreams' own
+// addresses.
 func (f *Fleet) MembersURL() string { return f.admin.URL() + "/members" }
 
+// RegionMembersURL gives the URL of the membership list for callers in one
+// region: upstreams of other regions are listed with addresses that lead over
+// the links. Without links it lists the same as MembersURL.
+func (f *Fleet) RegionMembersURL(region ids.Region) string {
+	return f.admin.URL() + "/regions/" + url.PathEscape(string(region)) + "/members"
+}
+
+// Network gives the links between regions, nil without links.
+func (f *Fleet) Network() *relay.Network { return f.network }
+
 // AdminURL gives the base URL of the fleet's switches and counters.
 func (f *Fleet) AdminURL() string { return f.admin.URL() }
 
--- a/standin/fleet_test.go
+++ b/standin/fleet_test.go
@@ -70,6 +70,36 @@
 		Expect(f.Fault(Selector{VM: "none"}, Fault{Kind: FaultDrain})).To(MatchError(ContainSubstring("no upstream")))
 	})
 
+	It("leads callers of another region over the link, which can be cut", func() {
+		f := start(PresetDev, func(c *FleetConfig) { c.Links = &LinksConfig{} })
+		far := f.Pool("encoders")[1]
+		address := func(region string) string {
+			_, body := newPeer(f.AdminURL()).must("GET", "/regions/"+region+"/members", nil)
+			for _, m := range decodeTo[MemberList](body).Members {
+				if m.VM == far.VM {
+					return m.Address
+				}
+			}
+			return ""
+		}
+		Expect(address("two")).To(Equal(far.Address()))
+		Expect(address("one")).To(HavePrefix("127.0.1."))
+		p := newPeer("http://" + address("one"))
+		p.must("POST", "/v1/stages/encode", stageRequest{}, HeaderAttempt, "r/s/1")
+		Expect(far.Journal().Ran("r")).To(Equal(1))
+		Expect(f.Network().Direction("one", "two").Bytes()).To(BeNumerically(">", 0))
+		admin := newPeer(f.AdminURL())
+		admin.must("POST", "/links", LinkChange{Action: LinkCut, A: "two"})
+		p.http.Timeout = 50 * time.Millisecond
+		_, err := p.call("POST", "/v1/stages/encode", stageRequest{}, HeaderAttempt, "r2/s/1")
+		Expect(err).To(HaveOccurred())
+		Expect(far.Journal().Ran("r2")).To(BeZero())
+		admin.must("POST", "/links", LinkChange{Action: LinkRestore, A: "two"})
+		p.http.Timeout = patience
+		p.must("POST", "/v1/stages/encode", stageRequest{}, HeaderAttempt, "r3/s/1")
+		Expect(far.Journal().Ran("r3")).To(Equal(1))
+	})
+
 	DescribeTable("presets have the sizes of the users", func(name string, pools map[string]int) {
 		c, err := Preset(name)
 		Expect(err).NotTo(HaveOccurred())
--- a/standin/fleetadmin.go
+++ b/standin/fleetadmin.go
@@ -47,6 +47,9 @@
 func (f *Fleet) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /members", f.members)
+	mux.HandleFunc("GET /regions/{region}/members", f.serveRegionMembers)
+	mux.HandleFunc("GET /links", f.serveLinks)
+	mux.HandleFunc("POST /links", f.serveLinkChange)
 	mux.HandleFunc("POST /fault", f.serveFault)
 	mux.HandleFunc("POST /members/show", f.serveShow)
 	mux.HandleFunc("GET /counters", f.serveCounters)
