Run experiments on deployments in the same process

damask-load -deployment starts a cluster for each run, with baselines that switch parts of the entry VMs' policy off.

--- a/cmd/damask-load/main.go
+++ b/cmd/damask-load/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"damaskbridge.example/damaskbridge/load"
 )
@@ -24,6 +25,8 @@
 }
 
 func run() error {
+	var experiments experimentFlags
+	experiments.register()
 	config := flag.String("config", "", "file with the options of the run")
 	rate := flag.Float64("rate", 0, "requests per second, in place of the file's")
 	duration := flag.Duration("duration", 0, "duration of the schedule, in place of the file's")
@@ -37,8 +40,11 @@
 		fmt.Println(buildVersion())
 		return nil
 	}
+	if experiments.local.Deployment != "" {
+		return runExperiments(&experiments, *rate, *duration, *check, *asJSON)
+	}
 	if *config == "" {
-		return errors.New("give -config")
+		return errors.New("give -config or -deployment")
 	}
 	o, err := load.LoadOptions(*config)
 	if err != nil {
@@ -63,7 +69,7 @@
 		fmt.Println("load: the settings are valid")
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := interruptible()
 	defer stop()
 	report, err := load.Run(ctx, o)
 	if report != nil {
@@ -74,6 +80,24 @@
 	return err
 }
 
+func runExperiments(f *experimentFlags, rate float64, duration time.Duration, check, asJSON bool) error {
+	p, err := f.plan(rate, duration)
+	if err != nil {
+		return err
+	}
+	if check {
+		fmt.Println("load: the settings are valid")
+		return nil
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	return f.run(ctx, p, asJSON)
+}
+
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
 func write(report *load.Report, asJSON bool) error {
 	if !asJSON {
 		return report.WriteTable(os.Stdout)
