--- a/load/experiment/cluster.go
+++ b/load/experiment/cluster.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// linksUsed says that a cut can't have had an effect because nothing goes over
+// the network's links.
+func (c *Cluster) linksUsed() error {
+	if c.CutRegion != nil {
+		return nil
+	}
+	for _, n := range c.Network.Bytes() {
+		if n > 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: nothing went over the links; give entry VMs the fleet's RegionMembersURL", ErrSkipped)
+}
+
 func (c *Cluster) kill(ctx context.Context, index int) error {
 	if c.KillEntry == nil {
 		return fmt.Errorf("%w: KillEntry", ErrSkipped)
--- a/load/experiment/experiment_test.go
+++ b/load/experiment/experiment_test.go
@@ -170,6 +170,22 @@
 		Expect(d.IsCut()).To(BeFalse())
 	})
 
+	// Guards against a cut of links that no traffic uses being reported as
+	// withstood.
+	It("does not count a cut of links that carry nothing", func() {
+		p := plan(mustFind(RegionCut))
+		p.Start = func(ctx context.Context, baseline string, seed uint64) (*Cluster, error) {
+			c, err := start(ctx, baseline, seed)
+			if err == nil {
+				c.Network = relay.NewNetwork(0, 0)
+			}
+			return c, err
+		}
+		rows, err := p.Run(context.Background(), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows[0].Error).To(ContainSubstring("nothing went over the links"))
+	})
+
 	It("multiplies the load in the burst scenario", func() {
 		got := mustFind(Burst).bursts(10 * time.Second)
 		Expect(got).To(Equal([]load.Burst{{Start: 3 * time.Second, Duration: 4 * time.Second, Factor: 3}}))
--- a/load/experiment/scenario.go
+++ b/load/experiment/scenario.go
@@ -208,7 +208,10 @@
 	}
 	restore := func(ctx context.Context, e *Env) error {
 		regions := e.Cluster.Fleet.Config().Regions
-		return e.Cluster.restore(ctx, regions[len(regions)-1])
+		if err := e.Cluster.restore(ctx, regions[len(regions)-1]); err != nil {
+			return err
+		}
+		return e.Cluster.linksUsed()
 	}
 	return []Action{{At: faultBegins, Do: cut}, {At: faultEnds, Do: restore}}
 }
