ledger: bound remembered releases, refuse late claims of requests that gave up

Cause: released requests were remembered for the whole session, which is unbounded under overload (each 429 with Damask-Not-Executed releases a key). An entry VM that gives up a claim without knowing its result could leave a claim under way that is granted later and holds the key until its session ends.

--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -54,11 +54,8 @@
 	session ids.SessionID
 	entries int
 	// claims holds the slots of the session's claimed entries.
-	claims map[slot]struct{}
-	// released holds the sequence numbers of requests that released a key. A
-	// claim of theirs that arrives late is a repeated message and would hold
-	// the key for nobody.
-	released map[uint64]struct{}
+	claims   map[slot]struct{}
+	released released
 }
 
 // chunkLen is the number of entries that are allocated, and copied, together.
--- a/ledger/file.go
+++ b/ledger/file.go
@@ -43,7 +43,7 @@
 func (l *Ledger) Freeze() *Frozen {
 	f := &Frozen{chunks: l.slab.freeze(), watermark: l.watermark, tombs: l.tombs.clone(), used: l.slab.used}
 	for _, h := range l.holders {
-		f.holders = append(f.holders, frozenHolder{session: h.session, released: sortedSeqs(h.released)})
+		f.holders = append(f.holders, frozenHolder{session: h.session, released: h.released.list()})
 	}
 	slices.SortFunc(f.holders, func(a, b frozenHolder) int {
 		return compareSessions(a.session, b.session)
@@ -203,7 +203,7 @@
 		}
 		h := l.holder(session)
 		for range r.count(1) {
-			h.released[r.uvarint()] = struct{}{}
+			h.released.add(r.uvarint())
 		}
 		all = append(all, h)
 	}
@@ -262,15 +262,6 @@
 	l.queue.push(&l.slab, due{at: e.due(), slot: i})
 }
 
-func sortedSeqs(set map[uint64]struct{}) []uint64 {
-	all := make([]uint64, 0, len(set))
-	for seq := range set {
-		all = append(all, seq)
-	}
-	slices.Sort(all)
-	return all
-}
-
 func compareSessions(a, b ids.SessionID) int {
 	if a.VM != b.VM {
 		if a.VM < b.VM {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -62,7 +62,7 @@
 		return r
 	}
 	h := l.holder(c.Request.Session)
-	if _, late := h.released[c.Request.Seq]; late {
+	if h.released.has(c.Request.Seq) {
 		return command.Result{Code: command.NotOwner, Detail: "the request has released its claim; use a new request"}
 	}
 	i := l.slab.add(entry{
@@ -121,10 +121,8 @@
 func (l *Ledger) Release(c *command.Release) command.Result {
 	i, r, ok := l.owned(c.Workspace, c.Key, c.Request)
 	if !ok {
-		if h := l.holders[c.Request.Session]; h != nil {
-			if _, again := h.released[c.Request.Seq]; again {
-				return command.Result{}
-			}
+		if h := l.holders[c.Request.Session]; h != nil && h.released.has(c.Request.Seq) {
+			return command.Result{}
 		}
 		return r
 	}
@@ -135,12 +133,18 @@
 	case unknown:
 		l.queue.drop(&l.slab, i)
 	case claimed:
-		e.owner.released[c.Request.Seq] = struct{}{}
+		e.owner.released.add(c.Request.Seq)
 	}
 	l.forget(i)
 	return command.Result{}
 }
 
+// Forgo notes that a request of an open session will not dispatch, although it
+// owns no key: a claim of it that is still under way is refused.
+func (l *Ledger) Forgo(r ids.RequestID) {
+	l.holder(r.Session).released.add(r.Seq)
+}
+
 // EndSession makes the claims of a session unknown. It must be called when
 // the session ends, after which no claim of it may be passed to Claim.
 func (l *Ledger) EndSession(id ids.SessionID, nowUnixMS int64) {
@@ -151,7 +155,7 @@
 	for _, i := range sortedSlots(h.claims) {
 		l.settle(i, unknown, nowUnixMS)
 	}
-	clear(h.released)
+	h.released.clear()
 	if h.entries == 0 {
 		delete(l.holders, id)
 	}
@@ -236,7 +240,7 @@
 	delete(l.index, e.id)
 	l.slab.remove(i)
 	h.entries--
-	if h.entries == 0 && len(h.released) == 0 {
+	if h.entries == 0 && len(h.released.order) == 0 {
 		delete(l.holders, h.session)
 	}
 }
@@ -256,7 +260,7 @@
 func (l *Ledger) holder(id ids.SessionID) *holder {
 	h, ok := l.holders[id]
 	if !ok {
-		h = &holder{session: id, claims: map[slot]struct{}{}, released: map[uint64]struct{}{}}
+		h = &holder{session: id, claims: map[slot]struct{}{}}
 		l.holders[id] = h
 	}
 	return h
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -99,6 +99,16 @@
 		Expect(l.Claim(claim("k", request("c", 1))).Code).To(Equal(command.ClaimInProgress), "and frees nothing")
 	})
 
+	It("remembers a bounded number of releases, the newest ones", func() {
+		for n := range uint64(releasedMax + 1) {
+			l.Claim(claim("k", request("a", n+1)))
+			l.Release(release("k", request("a", n+1)))
+		}
+		Expect(l.Claim(claim("k", request("a", 2))).Code).To(Equal(command.NotOwner))
+		Expect(l.holders[a.Session].released.set).To(HaveLen(releasedMax))
+		Expect(l.Claim(claim("k", a)).Code).To(Equal(command.ClaimGranted))
+	})
+
 	It("keeps a tombstone for a plain key and a watermark for UUIDv7", func() {
 		old := v7(100, 1)
 		for _, k := range []string{"ran", "lost", old} {
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -92,7 +92,7 @@
 	case c.Record != nil:
 		return m.ledger.Record(c.Record, m.now)
 	case c.Release != nil:
-		return m.ledger.Release(c.Release)
+		return m.release(c.Release)
 	case c.Lookup != nil:
 		return m.ledger.Lookup(c.Lookup)
 	case c.Retire != nil:
@@ -147,6 +147,16 @@
 	return m.ledger.Claim(c)
 }
 
+// release also refuses later claims of a request that owns nothing: its entry
+// VM has given up, and a claim may still be under way.
+func (m *Machine) release(c *command.Release) command.Result {
+	r := m.ledger.Release(c)
+	if r.Code == command.NotOwner && m.sessions.Check(c.Request).Code == command.OK {
+		m.ledger.Forgo(c.Request)
+	}
+	return r
+}
+
 // retire never removes answers that are younger than the setting
 // ledger.answer_retention, whatever time the command names.
 func (m *Machine) retire(c *command.Retire) command.Result {
--- a/machine/machine_test.go
+++ b/machine/machine_test.go
@@ -66,6 +66,12 @@
 		Expect(apply(claim("a", 2)).Code).To(Equal(command.ClaimDone))
 	})
 
+	It("refuses a claim that arrives after its request has given up", func() {
+		r := ids.RequestID{Session: sid("a", 1), Seq: 1}
+		Expect(apply(command.Command{Release: &command.Release{Workspace: "w", Key: "k", Request: r}}).Code).To(Equal(command.NotOwner))
+		Expect(apply(claim("a", 1)).Code).To(Equal(command.NotOwner))
+	})
+
 	It("never lets its time go back and refuses a time out of range", func() {
 		apply(command.Command{NowUnixMS: 50, Lookup: &command.Lookup{Workspace: "w", Key: "k"}})
 		Expect(m.NowUnixMS()).To(Equal(int64(100)))
