--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -155,7 +155,14 @@
 			Expect(w.Code).To(Equal(http.StatusUnauthorized), header)
 			Expect(w.Header().Get("Content-Type")).To(Equal(problem.ContentType))
 		}
-		_, err := NewOperators([]Operator{{Name: "a", TokenSHA256: []string{"x"}}})
+		var counters strings.Builder
+		a.WriteMetrics(&counters)
+		Expect(counters.String()).To(ContainSubstring(`damask_admin_problems_total{reason="unauthenticated"} 5`))
+		named, err := OperatorsOf([]string{TokenDigest(testToken)})
+		Expect(err).NotTo(HaveOccurred())
+		name, _ := named.find("Bearer " + testToken)
+		Expect(name).To(Equal("token-" + TokenDigest(testToken)[:8]))
+		_, err = NewOperators([]Operator{{Name: "a", TokenSHA256: []string{"x"}}})
 		Expect(err).To(MatchError(ContainSubstring("64 hex digits")))
 	})
 
--- a/admin/api.go
+++ b/admin/api.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"damaskbridge.example/damaskbridge/problem"
+	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -30,11 +32,12 @@
 	backend   Backend
 	operators *Operators
 	mux       *http.ServeMux
+	metrics   *metrics.Set
 }
 
 // New gives the API over a backend for the given operators.
 func New(b Backend, operators *Operators) *API {
-	a := &API{backend: b, operators: operators, mux: http.NewServeMux()}
+	a := &API{backend: b, operators: operators, mux: http.NewServeMux(), metrics: metrics.NewSet()}
 	a.handle("POST /v1/changes", a.postChange)
 	a.handle("GET /v1/changes/{id}", a.getChange)
 	a.handle("POST /v1/diff", a.postDiff)
@@ -67,12 +70,12 @@
 		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
 		operator, ok := a.operators.find(r.Header.Get("Authorization"))
 		if !ok {
-			unauthenticated().Write(w)
+			a.refuse(w, unauthenticated())
 			return
 		}
 		v, err := h(&call{Request: r, operator: operator})
 		if err != nil {
-			toProblem(r, err).Write(w)
+			a.refuse(w, toProblem(r, err))
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
@@ -81,6 +84,15 @@
 	})
 }
 
+// refuse counts a problem by its reason and sends it.
+func (a *API) refuse(w http.ResponseWriter, p *problem.Problem) {
+	a.metrics.GetOrCreateCounter(fmt.Sprintf("damask_admin_problems_total{reason=%q}", p.Reason)).Inc()
+	p.Write(w)
+}
+
+// WriteMetrics writes the counters in the text format of Prometheus.
+func (a *API) WriteMetrics(w io.Writer) { a.metrics.WritePrometheus(w) }
+
 func unauthenticated() *problem.Problem {
 	p := problem.New(problem.Unauthenticated, problem.NotRun, "the call needs an operator's token")
 	p.Remedy = "Send a valid operator token as 'Authorization: Bearer ...'."
