--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -24,7 +24,7 @@
 	if got := l.Claim(claim(key, r)); got.Code != command.ClaimGranted {
 		panic(fmt.Sprint("claim: code ", got.Code))
 	}
-	l.Record(&command.Record{Workspace: "w", Key: key, Request: r, Answer: command.Answer{Status: 200}}, int64(i))
+	l.Record(&command.Record{Workspace: "w", Key: key, Request: r, Answer: command.Answer{Status: 200, ContentType: string([]byte("application/json"))}}, int64(i))
 }
 
 func plainKey(i int) string { return fmt.Sprint("booking-", i) }
--- a/ledger/file.go
+++ b/ledger/file.go
@@ -254,6 +254,9 @@
 func (l *Ledger) restore(e entry) {
 	i := l.slab.add(e)
 	l.index[e.id] = i
+	if e.answer != nil {
+		e.answer.ContentType = l.types.get(e.answer.ContentType)
+	}
 	e.owner.entries++
 	if e.state == claimed {
 		e.owner.claims[i] = struct{}{}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,6 +23,7 @@
 	// stored count as used, in milliseconds since 1970. It never falls.
 	watermark int64
 	tombs     tombstones
+	types     intern
 }
 
 // Stats counts what a ledger holds.
@@ -35,7 +36,7 @@
 
 // New gives an empty ledger.
 func New() *Ledger {
-	return &Ledger{index: map[keyID]slot{}, holders: map[ids.SessionID]*holder{}}
+	return &Ledger{index: map[keyID]slot{}, holders: map[ids.SessionID]*holder{}, types: intern{}}
 }
 
 // Stats counts entries and tombstones.
@@ -111,6 +112,7 @@
 	}
 	answer := c.Answer
 	answer.Body = bytes.Clone(c.Answer.Body)
+	answer.ContentType = l.types.get(c.Answer.ContentType)
 	l.slab.edit(i).answer = &answer
 	l.settle(i, done, nowUnixMS)
 	return command.Result{Owner: c.Request}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -142,6 +142,24 @@
 		Expect(t.Validate()).To(MatchError(And(ContainSubstring("new.key"), ContainSubstring("deadline.max"), ContainSubstring("priority.default"))))
 	})
 
+	It("keeps a bounded history and says when a winner is older", func() {
+		t := NewTree()
+		for n := range uint64(historyMin + 3) {
+			t, _ = t.Apply(Change{ID: fmt.Sprint(n), Base: n, Ops: []Op{set("", HedgeEnabled, "true")}})
+		}
+		Expect(t.Version()).To(Equal(uint64(historyMin + 3)))
+		_, ok := t.Since(2)
+		Expect(ok).To(BeFalse())
+		changes, ok := t.Since(3)
+		Expect(ok).To(BeTrue())
+		Expect(changes).To(HaveLen(historyMin))
+		Expect(changes[0].Version).To(Equal(uint64(4)))
+		_, r := t.Apply(Change{ID: "old", Base: 2, Ops: []Op{set("", HedgeEnabled, "true")}})
+		Expect(r.State).To(Equal(Conflict))
+		Expect(r.Winner).To(BeNil())
+		Expect(r.Detail).To(ContainSubstring("the winning change 3 is older than the history"))
+	})
+
 	It("keeps the last 100,000 results and all of the last 30 days", func() {
 		t := NewTree()
 		add := func(n int, at int64) {
