--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -9,8 +9,14 @@
 const (
 	// limitGain is the weight of a new limit against the present one.
 	limitGain = 0.3
+	// smoothGain is the weight of a window's median in the mean from which the
+	// long-term minimum is taken. The least of many medians of a few samples
+	// lies far below the usual latency and would look like congestion.
+	smoothGain = 0.2
 	// gradientFloor bounds how far one window lowers the limit.
 	gradientFloor = 0.5
+	// rampFactor is the growth per window before the first sign of congestion.
+	rampFactor = 1.5
 	// windowCap bounds the samples kept for one window's median.
 	windowCap = 128
 )
@@ -45,11 +51,16 @@
 	opts     LimiterOptions
 	limit    float64
 	baseline float64
-	window   []float64
-	samples  int
-	drops    int
-	peak     int
-	started  time.Time
+	// smooth is the mean of the windows' medians.
+	smooth  float64
+	window  []float64
+	samples int
+	drops   int
+	peak    int
+	started time.Time
+	// ramped says that the limit has met congestion once. Before, it grows
+	// faster: a VM that has just started must not reject what the pool can take.
+	ramped bool
 	// offered counts the requests offered in the window.
 	offered int
 }
@@ -106,8 +117,12 @@
 
 // follow updates the baseline and the limit from a window's median latency.
 func (l *Limiter) follow(latency float64, busy bool, now time.Time) {
-	if l.baseline == 0 || latency < l.baseline {
-		l.baseline = latency
+	if l.smooth == 0 {
+		l.smooth = latency
+	}
+	l.smooth += smoothGain * (latency - l.smooth)
+	if l.baseline == 0 || l.smooth < l.baseline {
+		l.baseline = l.smooth
 	} else {
 		life := l.opts.BaselineIdle
 		if busy {
@@ -117,6 +132,15 @@
 		l.baseline += (latency - l.baseline) * min(1, elapsed)
 	}
 	gradient := min(1, max(gradientFloor, l.opts.Tolerance*l.baseline/latency))
+	if gradient < 1 || l.drops > 0 {
+		l.ramped = true
+	}
+	if !l.ramped {
+		if busy {
+			l.set(l.limit * rampFactor)
+		}
+		return
+	}
 	step := 1 + l.opts.DemandPart*l.demand(now)
 	if gradient == 1 {
 		step = max(step, math.Sqrt(l.limit))
