settings: allow one ledger group until entry VMs use more

Cause: entry.groupOf gives group 1 whatever the setting says. A tree with ledger.groups 4 would be ignored today and, once a program reads it, hide the claims of group 1, so that a repeated request could run twice. After: the bound is 1, beside the rule that only the first change may set it.

--- a/settings/spec.go
+++ b/settings/spec.go
@@ -75,7 +75,10 @@
 	duration(StreamResumeRetention, "60s", 0, time.Hour),
 	duration(UpstreamProgressWindow, "5s", 50*time.Millisecond, 10*time.Minute),
 	rootOnly(duration(AnswerRetention, "24h", time.Minute, 30*day)),
-	rootOnly(Spec{Key: LedgerGroups, Unit: UnitCount, Default: "1", Min: 1, Max: 64}),
+	// Entry VMs claim every key in group 1 today. A greater number would be
+	// without effect until a later program reads it and then looks for claims
+	// of group 1 in other groups, so that a repeat could run twice.
+	rootOnly(Spec{Key: LedgerGroups, Unit: UnitCount, Default: "1", Min: 1, Max: 1}),
 	{Key: AuditBeforeDispatch, Unit: UnitChoice, Default: "durable", Choices: []string{"durable", "async"}},
 	// The customer audits once a year, so the default outlasts a year.
 	rootOnly(duration(AuditRetention, "9600h", day, 3660*day)),
