--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -77,7 +77,8 @@
 	Entry("out of bounds", set("", EjectionMaxPercent, "51"), "root branch", "from 0 to 50"),
 	Entry("contradiction", set("guild", DeadlineDefault, "10m"), `branch "guild"`, "above deadline.max", "lower it or raise"),
 	Entry("root only", set("guild", LedgerGroups, "1"), "ledger.groups", "root branch"),
-	Entry("groups after the first change", set("", LedgerGroups, "2"), "ledger.groups", "fixed by the first change"),
+	Entry("more groups than entry VMs use", set("", LedgerGroups, "2"), "ledger.groups", "from 1 to 1"),
+	Entry("groups after the first change", set("", LedgerGroups, "1"), "ledger.groups", "fixed by the first change"),
 	Entry("missing pool", Op{Kind: PutPipeline, Pipeline: &Pipeline{Name: "p", Stages: []Stage{{Name: "s", Kind: Rerank, Pool: "none"}}}}, `pipeline "p"`, "stage s", `pool "none" does not exist`),
 	Entry("pool of another kind", Op{Kind: PutPipeline, Pipeline: &Pipeline{Name: "p", Stages: []Stage{{Name: "s", Kind: Rerank, Pool: "enc"}}}}, "kind encode", "kind rerank is needed"),
 	Entry("pool changes its kind under a stage", Op{Kind: PutPool, Pool: &Pool{Name: "enc", Kind: Rerank}}, `pipeline "draft"`, "stage e"),
@@ -142,6 +143,24 @@
 		Expect(t.Validate()).To(MatchError(And(ContainSubstring("new.key"), ContainSubstring("deadline.max"), ContainSubstring("priority.default"))))
 	})
 
+	It("keeps a bounded history and says when a winner is older", func() {
+		t := NewTree()
+		for n := range uint64(historyMin + 3) {
+			t, _ = t.Apply(Change{ID: fmt.Sprint(n), Base: n, Ops: []Op{set("", HedgeEnabled, "true")}})
+		}
+		Expect(t.Version()).To(Equal(uint64(historyMin + 3)))
+		_, ok := t.Since(2)
+		Expect(ok).To(BeFalse())
+		changes, ok := t.Since(3)
+		Expect(ok).To(BeTrue())
+		Expect(changes).To(HaveLen(historyMin))
+		Expect(changes[0].Version).To(Equal(uint64(4)))
+		_, r := t.Apply(Change{ID: "old", Base: 2, Ops: []Op{set("", HedgeEnabled, "true")}})
+		Expect(r.State).To(Equal(Conflict))
+		Expect(r.Winner).To(BeNil())
+		Expect(r.Detail).To(ContainSubstring("the winning change 3 is older than the history"))
+	})
+
 	It("keeps the last 100,000 results and all of the last 30 days", func() {
 		t := NewTree()
 		add := func(n int, at int64) {
