Tests: catch an unmarked replay, a cancel without effect and a partial hash

With the mark of a replay not required, cancel ignored, or a block hashed alone, the tests still passed.

--- a/load/fake_test.go
+++ b/load/fake_test.go
@@ -59,8 +59,9 @@
 	resumable bool
 	// runTwice executes each key twice; forget executes none.
 	runTwice, forget bool
-	// noStore answers a repeated key without the stored response.
-	noStore bool
+	// noStore answers a repeated key without the stored response; noMark does
+	// not mark a stored response.
+	noStore, noMark bool
 	// refuse answers not_run; refuseAfter executes before it does.
 	refuse      problem.Kind
 	refuseAfter bool
@@ -196,7 +197,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if stored, ok := l.stored[key]; ok && key != "" && !f.noStore {
-		w.Header().Set("Damask-Replayed", "true")
+		if !f.noMark {
+			w.Header().Set("Damask-Replayed", "true")
+		}
 		_, _ = io.WriteString(w, stored)
 		return
 	}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -122,6 +122,10 @@
 		only(r, Duplicate)
 	})
 
+	ginkgo.It("catches a stored response that is not marked as replayed", func() {
+		only(drive(nil, KindRepeat, &fakeEntry{noMark: true}, &fakeEntry{noMark: true}), Wrong)
+	})
+
 	ginkgo.It("tells true refusals from false ones", func() {
 		only(drive(nil, KindPipeline, &fakeEntry{refuse: problem.Overloaded}), RefusedTrue)
 		r := drive(nil, KindPipeline, &fakeEntry{refuse: problem.Overloaded, refuseAfter: true})
--- a/standin/content/content_test.go
+++ b/standin/content/content_test.go
@@ -71,3 +71,17 @@
 		}
 	})
 }
+
+// Guards against hashes that name a block without the blocks before it.
+func TestPrefixChainDependsOnAllEarlierBlocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rest := strings.Repeat("x", content.BlockBytes*rapid.IntRange(1, 4).Draw(t, "blocks"))
+		a := content.PrefixChain(strings.Repeat("a", content.BlockBytes) + rest)
+		b := content.PrefixChain(strings.Repeat("b", content.BlockBytes) + rest)
+		for i := range a {
+			if a[i] == b[i] {
+				t.Fatalf("block %d of %d has the same hash after another beginning", i, len(a))
+			}
+		}
+	})
+}
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -44,6 +44,7 @@
 		_, p := serve(e)
 		res, err := p.call("POST", "/v1/chat/completions", chat("long", 20000, true), HeaderAttempt, "r/g/1")
 		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return e.Journal().Ran("r") }).Should(Equal(1))
 		Expect(res.Body.Close()).To(Succeed())
 		Eventually(func() int64 { return e.Counters().Cancelled }).Should(BeEquivalentTo(1))
 		Expect(e.Counters().Finished).To(BeZero())
@@ -55,6 +56,9 @@
 		res, err := p.call("POST", "/v1/chat/completions", chat("long", 20000, true), HeaderAttempt, "r/g/1")
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = res.Body.Close() }()
+		// A sequence that is cancelled in the queue has not executed and is
+		// not counted.
+		Eventually(func() int { return e.Journal().Ran("r") }).Should(Equal(1))
 		_, body := p.must("POST", "/v1/cancel/r/g/1", nil)
 		Expect(string(body)).To(ContainSubstring("true"))
 		Eventually(func() int64 { return e.Counters().Cancelled }).Should(BeEquivalentTo(1))
@@ -106,6 +110,26 @@
 		Expect(order).To(Equal([]string{"2", "1", "3", "0"}))
 	})
 
+	It("gives the place of a cancelled attempt free, whether it runs or waits", func() {
+		o := options
+		o.MaxBatch = 1
+		e := newEngine(o)
+		for _, attempt := range []string{"running", "waiting", "last"} {
+			Expect(e.submit(testSequence(attempt, "", 9))).To(BeTrue())
+		}
+		_, _, ok := e.plan()
+		Expect(ok).To(BeTrue())
+		Expect(e.cancel("waiting")).To(BeTrue())
+		Expect(e.cancel("running")).To(BeTrue())
+		Expect(e.cancel("running")).To(BeFalse())
+		_, _, ok = e.plan()
+		Expect(ok).To(BeTrue())
+		Expect(e.batch[0].attempt).To(Equal("last"))
+		Expect(e.queue).To(BeEmpty())
+		Expect(e.Counters().Executed).To(BeEquivalentTo(2))
+		Expect(e.Counters().Cancelled).To(BeEquivalentTo(1))
+	})
+
 	It("takes longer for a larger batch and for uncached prompt tokens", func() {
 		e := newEngine(options)
 		Expect(e.stepTime(8, 0)).To(BeNumerically(">", e.stepTime(1, 0)))
--- a/standin/fault_test.go
+++ b/standin/fault_test.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -104,7 +106,17 @@
 		}
 	})
 
-	It("responds late and counts the work done for a caller who had gone", func() {
+	It("runs a call to its end although its caller has gone, and counts that", func() {
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		r := httptest.NewRequestWithContext(gone, "POST", "/call/book", nil)
+		r.Header.Set(HeaderKey, "k")
+		service.ServeHTTP(httptest.NewRecorder(), r)
+		Expect(service.Keys().Executions("k")).To(Equal(1))
+		Expect(service.Counters().FinishedAfterGone).To(BeEquivalentTo(1))
+	})
+
+	It("responds late", func() {
 		fault(Fault{Kind: FaultLate, DelayMS: 60_000, Count: 1})
 		done := make(chan error, 1)
 		go func() {
