--- a/entry/budgets.go
+++ b/entry/budgets.go
@@ -15,11 +15,12 @@
 // budgets keeps one retry budget for each pool. It is safe for concurrent use.
 type budgets struct {
 	mu    sync.Mutex
+	opts  retry.BudgetOptions
 	pools map[string]*retry.SharedBudget
 }
 
 func newBudgets() *budgets {
-	return &budgets{pools: make(map[string]*retry.SharedBudget)}
+	return &budgets{opts: retry.DefaultBudgetOptions(), pools: make(map[string]*retry.SharedBudget)}
 }
 
 func (b *budgets) of(pool string) *retry.SharedBudget {
@@ -27,12 +28,22 @@
 	defer b.mu.Unlock()
 	shared, ok := b.pools[pool]
 	if !ok {
-		shared = retry.NewSharedBudget(retry.DefaultBudgetOptions())
+		shared = retry.NewSharedBudget(b.opts)
 		b.pools[pool] = shared
 	}
 	return shared
 }
 
+// tune puts options into effect for all pools.
+func (b *budgets) tune(o retry.BudgetOptions) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opts = o
+	for _, shared := range b.pools {
+		shared.Tune(o)
+	}
+}
+
 // retryPolicy is the policy for a stage that may be repeated. The stage is given
 // up when the later ones could not end in the time left.
 func (s *Server) retryPolicy(q *request, st settings.Stage, grant budget.Grant) retry.Policy {
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
@@ -25,18 +24,21 @@
 	log        *log.Logger
 }
 
-func newRunners(o Options, client *upstream.Client) *runners {
-	rng := rand.New(rand.NewPCG(uint64(o.Seed), 1))
+func newRunners(o Options, client *upstream.Client) (*runners, error) {
+	router, err := newRouter(o)
+	if err != nil {
+		return nil, err
+	}
 	return &runners{
 		self:       o.VM,
 		region:     o.Region,
 		membersURL: o.MembersURL,
 		every:      o.MembersEvery,
 		members:    membership.NewShared(membership.DefaultOptions(o.VM)),
-		router:     routing.NewShared(routing.DefaultOptions(o.Region), rng),
+		router:     router,
 		client:     client,
 		log:        o.Logger,
-	}
+	}, nil
 }
 
 // run reads the membership list and the runners' loads until ctx ends.
--- a/entry/server.go
+++ b/entry/server.go
@@ -55,8 +55,12 @@
 		times: budget.NewShared(budget.DefaultOptions()), seq: newSequence(), streams: newStreams(),
 		started: time.Now().Truncate(time.Second),
 	}
-	s.runners = newRunners(o, s.client)
+	var err error
+	if s.runners, err = newRunners(o, s.client); err != nil {
+		return nil, err
+	}
 	s.sub = newSubscriber(o, s.seq)
+	s.sub.onTree = s.tune
 	s.sub.signs = s.runners.members.Signs
 	s.sub.onSigns = func(signs []settings.Sign) { s.runners.members.ApplySigns(signs, time.Now()) }
 	return s, nil
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -8,12 +8,15 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	opts Options
+	// progress is Options.ProgressTimeout in nanoseconds, as tuned.
+	progress atomic.Int64
 
 	mu      sync.Mutex
 	runners map[string]*http.Transport
@@ -21,9 +24,15 @@
 
 // NewClient makes a client.
 func NewClient(o Options) *Client {
-	return &Client{opts: o.withDefaults(), runners: make(map[string]*http.Transport)}
+	c := &Client{opts: o.withDefaults(), runners: make(map[string]*http.Transport)}
+	c.progress.Store(int64(c.opts.ProgressTimeout))
+	return c
 }
 
+// TuneProgress sets the progress timeout of connections that are opened from
+// then on.
+func (c *Client) TuneProgress(d time.Duration) { c.progress.Store(int64(d)) }
+
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -50,29 +59,34 @@
 	defer c.mu.Unlock()
 	t, ok := c.runners[addr]
 	if !ok {
-		t = c.newTransport(nil, c.opts.ProgressTimeout)
+		t = c.newTransport(nil)
 		c.runners[addr] = t
 	}
 	return t
 }
 
-func (c *Client) newTransport(g Guard, progress time.Duration) *http.Transport {
+func (c *Client) newTransport(g Guard) *http.Transport {
 	return &http.Transport{
-		DialContext:         c.dialer(g, progress),
+		DialContext:         c.dialer(g),
 		MaxIdleConnsPerHost: c.opts.MaxIdle,
 		IdleConnTimeout:     c.opts.ProgressTimeout,
 		DisableCompression:  true,
 	}
 }
 
-func (c *Client) dialer(g Guard, progress time.Duration) func(context.Context, string, string) (net.Conn, error) {
+func (c *Client) dialer(g Guard) func(context.Context, string, string) (net.Conn, error) {
 	d := net.Dialer{Timeout: c.opts.DialTimeout, KeepAlive: time.Second}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &progressConn{Conn: conn, timeout: progress, guard: g}, nil
+		if g != nil {
+			// Giving up a guarded call early would only turn an answer into
+			// an unknown end, so its connection has no progress timeout.
+			return &progressConn{Conn: conn, guard: g}, nil
+		}
+		return &progressConn{Conn: conn, timeout: time.Duration(c.progress.Load())}, nil
 	}
 }
 
@@ -116,14 +130,12 @@
 }
 
 // transportFor gives a transport of its own to a guarded call, so that it goes
-// over a new connection that nothing in between can have lost track of. It has
-// no progress timeout: giving up such a call early would only turn an answer
-// into an unknown end.
+// over a new connection that nothing in between can have lost track of.
 func (c *Client) transportFor(k call) *http.Transport {
 	if k.guard == nil {
 		return c.shared(k.addr)
 	}
-	t := c.newTransport(k.guard, 0)
+	t := c.newTransport(k.guard)
 	t.DisableKeepAlives = true
 	return t
 }
