Entry VM: fenced orders that load what pipelines need

Cause: engines that lack a pipeline's model refused its requests for good; nothing used the fencing state. Ruled out: orders from control VMs, which are not near the upstreams; one holder for a whole pool, which would make a dead holder block all engines. Before: a pipeline whose model no engine has loaded answered no_upstream.

--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -64,10 +64,14 @@
 	url      string
 }
 
-func newBench() *bench {
+func newBench() *bench { return newBenchWith(func(*standin.FleetConfig) {}) }
+
+// newBenchWith changes the fleet before it starts.
+func newBenchWith(change func(*standin.FleetConfig)) *bench {
 	cfg, err := standin.Preset(standin.PresetDev)
 	Expect(err).NotTo(HaveOccurred())
 	cfg.TimeScale = 0.2
+	change(&cfg)
 	fleet, err := standin.StartFleet(cfg)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(fleet.Close)
--- a/entry/server.go
+++ b/entry/server.go
@@ -86,6 +86,7 @@
 	s.loop(func() { s.sub.runReserver(ctx) })
 	s.loop(func() { s.runners.run(ctx) })
 	s.loop(func() { s.runAdvance(ctx) })
+	s.loop(func() { (&orderGiver{s: s}).run(ctx) })
 	s.loop(func() { newEnginePoller(s.runners, s.generatePools).run(ctx) })
 	s.loop(func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -36,8 +36,10 @@
 
 // EngineState is what an engine has loaded.
 type EngineState struct {
-	Models       []string          `json:"models"`
-	Adapters     []string          `json:"adapters"`
+	Models   []string `json:"models"`
+	Adapters []string `json:"adapters"`
+	// Loading lists models and adapters that an order has begun to load.
+	Loading      []string          `json:"loading"`
 	Versions     map[string]string `json:"versions"`
 	Role         string            `json:"role"`
 	FencingToken uint64            `json:"fencing_token"`
