--- a/load/experiment/experiment_test.go
+++ b/load/experiment/experiment_test.go
@@ -170,6 +170,18 @@
 		Expect(d.IsCut()).To(BeFalse())
 	})
 
+	It("says that a scenario was not finished when the load ended", func() {
+		forever := Action{Do: func(ctx context.Context, _ *Env) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}}
+		rows, err := plan(Scenario{Name: "x", Actions: []Action{forever}}).Run(context.Background(), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows[0].Unfinished).To(BeTrue())
+		Expect(rows[0].Error).To(BeEmpty())
+		Expect(Summarize(rows)[0].Unfinished).To(Equal(1))
+	})
+
 	// Guards against a cut of links that no traffic uses being reported as
 	// withstood.
 	It("does not count a cut of links that carry nothing", func() {
--- a/load/experiment/plan.go
+++ b/load/experiment/plan.go
@@ -74,12 +74,16 @@
 	sleep(ctx, p.Settled)
 	report, err := p.measure(ctx, s, c, seed)
 	row.fill(report)
-	if err != nil {
+	row.Unfinished = errors.Is(err, errUnfinished)
+	if err != nil && !row.Unfinished {
 		row.Error = err.Error()
 	}
 	return row
 }
 
+// errUnfinished says that the load ended before the last action did.
+var errUnfinished = errors.New("experiment: the scenario was not finished")
+
 func (p Plan) measure(ctx context.Context, s Scenario, c *Cluster, seed uint64) (*load.Report, error) {
 	o := p.Load
 	o.Entries = c.Entries
@@ -93,8 +97,8 @@
 	wait := act(acting, s.Actions, env)
 	report, err := load.Run(ctx, o)
 	stop()
-	if failed := wait(); failed != nil && !errors.Is(failed, context.Canceled) {
-		err = errors.Join(err, failed)
+	if failed := wait(); failed != nil && err == nil {
+		err = failed
 	}
 	if c.Fleet != nil {
 		_ = c.Fleet.Fault(standin.Selector{}, standin.Fault{Kind: standin.FaultReturn})
@@ -111,9 +115,12 @@
 	running.Go(func() {
 		for i, a := range inOrder(actions) {
 			if !sleep(ctx, time.Until(start.Add(part(env.Duration, a.At)))) {
+				errs[i] = errUnfinished
 				return
 			}
-			errs[i] = a.Do(ctx, env)
+			if errs[i] = a.Do(ctx, env); errors.Is(errs[i], context.Canceled) {
+				errs[i] = errUnfinished
+			}
 		}
 	})
 	return func() error {
--- a/load/experiment/row.go
+++ b/load/experiment/row.go
@@ -23,6 +23,9 @@
 	Violations int                  `json:"violations"`
 	Outcomes   map[load.Outcome]int `json:"outcomes"`
 	Report     *load.Report         `json:"report,omitempty"`
+	// Unfinished is set if the load ended before the scenario's last action did,
+	// so that a part of the scenario did not take place.
+	Unfinished bool `json:"unfinished,omitempty"`
 	// Error says why the run is not valid, or was skipped.
 	Error string `json:"error,omitempty"`
 }
@@ -47,6 +50,7 @@
 	Min        float64 `json:"min_attainment"`
 	Max        float64 `json:"max_attainment"`
 	Violations int     `json:"violations"`
+	Unfinished int     `json:"unfinished"`
 	Errors     int     `json:"errors"`
 }
 
@@ -73,6 +77,9 @@
 				continue
 			}
 			s.Violations += r.Violations
+			if r.Unfinished {
+				s.Unfinished++
+			}
 			values = append(values, r.Attainment)
 		}
 		s.Runs = len(values)
@@ -95,9 +102,9 @@
 // WriteTable writes the summaries for people.
 func WriteTable(w io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "scenario\tbaseline\truns\tmedian\tmin\tmax\tviolations\terrors")
+	fmt.Fprintln(t, "scenario\tbaseline\truns\tmedian\tmin\tmax\tviolations\tunfinished\terrors")
 	for _, s := range Summarize(rows) {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%.4f\t%.4f\t%.4f\t%d\t%d\n", s.Scenario, s.Baseline, s.Runs, s.Median, s.Min, s.Max, s.Violations, s.Errors)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.4f\t%.4f\t%.4f\t%d\t%d\t%d\n", s.Scenario, s.Baseline, s.Runs, s.Median, s.Min, s.Max, s.Violations, s.Unfinished, s.Errors)
 	}
 	for _, r := range rows {
 		if r.Error != "" {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -223,6 +223,12 @@
 		Expect(inBurst).To(BeNumerically("~", 3000, 200))
 	})
 
+	ginkgo.It("accepts the example of the program", func() {
+		o, err := LoadOptions("../cmd/damask-load/example.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Check()).To(Succeed())
+	})
+
 	ginkgo.It("names file and line of an unknown key", func() {
 		path := filepath.Join(ginkgo.GinkgoT().TempDir(), "load.yaml")
 		Expect(os.WriteFile(path, []byte("seed: 1\nrate: 5\n"), 0o600)).To(Succeed())
--- a/standin/core.go
+++ b/standin/core.go
@@ -31,6 +31,9 @@
 	done    chan struct{}
 	close   sync.Once
 
+	// crashed drops what a process loses when it ends; nil drops nothing.
+	crashed func()
+
 	hookMu sync.Mutex
 	hook   func(Fault, *conn)
 
@@ -103,6 +106,9 @@
 	if hook != nil {
 		hook(f, spare)
 	}
+	if f.Kind == FaultCrash && k.crashed != nil {
+		k.crashed()
+	}
 	return nil
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -41,6 +41,7 @@
 		cache:   newPrefixCache(o.CacheBlocks, o.EventGap),
 	}
 	e.wake = sync.NewCond(&e.mu)
+	e.crashed = e.forget
 	e.orders = newOrderBook(e)
 	e.work("POST /v1/chat/completions", e.serveChat)
 	e.mux.HandleFunc("POST /v1/cancel/{request}/{stage}/{attempt}", e.serveCancel)
@@ -230,3 +231,20 @@
 	}
 	return false
 }
+
+// forget ends all sequences and empties the cache, as the end of the process
+// does. No event tells of it.
+func (e *Engine) forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, list := range [][]*sequence{e.queue, e.batch} {
+		for _, s := range list {
+			if !s.stopped {
+				s.stopped = true
+				close(s.cancelled)
+			}
+		}
+	}
+	e.cache.clear()
+	e.updateLoad()
+}
--- a/standin/fault_test.go
+++ b/standin/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -145,6 +146,36 @@
 		Expect(res.StatusCode).To(Equal(http.StatusOK))
 	})
 
+	It("finishes a stream in progress while it drains", func() {
+		e := NewEngine(EngineOptions{Common: Common{TimeScale: fast}})
+		_, p := serve(e)
+		q := chat("x", 400, true)
+		res, err := p.call("POST", "/v1/chat/completions", q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Fault(Fault{Kind: FaultDrain})).To(Succeed())
+		rejected, _ := p.must("POST", "/v1/chat/completions", q)
+		Expect(rejected.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		body, err := io.ReadAll(res.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(chunks(body)).To(HaveLen(len(content.Tokens(q.Messages, 400)) + 2))
+	})
+
+	It("loses streams and cache in a crash and works again after it", func() {
+		e := NewEngine(EngineOptions{Common: Common{TimeScale: fast}})
+		_, p := serve(e)
+		q := chat(strings.Repeat("cached context ", 40), 20000, true)
+		res, err := p.call("POST", "/v1/chat/completions", q, HeaderAttempt, "r/g/1")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return e.Journal().Ran("r") }).Should(Equal(1))
+		Expect(e.Fault(Fault{Kind: FaultCrash})).To(Succeed())
+		_, err = io.ReadAll(res.Body)
+		Expect(err).To(HaveOccurred())
+		Expect(e.Fault(Fault{Kind: FaultReturn})).To(Succeed())
+		q.Stream, q.MaxTokens = false, 4
+		_, body := newPeer(p.url).must("POST", "/v1/chat/completions", q)
+		Expect(decodeTo[chatBody](body).Usage.PromptTokensDetails.CachedTokens).To(BeZero())
+	})
+
 	It("reports a wrong load", func() {
 		fault(Fault{Kind: FaultWrongLoad, Running: 7, Waiting: 9})
 		_, body := p.must("GET", "/load", nil)
--- a/standin/fleet_test.go
+++ b/standin/fleet_test.go
@@ -122,6 +122,15 @@
 		Entry("nilegate", PresetNilegate, map[string]int{"language": 20, "orders": 3, "crew": 5, "parts": 5, "billing": 5}),
 	)
 
+	It("starts the example of the program", func() {
+		c, err := LoadFleetConfig("../cmd/damask-standin/example.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		c.AdminAddress = "127.0.0.1:0"
+		f, err := StartFleet(c)
+		Expect(err).NotTo(HaveOccurred())
+		f.Close()
+	})
+
 	It("names file and line of an unknown key", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "fleet.yaml")
 		text := "name: x\nregions: [a]\npools:\n  - name: p\n    kind: encode\n    runners: {a: 1}\n    runers: 2\n"
--- a/standin/prefixcache.go
+++ b/standin/prefixcache.go
@@ -105,6 +105,12 @@
 	}
 }
 
+// clear drops all blocks without events.
+func (c *prefixCache) clear() {
+	clear(c.blocks)
+	c.recent.Init()
+}
+
 // after gives the events with a higher number that happened by the limit.
 func (c *prefixCache) after(seq uint64, limit time.Time) []CacheEvent {
 	shown := []CacheEvent{}
