settings: compare use counts in the history test; answers not kept beyond the audit

Cause: the test compared the names of used resources but not their counts. After: counts and digests must equal those of a tree made anew; without the count or the digest of a replaced workspace taken back it fails.

--- a/settings/property_test.go
+++ b/settings/property_test.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !reflect.DeepEqual(anew.uses.sortedKeys(), tree.uses.sortedKeys()) || !reflect.DeepEqual(anew.tokens, tree.tokens) {
+	if !reflect.DeepEqual(anew.uses, tree.uses) || !reflect.DeepEqual(anew.tokens, tree.tokens) {
 		t.Fatalf("indexes differ from those of a new tree: uses %v and %v", tree.uses.sortedKeys(), anew.uses.sortedKeys())
 	}
 	if !bytes.Equal(b, mustEncode(t, anew)) {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -22,6 +22,8 @@
 var pairs = []pair{
 	{DeadlineDefault, DeadlineMax},
 	{AdmissionMinLimit, AdmissionMaxLimit},
+	// An answer is not given again once the records of its request are gone.
+	{AnswerRetention, AuditRetention},
 }
 
 // Validate checks the whole tree from scratch. Apply keeps every tree valid,
