settings, damaskctl: write the settings as a document

Cause: a section of a document is complete, so an operator without the file that was applied last could not change one resource by document. After: Tree.Document, GET /v1/document, damaskctl get -document. The YAML library wrote the valid names '---' and '...' so that they read as something else, so the document is written here. Naming true and false alone is not caught, since the library reads them as text into names; they stay quoted for other readers.

--- a/admin/api.go
+++ b/admin/api.go
@@ -42,6 +42,7 @@
 	a.handle("GET /v1/changes/{id}", a.getChange)
 	a.handle("POST /v1/diff", a.postDiff)
 	a.handle("GET /v1/version", a.getVersion)
+	a.handle("GET /v1/document", a.getDocument)
 	a.handle("GET /v1/effective", a.getEffective)
 	a.handle("GET /v1/objects/{kind}/{name}", a.getObject)
 	a.handle("GET /v1/history", a.getHistory)
--- a/admin/doc.go
+++ b/admin/doc.go
@@ -8,6 +8,7 @@
 //	POST /v1/diff                    operations that a document would make
 //	GET  /v1/changes/{id}            stored result of a change id
 //	GET  /v1/version                 current version
+//	GET  /v1/document                all settings as a document
 //	GET  /v1/effective               value of one key, or of all keys, at a branch
 //	GET  /v1/objects/{kind}/{name}   pool, pipeline, service or workspace
 //	GET  /v1/history                 accepted changes, newest first
--- a/admin/read.go
+++ b/admin/read.go
@@ -48,6 +48,21 @@
 	InEffect uint64 `json:"in_effect"`
 }
 
+// DocumentReply is the reply to GET /v1/document.
+type DocumentReply struct {
+	Version uint64 `json:"version"`
+	// Document is YAML, as POST /v1/changes takes it with base Version.
+	Document string `json:"document"`
+}
+
+func (a *API) getDocument(c *call) (any, error) {
+	tree, _, err := a.backend.Tree(c.Context())
+	if err != nil {
+		return nil, err
+	}
+	return DocumentReply{Version: tree.Version(), Document: string(tree.Document())}, nil
+}
+
 func (a *API) getVersion(c *call) (any, error) {
 	tree, age, err := a.backend.Tree(c.Context())
 	if err != nil {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -235,6 +235,18 @@
 		Expect(admin.TokenDigest(token.Token)).To(Equal(token.SHA256))
 	})
 
+	It("prints the settings as a document that can be applied", func() {
+		damaskctl("apply", "-f", file)
+		code, out, errs := damaskctl("get", "-document")
+		Expect(code).To(Equal(ExitOK), errs)
+		Expect(out).To(HavePrefix("# version 1; apply with -base 1\n"))
+		edited := strings.Replace(out, `"4s"`, `"3s"`, 1)
+		Expect(os.WriteFile(file, []byte(edited), 0o600)).To(Succeed())
+		_, out, _ = damaskctl("diff", "-f", file)
+		Expect(out).To(ContainSubstring("1 operations on version 1"))
+		Expect(out).To(ContainSubstring("deadline.default  3s"))
+	})
+
 	It("shows no difference after a document was applied", func() {
 		_, out, _ := damaskctl("diff", "-f", "/dev/null")
 		Expect(out).To(BeEmpty())
--- a/ctl/read.go
+++ b/ctl/read.go
@@ -15,6 +15,7 @@
 	branch := r.flags.String("branch", "", "`branch`, for instance guild/lagos; empty is the root")
 	key := r.flags.String("key", "", "`key`; empty shows all")
 	keys := r.flags.Bool("keys", false, "list all keys with unit, default and bounds; needs no server")
+	document := r.flags.Bool("document", false, "print all settings as a document, to edit and apply")
 	if err := r.parse(0, 2); err != nil {
 		return err
 	}
@@ -26,6 +27,9 @@
 		return err
 	}
 	defer cancel()
+	if *document {
+		return r.getDocument(ctx, c)
+	}
 	switch len(r.args) {
 	case 1:
 		return usage("give the object's name as well: get %s NAME", r.args[0])
@@ -39,6 +43,19 @@
 	return r.printEffective(reply)
 }
 
+// getDocument prints the settings with the base to apply the document on.
+func (r *run) getDocument(ctx context.Context, c *Client) error {
+	var reply admin.DocumentReply
+	if err := c.get(ctx, "/v1/document", nil, &reply); err != nil {
+		return err
+	}
+	if r.json {
+		return r.printJSON(reply)
+	}
+	fmt.Fprintf(r.Stdout, "# version %d; apply with -base %d\n%s", reply.Version, reply.Version, reply.Document)
+	return nil
+}
+
 func (r *run) getObject(ctx context.Context, c *Client) error {
 	var object json.RawMessage
 	path := "/v1/objects/" + url.PathEscape(r.args[0]) + "/" + url.PathEscape(r.args[1])
--- a/settings/fuzz_test.go
+++ b/settings/fuzz_test.go
@@ -8,6 +8,7 @@
 	f.Add([]byte(document1))
 	f.Add([]byte("branches:\n  \"\": {deadline.default: 4s}\n"))
 	f.Add([]byte("pools: [{name: a, kind: encode}, {name: a}]\n"))
+	f.Add([]byte("pools: [{name: p, kind: generate}]\npipelines: [{name: q, stages: [{name: s, kind: generate, pool: p, model: \"a:\\u00e9\\n\\0#\", adapter: ' x'}]}]\n"))
 	f.Add([]byte("pools: &x\n  - *x\n"))
 	f.Add([]byte("branches: {a: {b: [1]}}\n---\n"))
 	f.Add([]byte("workspaces:\n- name: !!binary x\n"))
@@ -24,5 +25,9 @@
 		if err != nil || len(rest) > 0 {
 			t.Fatalf("the document still differs after it was applied: %v, error %v", rest, err)
 		}
+		written := tree.Document()
+		if rest, err = ParseDocument("d.yaml", written, tree); err != nil || len(rest) > 0 {
+			t.Fatalf("the written document differs: %v, error %v:\n%s", rest, err, written)
+		}
 	})
 }
--- a/settings/property_test.go
+++ b/settings/property_test.go
@@ -112,6 +112,7 @@
 			}
 		}
 		follow(t, tree, follower)
+		checkDocument(t, tree)
 	})
 	t.Logf("accepted %d, refused %d", accepted, refused)
 	if accepted < refused/9 || refused < accepted/9 {
@@ -162,6 +163,25 @@
 	}
 }
 
+// checkDocument writes the tree as a document and reads it back.
+func checkDocument(t *rapid.T, tree *Tree) {
+	doc := tree.Document()
+	if ops, err := ParseDocument("d", doc, tree); err != nil || len(ops) > 0 {
+		t.Fatalf("the document differs from its tree by %v, error %v:\n%s", ops, err, doc)
+	}
+	ops, err := ParseDocument("d", doc, NewTree())
+	if err != nil {
+		t.Fatalf("%v:\n%s", err, doc)
+	}
+	anew, err := NewTree().Preview(ops)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(doc, anew.Document()) {
+		t.Fatalf("the document leads to another tree:\n%s", doc)
+	}
+}
+
 // follow replays what the follower lacks and then compares both.
 func follow(t *rapid.T, tree, follower *Tree) *Tree {
 	changes, ok := tree.Since(follower.Version())
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -224,6 +224,22 @@
 		}
 	})
 
+	It("keeps names that YAML would read as another type", func() {
+		var ops []Op
+		for _, name := range []string{"null", "true", "on", "No", "1", "1e3", "0x10", "0b1", "1_000", ".5", ".inf", "2026-01-01", "-", "--", "---", "-1", "...", "y"} {
+			ops = append(ops, set(name+"/"+name, HedgeEnabled, "true"), set(name, RetryMaxAttempts, "3"),
+				Op{Kind: PutPool, Pool: &Pool{Name: name, Kind: Plain}},
+				Op{Kind: PutService, Service: &Service{Name: name, Pool: name, RepeatableOps: []string{name}}},
+				Op{Kind: PutWorkspace, Workspace: &Workspace{Name: name, Branch: name, Services: []string{name}}})
+		}
+		t, r := NewTree().Apply(Change{ID: "names", Ops: ops})
+		Expect(r.State).To(Equal(Accepted), r.Detail)
+		doc := t.Document()
+		rest, err := ParseDocument("d.yaml", doc, t)
+		Expect(err).NotTo(HaveOccurred(), string(doc))
+		Expect(rest).To(BeEmpty(), string(doc))
+	})
+
 	It("leaves absent sections alone", func() {
 		ops, err := ParseDocument("d.yaml", []byte("branches:\n  guild: {deadline.default: 2s}\n"), sample())
 		Expect(err).NotTo(HaveOccurred())
