--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -16,6 +16,7 @@
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/machine"
+	"damaskbridge.example/damaskbridge/session"
 	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/transport"
 )
@@ -92,7 +93,8 @@
 	o := Options{
 		Self: vm, Group: ids.SettingsGroup, Addr: string(vm), Peers: c.peers, Dir: m.dir,
 		Machine: m.machine, Views: viewsOf(m.machine), Caller: m.endpoint,
-		Tick: 10 * time.Millisecond, RelayEvery: 40 * time.Millisecond,
+		Freeze: func() func() ([]byte, error) { return m.machine.Freeze().Encode },
+		Tick:   10 * time.Millisecond, RelayEvery: 40 * time.Millisecond,
 		// Only the tests of renewals renew sessions.
 		SessionExpiry: time.Hour,
 	}
@@ -118,6 +120,10 @@
 			}
 			return list
 		},
+		IsOpen: func(id ids.SessionID) bool {
+			info, ok := m.Session(id)
+			return ok && info.End == session.Open
+		},
 	}
 }
 
@@ -129,6 +135,17 @@
 	m.server.Close()
 }
 
+// silence keeps all messages between a control VM and the others under way
+// until their callers give up, as a silent partition does.
+func (c *cluster) silence(vm ids.VMID) {
+	c.mem.SetDelay(func(ctx context.Context, from, to string, _ transport.Method) {
+		between := c.members[ids.VMID(from)] != nil && c.members[ids.VMID(to)] != nil
+		if between && (from == string(vm)) != (to == string(vm)) {
+			<-ctx.Done()
+		}
+	})
+}
+
 func (c *cluster) stopAll() {
 	for vm, m := range c.members {
 		if m.replica.ctx.Err() == nil {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -84,9 +84,7 @@
 		start(nil)
 		c.claims(5)
 		cut := c.leader()
-		c.mem.Isolate(string(cut))
-		c.mem.Heal("entry-1", string(cut))
-		c.mem.Heal(string(cut), "entry-1")
+		c.silence(cut)
 		isolated := c.members[cut]
 		Eventually(func() bool { return isolated.replica.published.Load().isLeader() }, patience, time.Millisecond).Should(BeFalse())
 		before := isolated.replica.published.Load().settings.Version()
@@ -98,7 +96,7 @@
 		Expect(isolated.replica.published.Load().settings.Version()).To(Equal(before))
 		Expect(time.Now().Add(-age)).To(BeTemporally("<", accepted), "the proof is younger than a change it does not cover")
 		term := c.members[c.leader()].replica.published.Load().term
-		c.mem.HealAll()
+		c.mem.SetDelay(nil)
 		c.expectKept()
 		Expect(c.members[c.leader()].replica.published.Load().term).To(Equal(term))
 	})
--- a/control/loop.go
+++ b/control/loop.go
@@ -155,6 +155,7 @@
 func (r *Replica) apply(entries []raft.Entry) {
 	for _, e := range entries {
 		r.applied = e.Index
+		r.appliedBytes += int64(len(e.Data))
 		p := r.pending[e.Index]
 		delete(r.pending, e.Index)
 		if e.Kind != raft.EntryCommand {
--- a/control/machine.go
+++ b/control/machine.go
@@ -25,6 +25,9 @@
 type Views struct {
 	Settings func() SettingsView
 	Sessions func() []ids.SessionID
+	// IsOpen says whether a session is open. Nil means a search in Sessions,
+	// which costs the leader time in proportion to all sessions.
+	IsOpen func(ids.SessionID) bool
 	// RetireBefore gives the time of the next Retire command; nil for none.
 	RetireBefore func(nowUnixMS int64) int64
 }
--- a/control/options.go
+++ b/control/options.go
@@ -29,7 +29,12 @@
 	FS      wal.FS
 	Machine StateMachine
 	Views   Views
-	Caller  transport.Caller
+	// Freeze is called on the replica's goroutine and gives a function that
+	// encodes the state of that moment, as Machine.Snapshot does, on another
+	// goroutine. Nil means Machine.Snapshot, which holds up the heartbeats
+	// for as long as it takes.
+	Freeze func() (encode func() ([]byte, error))
+	Caller transport.Caller
 	// Tick is the unit of the election and heartbeat times.
 	Tick           time.Duration
 	ElectionTicks  int
--- a/control/relay.go
+++ b/control/relay.go
@@ -72,6 +72,10 @@
 	}
 }
 
+// reportsPerTerm is the number of reports that may each wait for their timeout
+// before the leases here run out.
+const reportsPerTerm = 6
+
 var errNoProof = errors.New("control: no leader with a proof is known")
 
 // reportOnce sends one report to the leader, or takes it here.
@@ -106,9 +110,10 @@
 	if err != nil {
 		return nil, err
 	}
-	// A report that takes longer than this brings no usable proof.
-	ctx, cancel := context.WithTimeout(ctx, s.opts.LeaseTerm/2)
+	ctx, cancel := s.replica.whileLed(ctx, v.leader)
 	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, s.opts.LeaseTerm/reportsPerTerm)
+	defer cancelTimeout()
 	b, err := s.opts.Caller.Call(ctx, addr, transport.MethodStatus, body)
 	if err != nil {
 		return nil, err
@@ -134,15 +139,24 @@
 	return s.hub.takeReport(time.Now(), s.replica.published.Load(), rep, open), nil
 }
 
-// openSessions reads the open sessions, if the report has any to compare.
+// openSessions gives those sessions of the report that are open, or all open
+// sessions without a report.
 func (s *Server) openSessions(ctx context.Context, rep *report) (map[ids.SessionID]bool, error) {
+	open := map[ids.SessionID]bool{}
 	if rep != nil && len(rep.Sessions) == 0 {
-		return nil, nil
+		return open, nil
 	}
-	open := map[ids.SessionID]bool{}
 	err := s.replica.Do(ctx, func() {
-		for _, id := range s.opts.Views.Sessions() {
-			open[id] = true
+		isOpen := s.opts.Views.IsOpen
+		if rep == nil || isOpen == nil {
+			for _, id := range s.opts.Views.Sessions() {
+				open[id] = true
+			}
+			return
+		}
+		for i := range rep.Sessions {
+			id := rep.Sessions[i].Session
+			open[id] = isOpen(id)
 		}
 	})
 	return open, err
--- a/control/renew_test.go
+++ b/control/renew_test.go
@@ -173,6 +173,27 @@
 		c.expectKept()
 	})
 
+	// Guards against leases that run out because a report, or a forwarded
+	// command, waits for a leader that has fallen silent.
+	It("turns to the new leader when the old one is silent", func() {
+		// Only the change of the leader ends a call within this test.
+		start(func(o *Options) { o.LeaseTerm, o.SessionExpiry = 24*time.Hour, 48*time.Hour })
+		c.claims(1)
+		old := c.leader()
+		follower := c.members[c.others(old)[0]].server
+		c.silence(old)
+		silent := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_, err := follower.Propose(ctx, ids.SettingsGroup, command.Command{Lookup: &command.Lookup{Workspace: "w", Key: "k"}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() time.Time {
+			_, age, err := follower.Settings()
+			Expect(err).NotTo(HaveOccurred())
+			return time.Now().Add(-age)
+		}, patience, time.Millisecond).Should(BeTemporally(">", silent))
+	})
+
 	// Guards against a replica that goes on after its disk has failed.
 	It("stops for good when the disk fails", func() {
 		disks := map[ids.VMID]*failingFS{}
--- a/control/replica.go
+++ b/control/replica.go
@@ -67,8 +67,12 @@
 	leaderTerm  uint64
 	leaderSince time.Time
 	snapshotAt  uint64 // index of the newest snapshot, stored or under way
-	saving      bool
-	fetching    bool
+	// appliedBytes counts the commands since then, snapshotBytes is the size
+	// of the newest snapshot's data.
+	appliedBytes  int64
+	snapshotBytes int64
+	saving        bool
+	fetching      bool
 }
 
 // Open reads the group's files and starts the replica. Damaged files give a
@@ -123,6 +127,7 @@
 			return err
 		}
 		r.applied, r.snapshotAt = s.Snapshot.Index, s.Snapshot.Index
+		r.snapshotBytes = int64(len(s.Snapshot.Data))
 	}
 	if err := r.startNode(raft.State{HardState: s.HardState, Snapshot: s.Snapshot, Entries: s.Entries}); err != nil {
 		l.Abort()
@@ -260,6 +265,30 @@
 	}
 }
 
+// whileLed gives a context that also ends when the known leader is another
+// than leader or none. A call to a leader that has fallen silent is given up
+// as soon as a new one is elected.
+func (r *Replica) whileLed(ctx context.Context, leader raft.ReplicaID) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for {
+			changed := r.change()
+			if r.published.Load().leader != leader {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			case <-r.done:
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // RemoveMember takes the replica of a VM out of the group.
 func (r *Replica) RemoveMember(ctx context.Context, vm ids.VMID) error {
 	var result error
--- a/control/server.go
+++ b/control/server.go
@@ -174,6 +174,8 @@
 		}
 		return &reply, nil
 	}
+	ctx, cancel = r.whileLed(ctx, v.leader)
+	defer cancel()
 	return s.forward(ctx, r.leaderAddr(v), p)
 }
 
--- a/control/snapshots.go
+++ b/control/snapshots.go
@@ -26,26 +26,41 @@
 	maxTransferRestarts = 8
 )
 
-// maybeSnapshot stores a snapshot in the background once enough is applied.
+// maybeSnapshot stores a snapshot in the background once enough is applied: a
+// number of entries, and as many bytes as the last snapshot has, so that the
+// cost of snapshots stays in proportion to that of the commands when the state
+// grows.
 func (r *Replica) maybeSnapshot() {
-	if r.saving || r.applied-r.snapshotAt < r.opts.SnapshotEntries {
+	if r.saving || r.applied-r.snapshotAt < r.opts.SnapshotEntries || r.appliedBytes < r.snapshotBytes {
 		return
 	}
-	s := r.node.SnapshotAt(r.applied)
-	data, err := r.opts.Machine.Snapshot()
+	encode, err := r.freeze()
 	if err != nil {
 		r.fail(fmt.Errorf("control: snapshot of the state machine: %w", err))
 		return
 	}
-	s.Data = data
-	r.saving, r.snapshotAt = true, s.Index
+	s := r.node.SnapshotAt(r.applied)
+	r.saving, r.snapshotAt, r.appliedBytes = true, s.Index, 0
 	r.helpers.Go(func() {
-		err := r.log.SaveSnapshot(s)
+		data, err := encode()
+		if err == nil {
+			s.Data = data
+			err = r.log.SaveSnapshot(s)
+		}
 		s.Data = nil
-		r.post(func() { r.snapshotSaved(s, err) })
+		r.post(func() { r.snapshotSaved(s, int64(len(data)), err) })
 	})
 }
 
+// freeze gives a function that encodes the present state on another goroutine.
+func (r *Replica) freeze() (encode func() ([]byte, error), err error) {
+	if r.opts.Freeze != nil {
+		return r.opts.Freeze(), nil
+	}
+	data, err := r.opts.Machine.Snapshot()
+	return func() ([]byte, error) { return data, nil }, err
+}
+
 // post runs f on the replica's goroutine unless the replica ends first.
 func (r *Replica) post(f func()) {
 	select {
@@ -56,8 +71,8 @@
 
 // snapshotSaved forgets the entries that the snapshot covers. Half an interval
 // of entries stays in memory for followers that are a little behind.
-func (r *Replica) snapshotSaved(s raft.Snapshot, err error) {
-	r.saving = false
+func (r *Replica) snapshotSaved(s raft.Snapshot, size int64, err error) {
+	r.saving, r.snapshotBytes = false, size
 	if err == nil {
 		err = r.log.Compact(s.Index)
 	}
@@ -76,6 +91,7 @@
 		return fmt.Errorf("control: restore the snapshot at index %d: %w", s.Index, err)
 	}
 	r.applied, r.snapshotAt = s.Index, max(r.snapshotAt, s.Index)
+	r.appliedBytes, r.snapshotBytes = 0, int64(len(s.Data))
 	r.count.snapshotsTaken.Inc()
 	r.opts.Logger.Info().Uint64("index", s.Index).Msg("control: restored a snapshot from the leader")
 	return r.log.Compact(s.Index)
--- a/control/status.go
+++ b/control/status.go
@@ -173,20 +173,39 @@
 
 // Drain asks an entry VM to drain, through whichever control VM it renews at.
 func (s *Server) Drain(ctx context.Context, vm ids.VMID) error {
-	open, err := s.openSessions(ctx, nil)
+	id, ok, err := s.openSessionOf(ctx, vm)
 	if err != nil {
 		return err
 	}
+	if !ok {
+		return problem.New(problem.NotFound, problem.NotRun, "no session of VM %q is open", vm)
+	}
+	s.mu.Lock()
+	s.hub.drains.add(time.Now(), []ids.SessionID{id})
+	s.mu.Unlock()
+	s.relay.wake()
+	return nil
+}
+
+// openSessionOf finds the open session of an entry VM here or, since the state
+// here may lag, at the leader.
+func (s *Server) openSessionOf(ctx context.Context, vm ids.VMID) (ids.SessionID, bool, error) {
+	open, err := s.openSessions(ctx, nil)
+	if err != nil {
+		return ids.SessionID{}, false, err
+	}
 	for id := range open {
 		if id.VM == vm {
-			s.mu.Lock()
-			s.hub.drains.add(time.Now(), []ids.SessionID{id})
-			s.mu.Unlock()
-			s.relay.wake()
-			return nil
+			return id, true, nil
+		}
+	}
+	st, err := s.LeaderStatus(ctx)
+	for i := range st.Entries {
+		if st.Entries[i].Session.VM == vm {
+			return st.Entries[i].Session, true, err
 		}
 	}
-	return problem.New(problem.NotFound, problem.NotRun, "no session of VM %q is open", vm)
+	return ids.SessionID{}, false, err
 }
 
 // Ready says why this VM cannot serve entry VMs; nil if it can.
