--- a/audit/damage_test.go
+++ b/audit/damage_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"bytes"
+	"compress/flate"
+	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -40,8 +45,49 @@
 	Expect(os.WriteFile(path, edit(b), fileMode)).To(Succeed())
 }
 
-// Every change of one byte in a sealed segment is found, by Verify and when
-// the store is opened.
+// Stored batches cannot be read with another dictionary.
+func TestDictionaryIsUnchanged(t *testing.T) {
+	RegisterTestingT(t)
+	sum := sha256.Sum256([]byte(dictionary))
+	Expect(hex.EncodeToString(sum[:])).To(Equal("a88dab43edab70107805751c6822414b0387a005bd6427edc4832f9845eb1211"))
+}
+
+// Records read back as they were packed, and a batch that would unpack to more
+// than the limit is rejected.
+func TestPackReadsBack(t *testing.T) {
+	RegisterTestingT(t)
+	_, err := unpack(bomb(maxBatchBytes + 1))
+	Expect(err).To(MatchError(errPackSize))
+	rapid.Check(t, func(t *rapid.T) {
+		var records []cbor.RawMessage
+		for range rapid.IntRange(1, 20).Draw(t, "records") {
+			records = append(records, rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "record"))
+		}
+		packed, err := pack(records)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := unpack(packed)
+		if err != nil || !slices.EqualFunc(got, records, func(a, b cbor.RawMessage) bool { return bytes.Equal(a, b) }) {
+			t.Fatalf("%v read back as %v, %v", records, got, err)
+		}
+	})
+}
+
+// bomb packs n zero bytes.
+func bomb(n int) []byte {
+	var out bytes.Buffer
+	out.WriteByte(packVersion)
+	w, err := flate.NewWriterDict(&out, packLevel, []byte(dictionary))
+	Expect(err).NotTo(HaveOccurred())
+	_, err = w.Write(make([]byte, n))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(w.Close()).To(Succeed())
+	return out.Bytes()
+}
+
+// Every change of one byte in a sealed segment is found: by Verify of the
+// folder and of an open store, and by Open if it has to read the segment.
 func TestByteChangesInSealedSegments(t *testing.T) {
 	RegisterTestingT(t)
 	dir := t.TempDir()
@@ -52,9 +98,16 @@
 	check := func(number uint64, at int, xor byte) bool {
 		change(dir, number, func(b []byte) []byte { b[at] ^= xor; return b })
 		defer change(dir, number, func(b []byte) []byte { b[at] ^= xor; return b })
-		_, verifyErr := VerifyDir(dir)
-		_, openErr := load(dir, Options{})
-		return isCorrupt(verifyErr) && isCorrupt(openErr)
+		_, dirErr := VerifyDir(dir)
+		store, err := load(dir, Options{openFile: newCrashDisk().open})
+		Expect(err).NotTo(HaveOccurred())
+		_, storeErr := store.Verify()
+		Expect(store.file.Close()).To(Succeed())
+		index := indexPath(segmentPath(dir, number))
+		Expect(os.Rename(index, index+".old")).To(Succeed())
+		_, openErr := load(dir, Options{openFile: newCrashDisk().open})
+		Expect(os.Rename(index+".old", index)).To(Succeed())
+		return isCorrupt(dirErr) && isCorrupt(storeErr) && isCorrupt(openErr)
 	}
 	first, err := os.ReadFile(segmentPath(dir, 1))
 	Expect(err).NotTo(HaveOccurred())
@@ -76,6 +129,42 @@
 	})
 }
 
+// No change of one byte in an index file changes what is found: the index is
+// built again from its segment.
+func TestByteChangesInIndexFiles(t *testing.T) {
+	RegisterTestingT(t)
+	dir := t.TempDir()
+	fill(dir, 30, Options{SegmentBytes: 800})
+	path := indexPath(segmentPath(dir, 2))
+	good, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	for at := range good {
+		bad := bytes.Clone(good)
+		bad[at] ^= 1
+		Expect(os.WriteFile(path, bad, fileMode)).To(Succeed())
+		Expect(findAll(dir)).To(Equal(30), "byte %d", at)
+		Expect(os.ReadFile(path)).To(Equal(good), "byte %d", at)
+	}
+	Expect(os.Remove(path)).To(Succeed())
+	Expect(findAll(dir)).To(Equal(30))
+}
+
+// findAll opens a folder of fill and counts the requests that are found whole.
+func findAll(dir string) int {
+	s, err := load(dir, Options{openFile: newCrashDisk().open})
+	Expect(err).NotTo(HaveOccurred())
+	defer s.file.Close() //nolint:errcheck // nothing was written
+	found := 0
+	for seq := uint64(1); seq <= 30; seq++ {
+		entries, err := s.Query(ids.RequestID{Session: sessionOf("a"), Seq: seq})
+		Expect(err).NotTo(HaveOccurred())
+		if len(entries) == 2 {
+			found++
+		}
+	}
+	return found
+}
+
 var _ = ginkgo.Describe("damage", func() {
 	var dir string
 	small := Options{SegmentBytes: 800}
@@ -87,18 +176,42 @@
 	ginkgo.It("is found when a record was rewritten together with its checksum", func() {
 		fill(dir, 30, small)
 		change(dir, 2, func(b []byte) []byte {
-			at := bytes.Index(b, []byte("fittings"))
-			copy(b[at:], "FITTINGS")
-			start := bytes.LastIndex(b[:at], magicBytes)
-			length := int(binary.BigEndian.Uint32(b[start+4:]))
-			framed := b[start : start+frameHeadBytes+length]
+			start := bytes.Index(b[4:], magicBytes) + 4
+			f, err := readFrame(bytes.NewReader(b[start:]))
+			Expect(err).NotTo(HaveOccurred())
+			batch, err := f.batch()
+			Expect(err).NotTo(HaveOccurred())
+			batch.Records[0] = bytes.Replace(batch.Records[0], []byte("fittings"), []byte("FITTINGS"), 1)
+			Expect(batch.seal()).To(Succeed())
+			var forged bytes.Buffer
+			_, err = appendFrame(&forged, hash{}, f.kind, f.synced, batch)
+			Expect(err).NotTo(HaveOccurred())
+			framed := forged.Bytes()
+			copy(framed[len(framed)-hashBytes:], f.hash[:])
 			binary.BigEndian.PutUint32(framed[8:], checksum(framed))
-			return b
+			return append(append(append([]byte(nil), b[:start]...), framed...), b[start+int(f.size):]...)
 		})
 		_, err := VerifyDir(dir)
 		Expect(err).To(MatchError(ContainSubstring("hash chain")))
 	})
 
+	ginkgo.It("is found when an index was rewritten to hide records", func() {
+		fill(dir, 30, small)
+		path := segmentPath(dir, 2)
+		f, err := readIndex(path, 2)
+		Expect(err).NotTo(HaveOccurred())
+		f.Sessions = nil
+		forged, err := encodeIndex(f)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(indexPath(path), forged, fileMode)).To(Succeed())
+		Expect(findAll(dir)).To(BeNumerically("<", 30))
+		_, err = VerifyDir(dir)
+		var damage *IndexError
+		Expect(errors.As(err, &damage)).To(BeTrue())
+		Expect(os.Remove(damage.Path)).To(Succeed())
+		Expect(findAll(dir)).To(Equal(30))
+	})
+
 	ginkgo.It("is found when frames or segments are taken out or exchanged", func() {
 		fill(dir, 30, small)
 		change(dir, 2, func(b []byte) []byte {
--- a/audit/frame.go
+++ b/audit/frame.go
@@ -20,6 +20,8 @@
 	frameHeader frameKind = iota + 1
 	frameBatch
 	frameSeal
+	// frameIndex is in index files only.
+	frameIndex
 )
 
 const (
@@ -178,7 +180,7 @@
 	if err := decMode.Unmarshal(f.body, &b); err != nil {
 		return nil, err
 	}
-	return &b, nil
+	return &b, b.open()
 }
 
 // check compares the frame's hash with the chain and gives its batch, if any.
--- a/entry/server.go
+++ b/entry/server.go
@@ -55,8 +55,12 @@
 		times: budget.NewShared(budget.DefaultOptions()), seq: newSequence(), streams: newStreams(),
 		started: time.Now().Truncate(time.Second),
 	}
-	s.runners = newRunners(o, s.client)
+	var err error
+	if s.runners, err = newRunners(o, s.client); err != nil {
+		return nil, err
+	}
 	s.sub = newSubscriber(o, s.seq)
+	s.sub.onTree = s.tune
 	s.sub.signs = s.runners.members.Signs
 	s.sub.onSigns = func(signs []settings.Sign) { s.runners.members.ApplySigns(signs, time.Now()) }
 	return s, nil
@@ -82,6 +86,7 @@
 	s.loop(func() { s.sub.runReserver(ctx) })
 	s.loop(func() { s.runners.run(ctx) })
 	s.loop(func() { s.runAdvance(ctx) })
+	s.loop(func() { (&orderGiver{s: s}).run(ctx) })
 	s.loop(func() { newEnginePoller(s.runners, s.generatePools).run(ctx) })
 	s.loop(func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
