--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -246,6 +246,14 @@
 		Expect(u.Trust(start.Add(3 * time.Second))).To(Equal(DefaultTrustFloor))
 	})
 
+	It("takes a new slow start for upstreams that are already returning", func() {
+		s := &Shared{core: t}
+		s.ObserveRefused(addr(1), start)
+		s.TuneSlowStart(2 * time.Second)
+		u, _ := s.View().Find("p", addr(1))
+		Expect(u.Trust(start.Add(DefaultRefusedHold + time.Second))).To(BeNumerically("~", 0.5, 0.01))
+	})
+
 	It("leaves published views unchanged", func() {
 		old := t.View()
 		t.ObserveDraining(addr(1), start)
