admission: do not take long requests for overdue ones

Ruled out: an age relative to the mean time a place is held; one long request among a hundred short ones is most of what is under way. Conclusion: requests are overdue only while no usual latency is sampled, and the usual delay of samples is part of the age.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -94,10 +94,16 @@
 	}
 	gr.latency = max(1, latency)
 	g.granted[t] = gr
-	g.limiter.Observe(Sample{Latency: latency}, len(g.granted), now)
+	g.limiter.Observe(g.delayed(Sample{Latency: latency}, gr, now), len(g.granted), now)
 	g.Advance(now)
 }
 
+// delayed notes how long after its latency the sample is given.
+func (g *Gate) delayed(s Sample, gr grant, now time.Time) Sample {
+	s.delay = max(0, now.Sub(gr.since)-s.Latency)
+	return s
+}
+
 // Release ends a granted request.
 func (g *Gate) Release(t Ticket, s Sample, now time.Time) {
 	gr, ok := g.granted[t]
@@ -108,7 +114,7 @@
 		s.Latency = gr.latency
 	}
 	if gr.latency == 0 || s.Outcome == Dropped {
-		g.limiter.Observe(s, len(g.granted), now)
+		g.limiter.Observe(g.delayed(s, gr, now), len(g.granted), now)
 	}
 	delete(g.granted, t)
 	if gr.batch {
@@ -151,7 +157,7 @@
 
 // checkOverdue looks once per window whether most requests under way are overdue.
 func (g *Gate) checkOverdue(now time.Time) {
-	limit := g.limiter.overdueAfter()
+	limit := g.limiter.overdueAfter(now)
 	if now.Sub(g.checked) < g.opts.Limiter.Window || limit == 0 || len(g.granted) < g.opts.Limiter.WindowSamples {
 		return
 	}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -43,6 +43,8 @@
 	// the time to the first token, else the whole time at the upstream.
 	Latency time.Duration
 	Outcome Outcome
+	// delay is how long after its latency the sample was given.
+	delay time.Duration
 }
 
 // Limiter is an adaptive concurrency limit. Once for each window it compares
@@ -69,6 +71,10 @@
 	// extra is the mean time in nanoseconds that a place is held beyond the
 	// latency of its sample, as by an engine after the first token.
 	extra float64
+	// delay is the mean delay of samples in nanoseconds, and healthyAt the time
+	// of the last one with a usual latency.
+	delay     float64
+	healthyAt time.Time
 }
 
 // NewLimiter gives a limiter at its initial limit.
@@ -98,6 +104,7 @@
 	case Dropped:
 		l.drops++
 	case OK:
+		l.observeHealth(s, now)
 		if len(l.window) < windowCap {
 			l.window = append(l.window, float64(s.Latency))
 		}
@@ -108,10 +115,23 @@
 	}
 }
 
+// observeHealth notes the delay of samples and the time of usual ones.
+func (l *Limiter) observeHealth(s Sample, now time.Time) {
+	l.delay += holdGain * (float64(s.delay) - l.delay)
+	if float64(s.Latency) <= 2*l.opts.Tolerance*l.baseline {
+		l.healthyAt = now
+	}
+}
+
 // overdueAfter gives the age at which a request without a sample shows
-// congestion by itself; 0 while nothing is known.
-func (l *Limiter) overdueAfter() time.Duration {
-	return time.Duration(overdueFactor * l.opts.Tolerance * l.baseline)
+// congestion; 0 while nothing is known or as long as usual latencies have been
+// sampled, since the requests under way are then merely long ones.
+func (l *Limiter) overdueAfter(now time.Time) time.Duration {
+	after := time.Duration(overdueFactor * (l.opts.Tolerance*l.baseline + l.delay))
+	if l.baseline == 0 || now.Sub(l.healthyAt) < after {
+		return 0
+	}
+	return after
 }
 
 // Overdue lowers the limit because most requests under way have had no answer
