Tests: catch a fault that is not ended and a cut of unused links

Both passed unnoticed with the mechanism off. The relay's test of an orderly end has a deadline, since it hung for a minute in place of failing.

--- a/load/experiment/experiment_test.go
+++ b/load/experiment/experiment_test.go
@@ -125,8 +125,12 @@
 			res, err := http.Get(u.Server.URL() + "/load")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(res.Body.Close()).To(Succeed())
-			Expect(u.Load().Draining).To(BeFalse())
-			Expect(u.Load().Waiting).To(BeZero())
+			for _, kind := range []standin.FaultKind{
+				standin.FaultSlow, standin.FaultSilent, standin.FaultRefuse, standin.FaultCrash,
+				standin.FaultWrongLoad, standin.FaultDrain,
+			} {
+				Expect(u.Faulty(kind)).To(BeFalse(), string(kind))
+			}
 		}
 	},
 		Entry(StageDead, mustFind(StageDead), func(f *standin.Fleet) bool {
@@ -190,6 +194,7 @@
 			c, err := start(ctx, baseline, seed)
 			if err == nil {
 				c.Network = relay.NewNetwork(0, 0)
+				c.Network.Direction("one", "two")
 			}
 			return c, err
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -116,6 +116,7 @@
 
 	It("passes an orderly end on after the bytes before it", func() {
 		c := dial("tcp", addr)
+		Expect(c.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 		text := strings.Repeat("0123456789", 20_000)
 		go func() {
 			_, _ = c.Write([]byte(text))
