--- a/controlvm/http.go
+++ b/controlvm/http.go
@@ -18,12 +18,15 @@
 
 // mux is the HTTP API for operators: health, metrics, the account of requests,
 // and the admin API for every other path.
-func (v *VM) mux(api http.Handler, operators *admin.Operators) http.Handler {
+func (v *VM) mux(api *admin.API, operators *admin.Operators) http.Handler {
 	m := http.NewServeMux()
 	own := v.server.Handler()
 	m.Handle("GET /healthz", own)
 	m.Handle("GET /readyz", own)
-	m.Handle("GET /metrics", own)
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		v.server.WriteMetrics(w)
+		api.WriteMetrics(w)
+	})
 	m.Handle("GET /v1/audit/requests/{id}", v.operator(operators, v.accountRequest))
 	m.Handle("GET /v1/audit/unaccounted", v.operator(operators, v.unaccounted))
 	m.Handle("GET /v1/audit/verify", v.operator(operators, v.verify))
--- a/controlvm/vm.go
+++ b/controlvm/vm.go
@@ -100,7 +100,8 @@
 		Caller:  v.caller,
 		Logger:  v.log,
 
-		LeaseTerm: leaseTerm,
+		LeaseTerm:   leaseTerm,
+		RetireEvery: machine.RetireEvery,
 	})
 	if err != nil {
 		return fmt.Errorf("controlvm: replica: %w", err)
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -114,13 +114,16 @@
 	}
 }
 
-// abandon settles a claim whose proposal has no known result: it proposes the
-// claim until the result is known, then releases it. Nothing was dispatched.
+// abandon settles a claim whose proposal has no known result. It proposes the
+// claim until the result is known, then releases it unless the key has an
+// answer. The release is sent also while another request holds the key: it
+// makes the ledger refuse a proposal of this claim that is still under way.
+// Nothing was dispatched.
 func (c *claim) abandon(cmd command.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
 	defer cancel()
 	res, err := c.s.opts.Control.Propose(ctx, c.group(), cmd)
-	if err != nil || res.Code != command.ClaimGranted {
+	if err != nil || res.Code == command.ClaimDone {
 		return
 	}
 	_ = c.release(ctx)
--- a/entry/orders_test.go
+++ b/entry/orders_test.go
@@ -15,6 +15,7 @@
 var _ = Describe("orders to engines", func() {
 	It("has engines load a model that a pipeline needs, under growing tokens", func() {
 		b := newBenchWith(func(c *standin.FleetConfig) {
+			c.WeightsBytesPerSecond = 1 << 40
 			for i := range c.Pools {
 				if c.Pools[i].Name == "engines" {
 					c.Pools[i].Models = []string{"another-model"}
