--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -259,6 +260,7 @@
 		t.ObserveDraining(addr(1), start)
 		u, _ := old.Find("p", addr(1))
 		Expect(u.Usable(start)).To(BeTrue())
+		Expect(json.Marshal(u.State(start))).To(MatchJSON(`"live"`))
 		Expect(t.View().Version()).To(Equal(old.Version() + 1))
 	})
 })
--- a/membership/upstream.go
+++ b/membership/upstream.go
@@ -24,6 +24,9 @@
 	return [...]string{"live", "refused", "leaving"}[s]
 }
 
+// MarshalText gives the name, as in the explanation of a choice.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
 // Upstream is one address of a pool. It is immutable once in a View.
 type Upstream struct {
 	VM      ids.VMID
