Classify by the try that may have executed; problems that end streams

A try after the deadline is no longer made, a refusal decides only where no other try was sent, and an error event or chunk is the stream's problem, not a broken connection. Each new test fails with its change undone.

--- a/load/audit.go
+++ b/load/audit.go
@@ -69,28 +69,30 @@
 func (r *record) correctRefusals(a standin.AuditResponse) {
 	onlyRefused := true
 	for _, t := range r.tries {
-		onlyRefused = onlyRefused && t.verdict == verdictRefused
+		onlyRefused = onlyRefused && (t.verdict == verdictRefused || t.verdict == verdictNotSent)
 	}
-	keyRan := onlyRefused && r.request.key != "" && a.Executions[r.request.key] > 0
-	final := r.refused()
-	for i, t := range r.tries {
+	byKey := onlyRefused && r.request.key != ""
+	keyRan := byKey && a.Executions[r.request.key] > 0
+	unchecked := 0
+	for _, t := range r.tries {
 		if t.verdict != verdictRefused {
 			continue
 		}
-		if t.requestID == "" && !(onlyRefused && r.request.key != "") {
+		if t.requestID == "" && !byKey {
+			unchecked++
 			continue
 		}
 		r.checkedRefusals++
-		ran := a.Ran[t.requestID] > 0 || keyRan
-		if ran {
+		if a.Ran[t.requestID] > 0 || keyRan {
 			r.falseRefusals++
 			r.note = "not_run of request " + t.requestID + " is false: " + t.note
 		}
-		if final && i == len(r.tries)-1 && !ran {
-			r.outcome = RefusedTrue
-		}
 	}
-	if final && r.falseRefusals > 0 {
+	switch {
+	case !r.refused():
+	case r.falseRefusals > 0:
 		r.outcome = RefusedFalse
+	case unchecked == 0:
+		r.outcome = RefusedTrue
 	}
 }
--- a/load/client.go
+++ b/load/client.go
@@ -109,6 +109,11 @@
 		out.note = "problem: " + err.Error()
 		return
 	}
+	out.ended(p)
+}
+
+// ended gives the verdict of a problem.
+func (out *result) ended(p *problem.Problem) {
 	out.problem = p
 	out.verdict = verdictProblem
 	if p.Execution == problem.NotRun {
--- a/load/fake_test.go
+++ b/load/fake_test.go
@@ -57,14 +57,17 @@
 	// cut ends a stream after that many events, resumable or not.
 	cut       int
 	resumable bool
+	// fail ends a stream with that problem.
+	fail *problem.Problem
 	// runTwice executes each key twice; forget executes none.
 	runTwice, forget bool
 	// noStore answers a repeated key without the stored response; noMark does
 	// not mark a stored response.
 	noStore, noMark bool
-	// refuse answers not_run; refuseAfter executes before it does.
-	refuse      problem.Kind
-	refuseAfter bool
+	// refuse answers not_run; refuseAfter executes before it does, and noID
+	// gives no request id.
+	refuse            problem.Kind
+	refuseAfter, noID bool
 
 	mu      sync.Mutex
 	seq     int
@@ -93,11 +96,14 @@
 		f.seq++
 		id := fmt.Sprintf("%s.1.%d", f.name, f.seq)
 		f.mu.Unlock()
-		w.Header().Set("Damask-Request", id)
+		if !f.noID {
+			w.Header().Set("Damask-Request", id)
+		}
 		if f.refuse != "" {
 			if f.refuseAfter {
 				f.ledger.mu.Lock()
 				f.ledger.ran[id]++
+				f.ledger.executions[r.Header.Get("Idempotency-Key")]++
 				f.ledger.mu.Unlock()
 			}
 			problem.New(f.refuse, problem.NotRun, "refused by the test").Write(w)
@@ -132,6 +138,10 @@
 		limit = min(f.cut, limit)
 	}
 	writeTokens(w, tokens, 0, limit)
+	if f.fail != nil {
+		fmt.Fprintf(w, "id: 9\nevent: error\ndata: %s\n\n", mustJSON(f.fail))
+		return
+	}
 	if f.cut > 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -185,6 +195,10 @@
 	for _, t := range tokens {
 		fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%s}}]}\n\n", mustJSON(t))
 	}
+	if f.fail != nil {
+		fmt.Fprintf(w, "data: {\"error\":%s}\n\n", mustJSON(f.fail))
+		return
+	}
 	if f.cut == 0 {
 		fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
 	}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -93,6 +93,31 @@
 		})
 	}
 
+	for _, k := range []Kind{KindStream, KindChatStream} {
+		ginkgo.It("takes the problem that ends a stream as its outcome in "+string(k), func() {
+			unknown := problem.New(problem.UpstreamFailed, problem.Unknown, "test")
+			only(drive(nil, k, &fakeEntry{cut: 3, fail: unknown}), Unknown)
+		})
+	}
+
+	ginkgo.It("does not take the refusal of a repetition for that of the request", func() {
+		r := drive(nil, KindStream, &fakeEntry{cut: 3}, &fakeEntry{refuse: problem.Draining})
+		only(r, Incomplete)
+		Expect(r.CheckedRefusals).To(BeNumerically(">", 0))
+	})
+
+	ginkgo.It("keeps a refusal as the outcome where no other entry VM can be reached", func() {
+		r := drive(func(o *Options) {
+			o.Entries = append(o.Entries, Entry{Name: "none", URL: "http://127.0.0.1:1"})
+		}, KindBooking, &fakeEntry{refuse: problem.Draining})
+		only(r, RefusedTrue)
+	})
+
+	ginkgo.It("does not try again after the deadline", func() {
+		r := drive(func(o *Options) { o.Mix[0].Deadline = time.Nanosecond }, KindStream, &fakeEntry{cut: 3})
+		Expect(r.Tries).To(Equal(r.Requests))
+	})
+
 	ginkgo.It("resumes a cut stream and checks the whole", func() {
 		r := drive(nil, KindStream, &fakeEntry{cut: 3, resumable: true})
 		only(r, OK)
@@ -133,6 +158,12 @@
 		Expect(r.FalseRefusals).To(Equal(r.Requests))
 	})
 
+	ginkgo.It("checks a refusal without a request id by its key, where it has one", func() {
+		liar := func() *fakeEntry { return &fakeEntry{refuse: problem.Overloaded, refuseAfter: true, noID: true} }
+		only(drive(nil, KindBooking, liar()), RefusedFalse)
+		only(drive(nil, KindPipeline, liar()), RefusedUnchecked)
+	})
+
 	ginkgo.It("does not count a refusal as true without an observer", func() {
 		r := drive(func(o *Options) { o.Observer = nil }, KindPipeline, &fakeEntry{refuse: problem.Overloaded})
 		only(r, RefusedUnchecked)
--- a/load/record.go
+++ b/load/record.go
@@ -28,6 +28,25 @@
 	note            string
 }
 
+// deciding gives the try that decides the class: the last one that may have
+// executed, else the last refusal, else the last try. A refusal of a repetition
+// does not mean that the request did not run.
+func (r *record) deciding() result {
+	chosen := r.last()
+	for i := len(r.tries) - 1; i >= 0; i-- {
+		switch t := r.tries[i]; t.verdict {
+		case verdictNotSent:
+		case verdictRefused:
+			if chosen.verdict == verdictNotSent {
+				chosen = t
+			}
+		default:
+			return t
+		}
+	}
+	return chosen
+}
+
 func (r *record) last() result { return r.tries[len(r.tries)-1] }
 
 // settle gives the record its class from its last try, before anything is
--- a/load/runner.go
+++ b/load/runner.go
@@ -93,8 +93,9 @@
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
 	rec := &record{request: q, lag: max(time.Since(due), 0)}
-	last := r.tryUntil(ctx, rec, due, nil)
+	r.tryUntil(ctx, rec, due, nil)
 	rec.latency = time.Since(due)
+	last := rec.deciding()
 	rec.settle(last)
 	if q.profile.Kind == KindRepeat && last.verdict == verdictRight {
 		r.repeat(ctx, rec, due, last)
@@ -123,7 +124,7 @@
 			tried[t] = true
 			retries++
 		}
-		if !d.again || retries > r.options.MaxRetries || !r.canWait(ctx, d.wait) {
+		if !d.again || retries > r.options.MaxRetries || !inTime(rec.request, due, d.wait) {
 			return last
 		}
 		if !sleepUntil(ctx, time.Now().Add(d.wait)) {
@@ -132,10 +133,10 @@
 	}
 }
 
-// canWait says whether a wait ends before the limit of the request.
-func (r *runner) canWait(ctx context.Context, wait time.Duration) bool {
-	limit, ok := ctx.Deadline()
-	return ctx.Err() == nil && (!ok || time.Now().Add(wait).Before(limit))
+// inTime says whether a wait ends before the deadline. After it no caller waits
+// for a further try.
+func inTime(q *request, due time.Time, wait time.Duration) bool {
+	return time.Now().Add(wait).Before(due.Add(q.profile.Deadline))
 }
 
 // repeat sends the key again to another entry VM, which must give the stored
--- a/load/stream.go
+++ b/load/stream.go
@@ -10,15 +10,16 @@
 	"strings"
 	"time"
 
+	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/standin/content"
 )
 
 // maxResumes bounds how often one try resumes its stream.
 const maxResumes = 3
 
-// errProtocol says that the stream's events break the protocol; the note of
-// the result says how.
-var errProtocol = errors.New("stream protocol")
+// errDecided says that the stream has ended with a verdict: its events break
+// the protocol, or it ended with a problem.
+var errDecided = errors.New("the stream has its verdict")
 
 // streamReader reads the events of a pipeline stream, resumes it where its
 // connection fails, and checks that no token is missing or repeated.
@@ -37,7 +38,7 @@
 func (s *streamReader) read(ctx context.Context, res *http.Response) {
 	err := s.events(res.Body)
 	for range maxResumes {
-		if s.done != nil || errors.Is(err, errProtocol) || s.out.requestID == "" || ctx.Err() != nil {
+		if s.done != nil || errors.Is(err, errDecided) || s.out.requestID == "" || ctx.Err() != nil {
 			break
 		}
 		if err = s.resume(ctx); err != nil && errors.Is(err, errNoResume) {
@@ -95,28 +96,41 @@
 		var b pipelineBody
 		if err := json.Unmarshal([]byte(e.data), &b); err != nil {
 			s.out.wrong("last event: %v", err)
-			return errProtocol
+			return errDecided
 		}
 		s.done = &b
 		return nil
+	case "error":
+		return s.problem([]byte(e.data))
 	default:
-		s.out.note = "event " + e.name + ": " + e.data
-		return io.ErrUnexpectedEOF
+		s.out.wrong("event %q is not of the protocol", e.name)
+		return errDecided
 	}
 }
 
+// problem takes the problem with which an entry VM ends a stream.
+func (s *streamReader) problem(data []byte) error {
+	p := &problem.Problem{}
+	if err := json.Unmarshal(data, p); err != nil {
+		s.out.wrong("error event: %v", err)
+		return errDecided
+	}
+	s.out.ended(p)
+	return errDecided
+}
+
 func (s *streamReader) token(e event) error {
 	s.measure()
 	if e.id != strconv.Itoa(s.count+1) {
 		s.out.wrong("event id %q after %d", e.id, s.count)
-		return errProtocol
+		return errDecided
 	}
 	var t struct {
 		Text string `json:"text"`
 	}
 	if err := json.Unmarshal([]byte(e.data), &t); err != nil {
 		s.out.wrong("event %s: %v", e.id, err)
-		return errProtocol
+		return errDecided
 	}
 	s.count++
 	s.text.WriteString(t.Text)
@@ -136,7 +150,7 @@
 // judge gives the verdict once the stream has ended.
 func (s *streamReader) judge(err error) {
 	out := s.out
-	if errors.Is(err, errProtocol) {
+	if errors.Is(err, errDecided) {
 		return
 	}
 	got, want := s.text.String(), s.request.expectedText()
@@ -187,6 +201,10 @@
 			ended = true
 			break
 		}
+		if p := chunkProblem(e.data); p != nil {
+			out.ended(p)
+			return
+		}
 		text, stop, err := chunkText(e.data)
 		if err != nil {
 			out.wrong("chunk: %v", err)
@@ -201,6 +219,18 @@
 	checkText(r, s.text.String(), ended && finished, out)
 }
 
+// chunkProblem gives the problem with which an entry VM ends a stream, if the
+// chunk is one.
+func chunkProblem(data string) *problem.Problem {
+	var b struct {
+		Error *problem.Problem `json:"error"`
+	}
+	if json.Unmarshal([]byte(data), &b) != nil {
+		return nil
+	}
+	return b.Error
+}
+
 func chunkText(data string) (text string, stop bool, err error) {
 	var b struct {
 		Choices []struct {
--- a/load/summary.go
+++ b/load/summary.go
@@ -54,7 +54,7 @@
 	p.CheckedRefusals += rec.checkedRefusals
 	p.FalseRefusals += rec.falseRefusals
 	observe(s.lag, rec.lag)
-	last := rec.last()
+	last := rec.deciding()
 	if last.problem != nil {
 		p.Reasons[string(last.problem.Reason)]++
 	}
@@ -85,7 +85,7 @@
 	switch {
 	case rec.outcome == Duplicate && rec.request.key != "":
 		s.report.DuplicateKeys = append(s.report.DuplicateKeys, rec.request.key)
-	case rec.outcome == Lost && rec.last().answered():
+	case rec.outcome == Lost && rec.deciding().answered():
 		s.report.LostKeys = append(s.report.LostKeys, rec.request.key)
 	}
 }
