--- a/admission/gate.go
+++ b/admission/gate.go
@@ -33,15 +33,19 @@
 	holdMean float64
 	// busySince is when the queue was last empty; zero while it is.
 	busySince time.Time
-	events    []Event
-	counts    Counts
-	hints     uint64
+	// checked is when the requests under way were last checked for their age.
+	checked time.Time
+	events  []Event
+	counts  Counts
+	hints   uint64
 }
 
 // grant is a request under way.
 type grant struct {
 	since time.Time
 	batch bool
+	// latency is the sample given by Progress, if any.
+	latency time.Duration
 }
 
 // NewGate gives a gate with an empty queue. Options are as checked by Check.
@@ -80,19 +84,39 @@
 	return it.ticket
 }
 
+// Progress gives the latency of a granted request before its end, as with the
+// first token of an engine. The limit then reacts by the time that the request
+// is held sooner. Release counts no second latency for it.
+func (g *Gate) Progress(t Ticket, latency time.Duration, now time.Time) {
+	gr, ok := g.granted[t]
+	if !ok || gr.latency != 0 {
+		return
+	}
+	gr.latency = max(1, latency)
+	g.granted[t] = gr
+	g.limiter.Observe(Sample{Latency: latency}, len(g.granted), now)
+	g.Advance(now)
+}
+
 // Release ends a granted request.
 func (g *Gate) Release(t Ticket, s Sample, now time.Time) {
 	gr, ok := g.granted[t]
 	if !ok {
 		return
 	}
-	g.limiter.Observe(s, len(g.granted), now)
+	if gr.latency != 0 {
+		s.Latency = gr.latency
+	}
+	if gr.latency == 0 || s.Outcome == Dropped {
+		g.limiter.Observe(s, len(g.granted), now)
+	}
 	delete(g.granted, t)
 	if gr.batch {
 		g.batch--
 	}
 	if s.Outcome == OK {
 		g.observeHold(now.Sub(gr.since))
+		g.limiter.observeHold(now.Sub(gr.since), s.Latency)
 	}
 	g.Advance(now)
 }
@@ -111,6 +135,7 @@
 // Call it regularly while requests wait.
 func (g *Gate) Advance(now time.Time) {
 	g.shedLate(now)
+	g.checkOverdue(now)
 	for {
 		it := g.choose(now)
 		if it == nil {
@@ -124,6 +149,24 @@
 	}
 }
 
+// checkOverdue looks once per window whether most requests under way are overdue.
+func (g *Gate) checkOverdue(now time.Time) {
+	limit := g.limiter.overdueAfter()
+	if now.Sub(g.checked) < g.opts.Limiter.Window || limit == 0 || len(g.granted) < g.opts.Limiter.WindowSamples {
+		return
+	}
+	g.checked = now
+	overdue := 0
+	for _, gr := range g.granted {
+		if gr.latency == 0 && now.Sub(gr.since) > limit {
+			overdue++
+		}
+	}
+	if 2*overdue > len(g.granted) {
+		g.limiter.Overdue(now)
+	}
+}
+
 // Events gives what has happened since the last call.
 func (g *Gate) Events() []Event {
 	events := g.events
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -13,6 +13,9 @@
 	// long-term minimum is taken. The least of many medians of a few samples
 	// lies far below the usual latency and would look like congestion.
 	smoothGain = 0.2
+	// overdueFactor is how far above Tolerance the age of most requests under
+	// way must be to count as congestion.
+	overdueFactor = 8
 	// gradientFloor bounds how far one window lowers the limit.
 	gradientFloor = 0.6
 	// rampFactor is the growth per window before the first sign of congestion.
@@ -63,6 +66,9 @@
 	ramped bool
 	// offered counts the requests offered in the window.
 	offered int
+	// extra is the mean time in nanoseconds that a place is held beyond the
+	// latency of its sample, as by an engine after the first token.
+	extra float64
 }
 
 // NewLimiter gives a limiter at its initial limit.
@@ -102,6 +108,21 @@
 	}
 }
 
+// overdueAfter gives the age at which a request without a sample shows
+// congestion by itself; 0 while nothing is known.
+func (l *Limiter) overdueAfter() time.Duration {
+	return time.Duration(overdueFactor * l.opts.Tolerance * l.baseline)
+}
+
+// Overdue lowers the limit because most requests under way have had no answer
+// for longer than overdueAfter. Their samples would come too late.
+func (l *Limiter) Overdue(now time.Time) {
+	l.ramped = true
+	l.set(l.limit * (1 - limitGain*(1-gradientFloor)))
+	l.offered = 0
+	l.started = now
+}
+
 func (l *Limiter) adjust(now time.Time) {
 	busy := float64(l.peak) >= l.limit/2
 	if len(l.window) > 0 {
@@ -152,7 +173,13 @@
 	l.set(l.limit + limitGain*(target-l.limit))
 }
 
-// demand gives the places that the offered requests would hold at once at the
+// observeHold takes the time that a place was held by a request whose latency
+// was sampled.
+func (l *Limiter) observeHold(hold, latency time.Duration) {
+	l.extra += holdGain * (float64(max(0, hold-latency)) - l.extra)
+}
+
+// demand gives the places that the offered requests would hold at once with the
 // long-term latency. With the present latency, the limit would feed on the
 // congestion that it causes.
 func (l *Limiter) demand(now time.Time) float64 {
@@ -160,7 +187,7 @@
 	if elapsed <= 0 {
 		return 0
 	}
-	return float64(l.offered) / elapsed * l.baseline
+	return float64(l.offered) / elapsed * (l.baseline + l.extra)
 }
 
 func (l *Limiter) set(limit float64) {
