ctl: show an entry VM without a lease as such in status

Cause: 'damaskctl status' printed every entry VM that was not draining as serving. In a trial with separate processes an entry VM that had ended was still shown as 'serving' with a lease of 0s until its session expired. The leader's index, which it does not report of itself, was shown as 0, and the order of the VMs changed from call to call. Before: the new test saw [e2 serving, e1 draining, e0 serving]. After: lease-expired for a lease of 0, '-' for the leader's index, VMs by name. 'drain' names the next step, since a drained process goes on until SIGTERM.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -66,8 +66,8 @@
 
 func (b *backend) Status(context.Context) (admin.Status, error) {
 	return admin.Status{
-		VM: "c1", Leader: "c2", Control: []admin.ControlStatus{{VM: "c2", Role: "leader"}},
-		Entries: []admin.EntryStatus{{VM: "e1", InForce: 7, Draining: true}},
+		VM: "c1", Leader: "c2", Control: []admin.ControlStatus{{VM: "c2", Role: "leader"}, {VM: "c1", Role: "follower"}},
+		Entries: []admin.EntryStatus{{VM: "e2", Region: "r", InForce: 7}, {VM: "e1", InForce: 7, LeaseMS: 100, Draining: true}, {VM: "e0", LeaseMS: 100}},
 	}, nil
 }
 
@@ -235,6 +235,20 @@
 		Expect(admin.TokenDigest(token.Token)).To(Equal(token.SHA256))
 	})
 
+	// An entry VM without a lease refuses requests; shown as serving, it would
+	// be taken for a VM that still carries traffic.
+	It("shows control VMs and entry VMs by name, and an entry VM without a lease", func() {
+		_, out, _ := damaskctl("status")
+		var words []string
+		for _, line := range strings.Split(out, "\n") {
+			if f := strings.Fields(line); len(f) > 1 {
+				words = append(words, f[0]+" "+f[len(f)-1])
+			}
+		}
+		Expect(words[1:]).To(Equal([]string{"CONTROL SILENT", "c1 0s", "c2 0s", "ENTRY STATE", "e0 serving", "e1 draining", "e2 lease-expired"}))
+		Expect(out).To(MatchRegexp(`c2 +leader +- +0s`))
+	})
+
 	It("prints the settings as a document that can be applied", func() {
 		damaskctl("apply", "-f", file)
 		code, out, errs := damaskctl("get", "-document")
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -1,13 +1,16 @@
 package ctl
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"damaskbridge.example/damaskbridge/admin"
+	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/settings"
 )
 
@@ -158,20 +161,41 @@
 	fmt.Fprintf(r.Stdout, "asked %s; leader %s in term %d; version %d, in effect %d; ledger %d keys, %d claimed, %d tombstones\n\n",
 		s.VM, s.Leader, s.Term, s.Version, s.InEffect, s.LedgerEntries, s.LedgerClaimed, s.LedgerTombstones)
 	rows := [][]string{{"CONTROL VM", "REGION", "ROLE", "INDEX", "SILENT"}}
-	for _, c := range s.Control {
-		rows = append(rows, []string{string(c.VM), string(c.Region), c.Role, fmt.Sprint(c.Match), milliseconds(c.SilentMS)})
+	for _, c := range sortedBy(s.Control, func(c admin.ControlStatus) ids.VMID { return c.VM }) {
+		rows = append(rows, []string{string(c.VM), string(c.Region), c.Role, matchOf(&c), milliseconds(c.SilentMS)})
 	}
 	rows = append(rows, nil, []string{"ENTRY VM", "REGION", "INCARNATION", "VERSION", "LEASE", "STATE"})
-	for _, e := range s.Entries {
-		state := "serving"
-		if e.Draining {
-			state = "draining"
-		}
-		rows = append(rows, []string{string(e.VM), string(e.Region), fmt.Sprint(e.Incarnation), fmt.Sprint(e.InForce), milliseconds(e.LeaseMS), state})
+	for _, e := range sortedBy(s.Entries, func(e admin.EntryStatus) ids.VMID { return e.VM }) {
+		rows = append(rows, []string{string(e.VM), string(e.Region), fmt.Sprint(e.Incarnation), fmt.Sprint(e.InForce), milliseconds(e.LeaseMS), stateOf(&e)})
 	}
 	return r.table(rows)
 }
 
+// sortedBy gives a copy of the list in the order of the VMs' names.
+func sortedBy[T any](list []T, vm func(T) ids.VMID) []T {
+	return slices.SortedStableFunc(slices.Values(list), func(a, b T) int { return cmp.Compare(vm(a), vm(b)) })
+}
+
+// matchOf gives a follower's last synced index. The leader reports none of its own.
+func matchOf(c *admin.ControlStatus) string {
+	if c.Role == "leader" {
+		return "-"
+	}
+	return fmt.Sprint(c.Match)
+}
+
+// stateOf says whether an entry VM admits requests. One without a lease
+// refuses them, whatever it reported last.
+func stateOf(e *admin.EntryStatus) string {
+	switch {
+	case e.LeaseMS <= 0:
+		return "lease-expired"
+	case e.Draining:
+		return "draining"
+	}
+	return "serving"
+}
+
 func milliseconds(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
 
 func (r *run) printAudit(reply admin.AuditReply) error {
--- a/ctl/read.go
+++ b/ctl/read.go
@@ -117,7 +117,7 @@
 	if r.json {
 		return r.printJSON(reply)
 	}
-	fmt.Fprintf(r.Stdout, "%s is draining; 'damaskctl status' shows when it is gone\n", reply["vm"])
+	fmt.Fprintf(r.Stdout, "%s is draining: it takes no new requests within a second; stop its process with SIGTERM to end it\n", reply["vm"])
 	return nil
 }
 
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -133,7 +133,7 @@
 func printUsage(w io.Writer) {
 	fmt.Fprint(w, "usage: damaskctl SUBCOMMAND [flags]\n\n")
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-8s  %s\n", c.name, c.summary)
+		fmt.Fprintf(w, "  %-11s  %s\n", c.name, c.summary)
 	}
 	fmt.Fprint(w, "\n'damaskctl SUBCOMMAND -help' lists the flags. 'damaskctl -check' checks the\n"+
 		"control addresses and the token, 'damaskctl -version' shows the version.\n"+
