ctl: give reads of the audit log the time of the whole call

Cause: every call to a control VM was given up after 5 s and sent to the next one. A read of the audit log can take longer: in a trial with one of three control VMs killed, 'damaskctl unaccounted' ended with 'context deadline exceeded' after 30 s, since the control VM asks the lost one anew for each ended session. Before: the new test saw a limit of 5 s for /v1/audit and /v1/audit/unaccounted with a timeout of 10 h. After: these reads get an equal share of -timeout for each address. Other calls keep 5 s, so that a silent control VM does not hold them up. Open: the control VM ends the read after its own limit of 30 s.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -96,7 +96,7 @@
 }
 
 func (c *Client) attempt(ctx context.Context, addr string, r request, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.limit(ctx, r.path))
 	defer cancel()
 	target := strings.TrimSuffix(addr, "/") + r.path
 	if len(r.query) > 0 {
@@ -122,6 +122,21 @@
 	return read(reply, body, out)
 }
 
+// auditPath begins the paths of the audit log's reads.
+const auditPath = "/v1/audit"
+
+// limit gives the time of one attempt. A read of the audit log may take longer
+// than attemptTimeout, as it reads many sessions or a whole log again; it gets
+// an equal share of the call's time, so that one silent control VM does not
+// use up all of it.
+func (c *Client) limit(ctx context.Context, path string) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok || !strings.HasPrefix(path, auditPath) {
+		return attemptTimeout
+	}
+	return max(attemptTimeout, time.Until(end)/time.Duration(len(c.Addrs)))
+}
+
 func badAddress(addr string, err error) error {
 	p := problem.New(problem.BadRequest, problem.NotRun, "control address %q: %v", addr, err)
 	p.Remedy = "Give addresses such as https://10.0.0.1:8443."
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -82,6 +82,11 @@
 	return admin.AuditReply{Records: []json.RawMessage{json.RawMessage(fmt.Sprintf(`{"request":%q}`, q.Request))}, Missing: []ids.VMID{"c3"}}, nil
 }
 
+// roundTripper is a function as an http.RoundTripper.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 const document = "branches:\n  guild:\n    deadline.default: 4s\npools:\n  - {name: p, kind: encode}\n"
 
 var _ = Describe("damaskctl", func() {
@@ -249,6 +254,30 @@
 		Expect(out).To(MatchRegexp(`c2 +leader +- +0s`))
 	})
 
+	// An audit query over many sessions, or the check of a year's log, takes
+	// longer than a short call. Given up after 5 s and sent to the next control
+	// VM, it would never end, whatever -timeout says.
+	DescribeTable("gives the audit log's reads their share of the whole timeout", func(path string, least, most time.Duration) {
+		var left time.Duration
+		c := &Client{
+			Addrs: []string{"http://127.0.0.1:1", "http://127.0.0.1:2"}, Token: "secret",
+			HTTP: &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+				end, _ := r.Context().Deadline()
+				left = time.Until(end)
+				return nil, context.Canceled
+			})},
+			Pause: func(context.Context, time.Duration) error { return context.Canceled },
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Hour)
+		defer cancel()
+		Expect(c.Get(ctx, path, nil, &struct{}{})).NotTo(Succeed())
+		Expect(left).To(And(BeNumerically(">", least), BeNumerically("<=", most)))
+	},
+		Entry(nil, "/v1/audit/unaccounted", time.Hour, 5*time.Hour),
+		Entry(nil, "/v1/audit", time.Hour, 5*time.Hour),
+		Entry(nil, "/v1/status", time.Duration(0), attemptTimeout),
+	)
+
 	It("prints the settings as a document that can be applied", func() {
 		damaskctl("apply", "-f", file)
 		code, out, errs := damaskctl("get", "-document")
