Hedge cold stages and send later attempts over new connections

Cause: with connections gone silent, requests of VMs that had not yet seen 20 samples of a stage were never hedged and waited out their deadline (lookup, chat and pipeline, deadline_exceeded). Conclusion: a stage without known latencies is hedged after a quarter of the time left, at most 1 s.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -174,7 +174,7 @@
 		Listen:     "127.0.0.1:0",
 		Control:    control.NewClient(caller, addrs),
 		Audit:      entry.NewSessionRecorder(caller, addrs, audit.WriterOptions{}),
-		MembersURL: c.Fleet.MembersURL(),
+		MembersURL: c.Fleet.RegionMembersURL(c.Region(i)),
 		Seed:       c.opts.Seed + int64(i) + 1,
 		Policy:     c.opts.Policy,
 		Logger:     c.opts.Logger,
--- a/entry/budgets.go
+++ b/entry/budgets.go
@@ -58,11 +58,25 @@
 		p.Deadline = earlier(p.Deadline, time.Now().Add(grant.CancelAfter))
 	}
 	if s.mayHedge(q, st, branch) {
-		p.HedgeAfter = grant.HedgeAfter
+		p.HedgeAfter = hedgeAfter(grant, time.Until(q.deadline))
 	}
 	return p
 }
 
+// hedgeAfter is when a second attempt is due. Before the stage's latencies are
+// known it is a part of the time left, so that a silent connection at a VM that
+// has just started doesn't cost the whole deadline.
+func hedgeAfter(grant budget.Grant, left time.Duration) time.Duration {
+	const (
+		part    = 4
+		longest = time.Second
+	)
+	if grant.HedgeAfter > 0 {
+		return grant.HedgeAfter
+	}
+	return min(left/part, longest)
+}
+
 // mayHedge allows hedges only in a pool with spare capacity. In a saturated
 // pool a slow attempt is slow because of the load, and a hedge adds to it.
 func (s *Server) mayHedge(q *request, st settings.Stage, branch string) bool {
--- a/upstream/chat.go
+++ b/upstream/chat.go
@@ -104,7 +104,7 @@
 	if r.SkipTokens > 0 {
 		h.Set(HeaderResume, strconv.Itoa(r.SkipTokens))
 	}
-	resp, err := c.open(ctx, call{method: http.MethodPost, addr: addr, path: "/v1/chat/completions", header: h, body: body, attempt: a.String()})
+	resp, err := c.open(ctx, call{method: http.MethodPost, addr: addr, path: "/v1/chat/completions", header: h, body: body, attempt: a.String(), fresh: a.Number > 1})
 	if err != nil {
 		return ChatEnd{}, err
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -75,7 +75,7 @@
 }
 
 func (c *Client) dialer(g Guard) func(context.Context, string, string) (net.Conn, error) {
-	d := net.Dialer{Timeout: c.opts.DialTimeout, KeepAlive: time.Second}
+	d := net.Dialer{Timeout: c.opts.DialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacknowledged}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
@@ -98,6 +98,8 @@
 	header  http.Header
 	body    []byte
 	attempt string
+	// fresh asks for a new connection.
+	fresh bool
 	// guard asks for a new connection and is checked before its first byte.
 	guard Guard
 }
@@ -129,10 +131,11 @@
 	return resp, nil
 }
 
-// transportFor gives a transport of its own to a guarded call, so that it goes
-// over a new connection that nothing in between can have lost track of.
+// transportFor gives a transport of its own to a guarded call and to one that
+// follows another attempt, so that they go over new connections that nothing in
+// between can have lost track of.
 func (c *Client) transportFor(k call) *http.Transport {
-	if k.guard == nil {
+	if k.guard == nil && !k.fresh {
 		return c.shared(k.addr)
 	}
 	t := c.newTransport(k.guard)
@@ -151,6 +154,9 @@
 	case !written:
 		return &Error{Cause: NotSent, Address: addr, Err: err}
 	case ctx.Err() != nil:
+		// The call was given up without an answer, as a hedge that lost. The
+		// kept connections to the runner may be silent as well.
+		t.CloseIdleConnections()
 		return &Error{Cause: Cancelled, Address: addr, Err: ctx.Err()}
 	case errors.Is(err, errSilent):
 		// Other idle connections may have been lost with this one. They are
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -35,7 +35,7 @@
 	if s.Key != "" {
 		h.Set(HeaderKey, s.Key)
 	}
-	resp, err := c.open(ctx, call{method: http.MethodPost, addr: addr, path: "/call/" + s.Op, header: h, body: s.Body, attempt: a.String(), guard: s.Guard})
+	resp, err := c.open(ctx, call{method: http.MethodPost, addr: addr, path: "/call/" + s.Op, header: h, body: s.Body, attempt: a.String(), guard: s.Guard, fresh: a.Number > 1})
 	if err != nil {
 		return ServiceResult{}, err
 	}
--- a/upstream/stage.go
+++ b/upstream/stage.go
@@ -37,7 +37,7 @@
 	}
 	h := jsonHeader()
 	h.Set(HeaderPriority, priority)
-	resp, err := c.open(ctx, call{method: http.MethodPost, addr: addr, path: "/v1/stages/" + kind, header: h, body: body, attempt: a.String()})
+	resp, err := c.open(ctx, call{method: http.MethodPost, addr: addr, path: "/v1/stages/" + kind, header: h, body: body, attempt: a.String(), fresh: a.Number > 1})
 	if err != nil {
 		return StageResult{}, err
 	}
