admission: take the first baseline from the first requests granted

Cause: the first requests to end are the shortest of those under way, so the first window gave a latency far below the usual one and the limit then fell for good. Ruled out: more windows before the baseline; in an overload from the start they show the queue.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -365,6 +365,25 @@
 		Expect(g.Limit()).To(BeNumerically("<", before/2))
 	})
 
+	It("does not take the shortest of the first requests for the usual latency", func() {
+		g := NewGate(DefaultOptions())
+		var held []Ticket
+		now := start
+		for round := range 60 {
+			now = now.Add(10 * time.Millisecond)
+			held = append(held, g.Offer(Request{Workspace: "x"}, now))
+			if round >= 20 && round%2 == 0 {
+				g.Release(held[len(held)-1], Sample{Latency: 10 * time.Millisecond}, now)
+			}
+		}
+		Expect(g.limiter.Baseline()).To(BeZero())
+		for _, t := range held {
+			now = now.Add(10 * time.Millisecond)
+			g.Release(t, Sample{Latency: 500 * time.Millisecond}, now)
+		}
+		Expect(g.limiter.Baseline()).To(Equal(500 * time.Millisecond))
+	})
+
 	It("does not take long requests for overdue ones while short ones are answered", func() {
 		g := NewGate(DefaultOptions())
 		now := start
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -44,6 +44,7 @@
 type grant struct {
 	since time.Time
 	batch bool
+	first bool
 	// latency is the sample given by Progress, if any.
 	latency time.Duration
 }
@@ -58,6 +59,7 @@
 		granted: map[Ticket]grant{},
 	}
 	g.counts.Rejected = map[Reason]uint64{}
+	g.limiter.gated = true
 	for i := range g.classes {
 		g.classes[i] = &class{number: i}
 	}
@@ -98,9 +100,11 @@
 	g.Advance(now)
 }
 
-// delayed notes how long after its latency the sample is given.
+// delayed notes how long after its latency the sample is given, and whether it
+// is that of one of the first requests.
 func (g *Gate) delayed(s Sample, gr grant, now time.Time) Sample {
 	s.delay = max(0, now.Sub(gr.since)-s.Latency)
+	s.first = gr.first
 	return s
 }
 
@@ -216,8 +220,8 @@
 	if batch {
 		g.batch++
 	}
-	g.granted[it.ticket] = grant{since: now, batch: batch}
 	g.counts.Granted++
+	g.granted[it.ticket] = grant{since: now, batch: batch, first: g.counts.Granted <= firstGrants}
 	g.events = append(g.events, Event{Ticket: it.ticket})
 }
 
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -16,6 +16,13 @@
 	// overdueFactor is how far above Tolerance the age of most requests under
 	// way must be to count as congestion.
 	overdueFactor = 8
+	// firstGrants is the number of requests whose latencies give the first
+	// baseline. They are taken in the order of the grants: the first to end are
+	// the shortest ones, and a baseline from them would show congestion for good.
+	firstGrants = 16
+	// firstWait is the time after which the baseline is taken from those of the
+	// first requests that have ended.
+	firstWait = 10 * time.Second
 	// gradientFloor bounds how far one window lowers the limit.
 	gradientFloor = 0.6
 	// rampFactor is the growth per window before the first sign of congestion.
@@ -45,6 +52,8 @@
 	Outcome Outcome
 	// delay is how long after its latency the sample was given.
 	delay time.Duration
+	// first marks the samples of the first requests granted.
+	first bool
 }
 
 // Limiter is an adaptive concurrency limit. Once for each window it compares
@@ -75,6 +84,13 @@
 	// of the last one with a usual latency.
 	delay     float64
 	healthyAt time.Time
+	// first holds the latencies of the first requests, firstLost counts those
+	// without one, and openedAt is when the first sample came.
+	first []float64
+	// gated says that a gate marks the first requests.
+	gated     bool
+	firstLost int
+	openedAt  time.Time
 }
 
 // NewLimiter gives a limiter at its initial limit.
@@ -95,9 +111,12 @@
 // under way, itself included.
 func (l *Limiter) Observe(s Sample, inFlight int, now time.Time) {
 	if l.started.IsZero() {
-		l.started = now
+		l.started, l.openedAt = now, now
 	}
 	l.peak = max(l.peak, inFlight)
+	if s.first {
+		l.observeFirst(s)
+	}
 	switch s.Outcome {
 	case Ignored:
 		return
@@ -145,7 +164,7 @@
 
 func (l *Limiter) adjust(now time.Time) {
 	busy := float64(l.peak) >= l.limit/2
-	if len(l.window) > 0 {
+	if l.establish(now) && len(l.window) > 0 {
 		l.follow(l.median(), busy, now)
 	}
 	if float64(l.drops) > l.opts.DropTolerance*float64(l.samples) {
@@ -156,13 +175,42 @@
 	l.started = now
 }
 
+// observeFirst collects the latencies of the first requests.
+func (l *Limiter) observeFirst(s Sample) {
+	if s.Outcome == OK {
+		l.first = append(l.first, float64(s.Latency))
+	} else {
+		l.firstLost++
+	}
+}
+
+// establish sets the baseline once the first requests have ended; false before.
+// Where none of them gave a latency, or without a gate, it takes the window's.
+func (l *Limiter) establish(now time.Time) bool {
+	if l.baseline > 0 {
+		return true
+	}
+	complete := !l.gated || len(l.first)+l.firstLost >= firstGrants || now.Sub(l.openedAt) >= firstWait
+	if !complete {
+		return false
+	}
+	if len(l.first) == 0 {
+		l.first = l.window
+	}
+	if len(l.first) == 0 {
+		return false
+	}
+	slices.Sort(l.first)
+	l.baseline = l.first[len(l.first)/2]
+	l.smooth = l.baseline
+	l.first = nil
+	return true
+}
+
 // follow updates the baseline and the limit from a window's median latency.
 func (l *Limiter) follow(latency float64, busy bool, now time.Time) {
-	if l.smooth == 0 {
-		l.smooth = latency
-	}
 	l.smooth += smoothGain * (latency - l.smooth)
-	if l.baseline == 0 || l.smooth < l.baseline {
+	if l.smooth < l.baseline {
 		l.baseline = l.smooth
 	} else {
 		life := l.opts.BaselineIdle
--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -232,6 +232,12 @@
 
 // simulate runs one load.
 func simulate(load float64, slow func(stage int, at time.Duration) float64, md mode, seed uint64) result {
+	m := simulateModel(load, slow, md, seed)
+	n := float64(m.offered)
+	return result{float64(m.good) / n, float64(m.rejected) / n, 1 - float64(m.useful)/float64(m.spent)}
+}
+
+func simulateModel(load float64, slow func(stage int, at time.Duration) float64, md mode, seed uint64) *model {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	m := &model{mode: md, slow: slow, tracker: NewTracker(DefaultOptions()), stations: make([]station, len(modelStages))}
 	for _, s := range modelStages {
@@ -265,8 +271,7 @@
 		m.after(0, tick)
 	}
 	m.run()
-	n := float64(m.offered)
-	return result{float64(m.good) / n, float64(m.rejected) / n, 1 - float64(m.useful)/float64(m.spent)}
+	return m
 }
 
 // Guards early rejection and cancellation: past saturation they answer several
