--- a/relay/direction.go
+++ b/relay/direction.go
@@ -63,7 +63,7 @@
 	d.change = make(chan struct{})
 }
 
-// Bytes gives the payload bytes that arrived.
+// Bytes gives the payload bytes that the link has carried to its end.
 func (d *Direction) Bytes() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/relay/packetqueue.go
+++ b/relay/packetqueue.go
@@ -50,10 +50,8 @@
 		if q.flow.isFrozen() || q.direction.lost() {
 			continue
 		}
-		if err := q.write(p.data); err != nil {
-			q.direction.drop()
-			continue
-		}
 		q.direction.arrived(len(p.data))
+		// A packet that the target's socket rejects is lost beyond the link.
+		_ = q.write(p.data)
 	}
 }
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -98,11 +98,13 @@
 			t.end(to, c.err)
 			return
 		}
+		// Counted first, so that whoever has received the bytes finds them in
+		// the count.
+		d.arrived(len(c.data))
 		if _, err := to.Write(c.data); err != nil {
 			t.close()
 			return
 		}
-		d.arrived(len(c.data))
 	}
 }
 
