--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -306,7 +308,7 @@
 	})
 
 	It("settles at limits in proportion to the demand of VMs that see the same latency", func() {
-		limit := func(offers int) int {
+		limit := func(offers int, hold time.Duration) int {
 			l := NewLimiter(DefaultOptions().Limiter)
 			now := start
 			for i := range 4000 {
@@ -318,11 +320,83 @@
 				if i > 100 {
 					latency = 120 * time.Millisecond
 				}
+				l.observeHold(hold, latency)
 				l.Observe(Sample{Latency: latency}, l.Limit(), now)
 			}
 			return l.Limit()
 		}
-		Expect(limit(12)).To(BeNumerically(">", 3*limit(2)))
+		Expect(limit(12, 0)).To(BeNumerically(">", 3*limit(2, 0)))
+		Expect(limit(2, time.Second)).To(BeNumerically(">", 3*limit(2, 0)), "a place is held beyond the latency")
+	})
+
+	It("counts a latency given by Progress once and lowers the limit for overdue requests", func() {
+		o := DefaultOptions()
+		g := NewGate(o)
+		now := start
+		for range 3 {
+			now = now.Add(o.Limiter.Window)
+			var held []Ticket
+			for range o.Limiter.WindowSamples {
+				held = append(held, g.Offer(Request{Workspace: "x"}, now))
+			}
+			now = now.Add(10 * time.Millisecond)
+			for _, t := range held {
+				g.Progress(t, 10*time.Millisecond, now)
+				g.Progress(t, time.Hour, now)
+				g.Release(t, Sample{Latency: time.Hour}, now)
+			}
+		}
+		for range 40 {
+			g.Offer(Request{Workspace: "x"}, now)
+		}
+		Expect(g.limiter.Baseline()).To(Equal(10 * time.Millisecond))
+		t := g.Offer(Request{Workspace: "x"}, now)
+		samples := g.limiter.samples
+		g.Progress(t, 10*time.Millisecond, now)
+		g.Release(t, Sample{Latency: time.Hour}, now)
+		Expect(g.limiter.samples).To(Equal(samples + 1))
+		before := g.Limit()
+		g.Advance(now.Add(o.Limiter.Window))
+		Expect(g.Limit()).To(Equal(before))
+		for range 10 {
+			now = now.Add(o.Limiter.Window)
+			g.Advance(now)
+		}
+		Expect(g.Limit()).To(BeNumerically("<", before/2))
+	})
+
+	It("does not take long requests for overdue ones while short ones are answered", func() {
+		g := NewGate(DefaultOptions())
+		now := start
+		for range 300 {
+			now = now.Add(10 * time.Millisecond)
+			short := g.Offer(Request{Workspace: "x"}, now)
+			if g.InFlight() < 30 {
+				g.Offer(Request{Workspace: "long"}, now)
+			}
+			now = now.Add(10 * time.Millisecond)
+			g.Release(short, Sample{Latency: 10 * time.Millisecond}, now)
+		}
+		Expect(g.Limit()).To(BeNumerically(">=", DefaultInitialLimit))
+	})
+
+	It("does not take engines for overdue whose first token is sampled at the end", func() {
+		g := NewGate(DefaultOptions())
+		now := start
+		for range 20 {
+			var held []Ticket
+			for range 20 {
+				held = append(held, g.Offer(Request{Workspace: "x"}, now))
+			}
+			for range 40 {
+				now = now.Add(100 * time.Millisecond)
+				g.Advance(now)
+			}
+			for _, t := range held {
+				g.Release(t, Sample{Latency: 100 * time.Millisecond}, now)
+			}
+		}
+		Expect(g.Limit()).To(BeNumerically(">=", DefaultInitialLimit))
 	})
 
 	It("gives each waiter of Shared one event", func() {
@@ -335,4 +409,24 @@
 		Expect((<-b.Done).Rejection).To(BeNil())
 		Expect(s.Status()["p"].InFlight).To(Equal(1))
 	})
+
+	It("keeps the limit for several goroutines through Shared", func() {
+		s := NewShared(fixed(2))
+		var inside atomic.Int32
+		var wg sync.WaitGroup
+		for n := range 8 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for range 50 {
+					w := s.Offer("p", Request{Workspace: fmt.Sprint(n)}, start)
+					Expect((<-w.Done).Rejection).To(BeNil())
+					Expect(inside.Add(1)).To(BeNumerically("<=", 2))
+					inside.Add(-1)
+					s.Release("p", w.Ticket, Sample{}, start)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(s.Status()["p"].Granted).To(BeEquivalentTo(400))
+	})
 })
--- a/controlvm/http.go
+++ b/controlvm/http.go
@@ -18,12 +18,15 @@
 
 // mux is the HTTP API for operators: health, metrics, the account of requests,
 // and the admin API for every other path.
-func (v *VM) mux(api http.Handler, operators *admin.Operators) http.Handler {
+func (v *VM) mux(api *admin.API, operators *admin.Operators) http.Handler {
 	m := http.NewServeMux()
 	own := v.server.Handler()
 	m.Handle("GET /healthz", own)
 	m.Handle("GET /readyz", own)
-	m.Handle("GET /metrics", own)
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		v.server.WriteMetrics(w)
+		api.WriteMetrics(w)
+	})
 	m.Handle("GET /v1/audit/requests/{id}", v.operator(operators, v.accountRequest))
 	m.Handle("GET /v1/audit/unaccounted", v.operator(operators, v.unaccounted))
 	m.Handle("GET /v1/audit/verify", v.operator(operators, v.verify))
@@ -58,15 +61,6 @@
 	p.Write(w)
 }
 
-// RequestAccount is the answer of GET /v1/audit/requests/{id}.
-type RequestAccount struct {
-	Summary audit.Summary `json:"summary"`
-	Records []audit.Entry `json:"records"`
-	// Complete is false if a control VM could not be asked.
-	Complete bool       `json:"complete"`
-	Missing  []ids.VMID `json:"missing,omitempty"`
-}
-
 // accountRequest accounts for one request.
 func (v *VM) accountRequest(ctx context.Context, r *http.Request) (any, error) {
 	id, err := ids.ParseRequestID(r.PathValue("id"))
@@ -79,18 +73,10 @@
 	}
 	entries, missing := v.reader().Query(ctx, id)
 	b := &backend{vm: v}
-	out := RequestAccount{Summary: audit.Account(id, entries, state), Records: entries, Complete: len(missing) == 0, Missing: b.names(missing)}
+	out := admin.RequestAccount{Summary: audit.Account(id, entries, state), Records: entries, Complete: len(missing) == 0, Missing: b.names(missing)}
 	return out, nil
 }
 
-// UnaccountedAnswer is the answer of GET /v1/audit/unaccounted: what the ended
-// sessions leave open.
-type UnaccountedAnswer struct {
-	Sessions []audit.UnaccountedReport `json:"sessions"`
-	Complete bool                      `json:"complete"`
-	Missing  []ids.VMID                `json:"missing,omitempty"`
-}
-
 // unaccounted lists the requests without an end of all ended sessions.
 func (v *VM) unaccounted(ctx context.Context, _ *http.Request) (any, error) {
 	sessions, err := v.sessions(ctx)
@@ -98,7 +84,7 @@
 		return nil, err
 	}
 	b := &backend{vm: v}
-	out := UnaccountedAnswer{Complete: true, Sessions: []audit.UnaccountedReport{}}
+	out := admin.UnaccountedReply{Complete: true, Sessions: []audit.UnaccountedReport{}}
 	for i := range sessions {
 		state := stateOf(&sessions[i])
 		if !state.Ended {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -99,6 +99,16 @@
 		Expect(l.Claim(claim("k", request("c", 1))).Code).To(Equal(command.ClaimInProgress), "and frees nothing")
 	})
 
+	It("remembers a bounded number of releases, the newest ones", func() {
+		for n := range uint64(releasedMax + 1) {
+			l.Claim(claim("k", request("a", n+1)))
+			l.Release(release("k", request("a", n+1)))
+		}
+		Expect(l.Claim(claim("k", request("a", 2))).Code).To(Equal(command.NotOwner))
+		Expect(l.holders[a.Session].released.set).To(HaveLen(releasedMax))
+		Expect(l.Claim(claim("k", a)).Code).To(Equal(command.ClaimGranted))
+	})
+
 	It("keeps a tombstone for a plain key and a watermark for UUIDv7", func() {
 		old := v7(100, 1)
 		for _, k := range []string{"ran", "lost", old} {
@@ -166,10 +176,23 @@
 		}
 		f := l.Freeze()
 		before := f.Encode()
-		for n := range 50 {
-			l.Record(record(fmt.Sprint(n), request("a", uint64(n+1)), "x"), 5)
+		change := []func(){
+			func() { l.Claim(claim("new", request("b", 1))) },
+			func() { l.Record(record("0", request("a", 1), "x"), 5) },
+			func() { l.Release(release("1", request("a", 2))) },
+			func() { l.EndSession(request("a", 1).Session, 6) },
+			func() { l.Record(record("2", request("a", 3), "late"), 7) },
+			func() { l.Retire(20, 20) },
+		}
+		encoded := make(chan []byte)
+		go func() { encoded <- f.Encode() }()
+		for i, f := range change {
+			next := l.Freeze()
+			want := next.Encode()
+			f()
+			Expect(bytes.Equal(want, next.Encode())).To(BeTrue(), "change %d", i)
 		}
-		l.Retire(10, 10)
+		Expect(bytes.Equal(before, <-encoded)).To(BeTrue())
 		Expect(bytes.Equal(before, f.Encode())).To(BeTrue())
 		Expect(bytes.Equal(before, l.Freeze().Encode())).To(BeFalse())
 	})
--- a/machine/machine_test.go
+++ b/machine/machine_test.go
@@ -66,6 +66,12 @@
 		Expect(apply(claim("a", 2)).Code).To(Equal(command.ClaimDone))
 	})
 
+	It("refuses a claim that arrives after its request has given up", func() {
+		r := ids.RequestID{Session: sid("a", 1), Seq: 1}
+		Expect(apply(command.Command{Release: &command.Release{Workspace: "w", Key: "k", Request: r}}).Code).To(Equal(command.NotOwner))
+		Expect(apply(claim("a", 1)).Code).To(Equal(command.NotOwner))
+	})
+
 	It("never lets its time go back and refuses a time out of range", func() {
 		apply(command.Command{NowUnixMS: 50, Lookup: &command.Lookup{Workspace: "w", Key: "k"}})
 		Expect(m.NowUnixMS()).To(Equal(int64(100)))
@@ -79,6 +85,9 @@
 		hour := int64(3_600_000)
 		apply(claim("a", 1))
 		apply(command.Command{NowUnixMS: 200, Record: &command.Record{Workspace: "w", Key: "k", Request: ids.RequestID{Session: sid("a", 1), Seq: 1}}})
+		Expect(m.RetireBefore(200+hour)).To(BeZero(), "nothing is due")
+		Expect(m.RetireBefore(201 + hour)).To(Equal(int64(201)))
+		Expect(m.RetireBefore(hour + 60_000)).To(Equal(int64(60_000)))
 		retire := command.Command{NowUnixMS: 200 + hour, Retire: &command.Retire{BeforeUnixMS: 1 << 40}}
 		apply(retire)
 		Expect(apply(claim("a", 1)).Code).To(Equal(command.ClaimDone))
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -57,6 +58,7 @@
 		witness := rapid.IntRange(0, vms-1).Draw(t, "witness")
 		delay := rapid.IntRange(0, 2000)
 		busy := rapid.Bool().Draw(t, "busy")
+		refuses := rapid.IntRange(-1, 30).Draw(t, "refuses")
 		var mail []parcel
 		seq := uint64(1)
 		for step := range 300 {
@@ -69,6 +71,10 @@
 					trackers[witness].ObserveSuccess(addr(1), now)
 				}
 			}
+			if step >= refuses && step < refuses+4 {
+				// A VM that fails to connect must still hear that it leaves.
+				trackers[(witness+1)%vms].ObserveRefused(addr(1), now)
+			}
 			if step%5 == 0 {
 				for from, tr := range trackers {
 					for to := range trackers {
@@ -241,11 +247,20 @@
 		Expect(u.Trust(start.Add(3 * time.Second))).To(Equal(DefaultTrustFloor))
 	})
 
+	It("takes a new slow start for upstreams that are already returning", func() {
+		s := &Shared{core: t}
+		s.ObserveRefused(addr(1), start)
+		s.TuneSlowStart(2 * time.Second)
+		u, _ := s.View().Find("p", addr(1))
+		Expect(u.Trust(start.Add(DefaultRefusedHold + time.Second))).To(BeNumerically("~", 0.5, 0.01))
+	})
+
 	It("leaves published views unchanged", func() {
 		old := t.View()
 		t.ObserveDraining(addr(1), start)
 		u, _ := old.Find("p", addr(1))
 		Expect(u.Usable(start)).To(BeTrue())
+		Expect(json.Marshal(u.State(start))).To(MatchJSON(`"live"`))
 		Expect(t.View().Version()).To(Equal(old.Version() + 1))
 	})
 })
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -189,6 +190,44 @@
 		Expect(s.credibility).To(BeNumerically("<", 0.05))
 	})
 
+	It("avoids an upstream that is slower or has just failed, before it is ejected", func() {
+		for i := range 5 {
+			now := start.Add(time.Duration(i) * time.Second)
+			serve(0, Success, 25*time.Millisecond, now)
+			for n := 1; n < 4; n++ {
+				serve(n, Success, 10*time.Millisecond, now)
+			}
+		}
+		now := start.Add(5 * time.Second)
+		serve(1, Failure, time.Millisecond, now)
+		for range 30 {
+			c := choose(Request{}, now)
+			Expect(c.Upstream.Address).To(BeElementOf(address(2), address(3)))
+			r.Done(c.Ticket, Outcome{Result: Cancelled}, now)
+		}
+	})
+
+	It("gives a returning upstream little work at first and its share later", func() {
+		count := func(now time.Time) (n int) {
+			var open []Ticket
+			for range 80 {
+				c := choose(Request{}, now)
+				open = append(open, c.Ticket)
+				if c.Upstream.Address == address(0) {
+					n++
+				}
+			}
+			for _, t := range open {
+				r.Done(t, Outcome{Result: Cancelled}, now)
+			}
+			return n
+		}
+		tr.ObserveRefused(address(0), start)
+		back := start.Add(membership.DefaultRefusedHold)
+		Expect(count(back)).To(BeNumerically("~", 4, 3))
+		Expect(count(back.Add(membership.DefaultSlowStart))).To(BeNumerically("~", 20, 5))
+	})
+
 	It("ejects after consecutive failures, probes once with backoff and re-admits", func() {
 		for range DefaultEjectFailures {
 			serve(0, Failure, time.Millisecond, start)
@@ -281,6 +320,34 @@
 		Expect(p.match([]uint64{7}, start)).To(BeZero())
 	})
 
+	It("serves several goroutines through Shared with one view that changes", func() {
+		shared := NewShared(DefaultOptions("lagos"), rand.New(rand.NewPCG(1, 1)))
+		views := membership.NewShared(membership.DefaultOptions("vm"))
+		var members []membership.Member
+		for _, u := range tr.View().Pool("p") {
+			members = append(members, membership.Member{VM: u.VM, Address: u.Address, Pool: "p", Region: u.Region, State: membership.ListLive})
+		}
+		views.ApplyList(membership.List{Seq: 1, Members: members}, start)
+		var wg sync.WaitGroup
+		for n := range 4 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for i := range 200 {
+					now := start.Add(time.Duration(i) * time.Millisecond)
+					c, err := shared.Choose(views.View(), Request{Pool: "p"}, now)
+					Expect(err).NotTo(HaveOccurred())
+					views.ObserveSuccess(c.Upstream.Address, now)
+					if n == 0 && i == 100 {
+						views.ObserveDraining(address(0), now)
+					}
+					shared.Done(c.Ticket, Outcome{Latency: time.Millisecond}, now)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(shared.Counts().Choices).To(BeEquivalentTo(800))
+	})
+
 	It("forgets upstreams that have left the view", func() {
 		choose(Request{}, start)
 		tr.ApplyList(membership.List{Seq: 2, Members: nil}, start)
--- a/standin/core.go
+++ b/standin/core.go
@@ -31,8 +31,11 @@
 	done    chan struct{}
 	close   sync.Once
 
+	// crashed drops what a process loses when it ends; nil drops nothing.
+	crashed func()
+
 	hookMu sync.Mutex
-	hook   func(Fault)
+	hook   func(Fault, *conn)
 
 	lastMu sync.Mutex
 	last   *response
@@ -88,7 +91,11 @@
 
 // Fault uses a fault switch. Faults of connections and listeners need the
 // runner to be served by Serve.
-func (k *core) Fault(f Fault) error {
+func (k *core) Fault(f Fault) error { return k.fault(f, nil) }
+
+// fault uses a fault switch and spares the connection over which it was asked
+// for, so that the answer arrives.
+func (k *core) fault(f Fault, spare *conn) error {
 	if err := f.Check(); err != nil {
 		return err
 	}
@@ -97,13 +104,16 @@
 	hook := k.hook
 	k.hookMu.Unlock()
 	if hook != nil {
-		hook(f)
+		hook(f, spare)
+	}
+	if f.Kind == FaultCrash && k.crashed != nil {
+		k.crashed()
 	}
 	return nil
 }
 
 // onFault sets the function that hears of each use of a fault switch.
-func (k *core) onFault(hook func(Fault)) {
+func (k *core) onFault(hook func(Fault, *conn)) {
 	k.hookMu.Lock()
 	defer k.hookMu.Unlock()
 	k.hook = hook
@@ -122,7 +132,7 @@
 		errorResponse(http.StatusBadRequest, "bad_fault", err.Error()).write(w)
 		return
 	}
-	if err := k.Fault(f); err != nil {
+	if err := k.fault(f, connOf(r)); err != nil {
 		errorResponse(http.StatusBadRequest, "bad_fault", err.Error()).write(w)
 		return
 	}
