control: tests of a replaced identity and of signs between followers

The test of signs could pass with the leader as one of the two control VMs; with the leader's relay of signs switched off it now times out. With the check of the sender's identity switched off, the old copy of a disk goes on.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -78,6 +78,28 @@
 		c.expectKept()
 	})
 
+	// Guards against an old copy of a disk that votes and acknowledges beside
+	// the replica that has taken its place.
+	It("stops a replica that comes back under a replaced identity", func() {
+		start(nil)
+		lost := c.members[c.others(c.leader())[0]]
+		c.kill(lost.vm)
+		kept := lost.dir + "-kept"
+		Expect(os.Rename(lost.dir, kept)).To(Succeed())
+		Expect(c.start(lost.vm)).To(Succeed())
+		id := lost.replica.ID()
+		Eventually(func() bool {
+			return c.members[c.leader()].replica.published.Load().members.IsVoter(id)
+		}, patience, time.Millisecond).Should(BeTrue())
+		c.kill(lost.vm)
+		lost.dir = kept
+		Expect(c.start(lost.vm)).To(Succeed())
+		Eventually(lost.replica.Done(), patience).Should(BeClosed())
+		Expect(lost.replica.Err()).To(MatchError(ContainSubstring("was replaced by")))
+		c.claims(3)
+		c.expectKept()
+	})
+
 	// Guards against a leader that goes on alone behind a silent partition,
 	// and against its return disturbing the new one.
 	It("deposes a leader that is cut off, without a stale proof", func() {
--- a/control/renew_test.go
+++ b/control/renew_test.go
@@ -128,7 +128,8 @@
 	// upstream that is leaving.
 	It("passes a sign on to the entry VMs of other control VMs, and a drain", func() {
 		start(nil)
-		from, to := c.subscribe("from", "a"), c.subscribe("to", "b")
+		followers := c.others(c.leader())
+		from, to := c.subscribe("from", followers[0]), c.subscribe("to", followers[1])
 		to.renew()
 		from.renew(settings.Sign{Address: "10.0.0.1:80", State: settings.SignLeaving, From: "from"})
 		var got []settings.Sign
