--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -13,6 +13,9 @@
 	// long-term minimum is taken. The least of many medians of a few samples
 	// lies far below the usual latency and would look like congestion.
 	smoothGain = 0.2
+	// overdueFactor is how far above Tolerance the age of most requests under
+	// way must be to count as congestion.
+	overdueFactor = 8
 	// gradientFloor bounds how far one window lowers the limit.
 	gradientFloor = 0.6
 	// rampFactor is the growth per window before the first sign of congestion.
@@ -40,6 +43,8 @@
 	// the time to the first token, else the whole time at the upstream.
 	Latency time.Duration
 	Outcome Outcome
+	// delay is how long after its latency the sample was given.
+	delay time.Duration
 }
 
 // Limiter is an adaptive concurrency limit. Once for each window it compares
@@ -63,6 +68,13 @@
 	ramped bool
 	// offered counts the requests offered in the window.
 	offered int
+	// extra is the mean time in nanoseconds that a place is held beyond the
+	// latency of its sample, as by an engine after the first token.
+	extra float64
+	// delay is the mean delay of samples in nanoseconds, and healthyAt the time
+	// of the last one with a usual latency.
+	delay     float64
+	healthyAt time.Time
 }
 
 // NewLimiter gives a limiter at its initial limit.
@@ -92,6 +104,7 @@
 	case Dropped:
 		l.drops++
 	case OK:
+		l.observeHealth(s, now)
 		if len(l.window) < windowCap {
 			l.window = append(l.window, float64(s.Latency))
 		}
@@ -102,6 +115,34 @@
 	}
 }
 
+// observeHealth notes the delay of samples and the time of usual ones.
+func (l *Limiter) observeHealth(s Sample, now time.Time) {
+	l.delay += holdGain * (float64(s.delay) - l.delay)
+	if float64(s.Latency) <= 2*l.opts.Tolerance*l.baseline {
+		l.healthyAt = now
+	}
+}
+
+// overdueAfter gives the age at which a request without a sample shows
+// congestion; 0 while nothing is known or as long as usual latencies have been
+// sampled, since the requests under way are then merely long ones.
+func (l *Limiter) overdueAfter(now time.Time) time.Duration {
+	after := time.Duration(overdueFactor * (l.opts.Tolerance*l.baseline + l.delay))
+	if l.baseline == 0 || now.Sub(l.healthyAt) < after {
+		return 0
+	}
+	return after
+}
+
+// Overdue lowers the limit because most requests under way have had no answer
+// for longer than overdueAfter. Their samples would come too late.
+func (l *Limiter) Overdue(now time.Time) {
+	l.ramped = true
+	l.set(l.limit * (1 - limitGain*(1-gradientFloor)))
+	l.offered = 0
+	l.started = now
+}
+
 func (l *Limiter) adjust(now time.Time) {
 	busy := float64(l.peak) >= l.limit/2
 	if len(l.window) > 0 {
@@ -152,7 +193,13 @@
 	l.set(l.limit + limitGain*(target-l.limit))
 }
 
-// demand gives the places that the offered requests would hold at once at the
+// observeHold takes the time that a place was held by a request whose latency
+// was sampled.
+func (l *Limiter) observeHold(hold, latency time.Duration) {
+	l.extra += holdGain * (float64(max(0, hold-latency)) - l.extra)
+}
+
+// demand gives the places that the offered requests would hold at once with the
 // long-term latency. With the present latency, the limit would feed on the
 // congestion that it causes.
 func (l *Limiter) demand(now time.Time) float64 {
@@ -160,7 +207,7 @@
 	if elapsed <= 0 {
 		return 0
 	}
-	return float64(l.offered) / elapsed * l.baseline
+	return float64(l.offered) / elapsed * (l.baseline + l.extra)
 }
 
 func (l *Limiter) set(limit float64) {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -66,8 +66,8 @@
 
 func (b *backend) Status(context.Context) (admin.Status, error) {
 	return admin.Status{
-		VM: "c1", Leader: "c2", Control: []admin.ControlStatus{{VM: "c2", Role: "leader"}},
-		Entries: []admin.EntryStatus{{VM: "e1", InForce: 7, Draining: true}},
+		VM: "c1", Leader: "c2", Control: []admin.ControlStatus{{VM: "c2", Role: "leader"}, {VM: "c1", Role: "follower"}},
+		Entries: []admin.EntryStatus{{VM: "e2", Region: "r", InForce: 7}, {VM: "e1", InForce: 7, LeaseMS: 100, Draining: true}, {VM: "e0", LeaseMS: 100}},
 	}, nil
 }
 
@@ -82,6 +82,11 @@
 	return admin.AuditReply{Records: []json.RawMessage{json.RawMessage(fmt.Sprintf(`{"request":%q}`, q.Request))}, Missing: []ids.VMID{"c3"}}, nil
 }
 
+// roundTripper is a function as an http.RoundTripper.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 const document = "branches:\n  guild:\n    deadline.default: 4s\npools:\n  - {name: p, kind: encode}\n"
 
 var _ = Describe("damaskctl", func() {
@@ -235,6 +240,56 @@
 		Expect(admin.TokenDigest(token.Token)).To(Equal(token.SHA256))
 	})
 
+	// An entry VM without a lease refuses requests; shown as serving, it would
+	// be taken for a VM that still carries traffic.
+	It("shows control VMs and entry VMs by name, and an entry VM without a lease", func() {
+		_, out, _ := damaskctl("status")
+		var words []string
+		for _, line := range strings.Split(out, "\n") {
+			if f := strings.Fields(line); len(f) > 1 {
+				words = append(words, f[0]+" "+f[len(f)-1])
+			}
+		}
+		Expect(words[1:]).To(Equal([]string{"CONTROL SILENT", "c1 0s", "c2 0s", "ENTRY STATE", "e0 serving", "e1 draining", "e2 lease-expired"}))
+		Expect(out).To(MatchRegexp(`c2 +leader +- +0s`))
+	})
+
+	// An audit query over many sessions, or the check of a year's log, takes
+	// longer than a short call. Given up after 5 s and sent to the next control
+	// VM, it would never end, whatever -timeout says.
+	DescribeTable("gives the audit log's reads their share of the whole timeout", func(path string, least, most time.Duration) {
+		var left time.Duration
+		c := &Client{
+			Addrs: []string{"http://127.0.0.1:1", "http://127.0.0.1:2"}, Token: "secret",
+			HTTP: &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+				end, _ := r.Context().Deadline()
+				left = time.Until(end)
+				return nil, context.Canceled
+			})},
+			Pause: func(context.Context, time.Duration) error { return context.Canceled },
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Hour)
+		defer cancel()
+		Expect(c.Get(ctx, path, nil, &struct{}{})).NotTo(Succeed())
+		Expect(left).To(And(BeNumerically(">", least), BeNumerically("<=", most)))
+	},
+		Entry(nil, "/v1/audit/unaccounted", time.Hour, 5*time.Hour),
+		Entry(nil, "/v1/audit", time.Hour, 5*time.Hour),
+		Entry(nil, "/v1/status", time.Duration(0), attemptTimeout),
+	)
+
+	It("prints the settings as a document that can be applied", func() {
+		damaskctl("apply", "-f", file)
+		code, out, errs := damaskctl("get", "-document")
+		Expect(code).To(Equal(ExitOK), errs)
+		Expect(out).To(HavePrefix("# version 1; apply with -base 1\n"))
+		edited := strings.Replace(out, `"4s"`, `"3s"`, 1)
+		Expect(os.WriteFile(file, []byte(edited), 0o600)).To(Succeed())
+		_, out, _ = damaskctl("diff", "-f", file)
+		Expect(out).To(ContainSubstring("1 operations on version 1"))
+		Expect(out).To(ContainSubstring("deadline.default  3s"))
+	})
+
 	It("shows no difference after a document was applied", func() {
 		_, out, _ := damaskctl("diff", "-f", "/dev/null")
 		Expect(out).To(BeEmpty())
--- a/load/experiment/experiment_test.go
+++ b/load/experiment/experiment_test.go
@@ -125,8 +125,12 @@
 			res, err := http.Get(u.Server.URL() + "/load")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(res.Body.Close()).To(Succeed())
-			Expect(u.Load().Draining).To(BeFalse())
-			Expect(u.Load().Waiting).To(BeZero())
+			for _, kind := range []standin.FaultKind{
+				standin.FaultSlow, standin.FaultSilent, standin.FaultRefuse, standin.FaultCrash,
+				standin.FaultWrongLoad, standin.FaultDrain,
+			} {
+				Expect(u.Faulty(kind)).To(BeFalse(), string(kind))
+			}
 		}
 	},
 		Entry(StageDead, mustFind(StageDead), func(f *standin.Fleet) bool {
@@ -170,6 +174,18 @@
 		Expect(d.IsCut()).To(BeFalse())
 	})
 
+	It("says that a scenario was not finished when the load ended", func() {
+		forever := Action{Do: func(ctx context.Context, _ *Env) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}}
+		rows, err := plan(Scenario{Name: "x", Actions: []Action{forever}}).Run(context.Background(), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows[0].Unfinished).To(BeTrue())
+		Expect(rows[0].Error).To(BeEmpty())
+		Expect(Summarize(rows)[0].Unfinished).To(Equal(1))
+	})
+
 	// Guards against a cut of links that no traffic uses being reported as
 	// withstood.
 	It("does not count a cut of links that carry nothing", func() {
@@ -178,6 +194,7 @@
 			c, err := start(ctx, baseline, seed)
 			if err == nil {
 				c.Network = relay.NewNetwork(0, 0)
+				c.Network.Direction("one", "two")
 			}
 			return c, err
 		}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -93,6 +93,31 @@
 		})
 	}
 
+	for _, k := range []Kind{KindStream, KindChatStream} {
+		ginkgo.It("takes the problem that ends a stream as its outcome in "+string(k), func() {
+			unknown := problem.New(problem.UpstreamFailed, problem.Unknown, "test")
+			only(drive(nil, k, &fakeEntry{cut: 3, fail: unknown}), Unknown)
+		})
+	}
+
+	ginkgo.It("does not take the refusal of a repetition for that of the request", func() {
+		r := drive(nil, KindStream, &fakeEntry{cut: 3}, &fakeEntry{refuse: problem.Draining})
+		only(r, Incomplete)
+		Expect(r.CheckedRefusals).To(BeNumerically(">", 0))
+	})
+
+	ginkgo.It("keeps a refusal as the outcome where no other entry VM can be reached", func() {
+		r := drive(func(o *Options) {
+			o.Entries = append(o.Entries, Entry{Name: "none", URL: "http://127.0.0.1:1"})
+		}, KindBooking, &fakeEntry{refuse: problem.Draining})
+		only(r, RefusedTrue)
+	})
+
+	ginkgo.It("does not try again after the deadline", func() {
+		r := drive(func(o *Options) { o.Mix[0].Deadline = time.Nanosecond }, KindStream, &fakeEntry{cut: 3})
+		Expect(r.Tries).To(Equal(r.Requests))
+	})
+
 	ginkgo.It("resumes a cut stream and checks the whole", func() {
 		r := drive(nil, KindStream, &fakeEntry{cut: 3, resumable: true})
 		only(r, OK)
@@ -122,6 +147,10 @@
 		only(r, Duplicate)
 	})
 
+	ginkgo.It("catches a stored response that is not marked as replayed", func() {
+		only(drive(nil, KindRepeat, &fakeEntry{noMark: true}, &fakeEntry{noMark: true}), Wrong)
+	})
+
 	ginkgo.It("tells true refusals from false ones", func() {
 		only(drive(nil, KindPipeline, &fakeEntry{refuse: problem.Overloaded}), RefusedTrue)
 		r := drive(nil, KindPipeline, &fakeEntry{refuse: problem.Overloaded, refuseAfter: true})
@@ -129,6 +158,12 @@
 		Expect(r.FalseRefusals).To(Equal(r.Requests))
 	})
 
+	ginkgo.It("checks a refusal without a request id by its key, where it has one", func() {
+		liar := func() *fakeEntry { return &fakeEntry{refuse: problem.Overloaded, refuseAfter: true, noID: true} }
+		only(drive(nil, KindBooking, liar()), RefusedFalse)
+		only(drive(nil, KindPipeline, liar()), RefusedUnchecked)
+	})
+
 	ginkgo.It("does not count a refusal as true without an observer", func() {
 		r := drive(func(o *Options) { o.Observer = nil }, KindPipeline, &fakeEntry{refuse: problem.Overloaded})
 		only(r, RefusedUnchecked)
@@ -219,6 +254,12 @@
 		Expect(inBurst).To(BeNumerically("~", 3000, 200))
 	})
 
+	ginkgo.It("accepts the example of the program", func() {
+		o, err := LoadOptions("../examples/load.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Check()).To(Succeed())
+	})
+
 	ginkgo.It("names file and line of an unknown key", func() {
 		path := filepath.Join(ginkgo.GinkgoT().TempDir(), "load.yaml")
 		Expect(os.WriteFile(path, []byte("seed: 1\nrate: 5\n"), 0o600)).To(Succeed())
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -246,11 +247,20 @@
 		Expect(u.Trust(start.Add(3 * time.Second))).To(Equal(DefaultTrustFloor))
 	})
 
+	It("takes a new slow start for upstreams that are already returning", func() {
+		s := &Shared{core: t}
+		s.ObserveRefused(addr(1), start)
+		s.TuneSlowStart(2 * time.Second)
+		u, _ := s.View().Find("p", addr(1))
+		Expect(u.Trust(start.Add(DefaultRefusedHold + time.Second))).To(BeNumerically("~", 0.5, 0.01))
+	})
+
 	It("leaves published views unchanged", func() {
 		old := t.View()
 		t.ObserveDraining(addr(1), start)
 		u, _ := old.Find("p", addr(1))
 		Expect(u.Usable(start)).To(BeTrue())
+		Expect(json.Marshal(u.State(start))).To(MatchJSON(`"live"`))
 		Expect(t.View().Version()).To(Equal(old.Version() + 1))
 	})
 })
