--- a/entry/admit.go
+++ b/entry/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"damaskbridge.example/damaskbridge/admission"
@@ -19,24 +20,31 @@
 	s      *Server
 	pool   string
 	ticket admission.Ticket
-	held   bool
+	// held is read by attempts that may end after the stage.
+	held atomic.Bool
 }
 
 // release gives the place back. The latency is that of the upstream alone.
 func (p *place) release(latency time.Duration, err error) {
-	if !p.held {
+	if !p.held.CompareAndSwap(true, false) {
 		return
 	}
-	p.held = false
 	sample := admission.Sample{Latency: latency, Outcome: sampleOutcome(err)}
 	p.s.gates.Release(p.pool, p.ticket, sample, time.Now())
 }
 
+// progress tells the pool's limit the time to the first token, long before the
+// place is given back.
+func (p *place) progress(first time.Duration) {
+	if p.held.Load() {
+		p.s.gates.Progress(p.pool, p.ticket, first, time.Now())
+	}
+}
+
 // cancel gives the place back without a sample, as when a stored response made
 // the call needless.
 func (p *place) cancel() {
-	if p.held {
-		p.held = false
+	if p.held.CompareAndSwap(true, false) {
 		p.s.gates.Cancel(p.pool, p.ticket, time.Now())
 	}
 }
@@ -70,7 +78,7 @@
 		if e.Rejection != nil {
 			return nil, s.rejected(q, pool, e.Rejection)
 		}
-		p.held = true
+		p.held.Store(true)
 		return p, nil
 	case <-ctx.Done():
 		s.gates.Cancel(pool, w.Ticket, time.Now())
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -40,18 +40,19 @@
 	grant budget.Grant
 	// prefix is the prompt's block chain at a generate stage.
 	prefix []uint64
+	// bytes is the size of what is sent, which is paid between regions.
+	bytes int64
 }
 
 // driver carries out the actions of a retry.Call for one stage of one request.
 // It runs on the request's goroutine; each attempt has a goroutine of its own.
 type driver[T outcome] struct {
-	s     *Server
-	q     *request
-	stage settings.Stage
-	call  *retry.Call
-	run   attemptFunc[T]
-	// prefix is the prompt's block chain at a generate stage.
-	prefix  []uint64
+	s       *Server
+	q       *request
+	stage   settings.Stage
+	call    *retry.Call
+	run     attemptFunc[T]
+	work    stageWork
 	events  chan attemptEvent[T]
 	begun   chan int
 	cancels []context.CancelFunc
@@ -66,7 +67,7 @@
 func attempts[T outcome](ctx context.Context, s *Server, q *request, st settings.Stage, work stageWork, report *StageReport, run attemptFunc[T]) (T, error) {
 	policy := s.retryPolicy(q, st, work.grant)
 	d := &driver[T]{
-		s: s, q: q, stage: st, run: run, prefix: work.prefix,
+		s: s, q: q, stage: st, run: run, work: work,
 		call:   retry.NewCall(q.id, st.Name, policy, s.budgets.of(st.Pool)),
 		events: make(chan attemptEvent[T], policy.MaxAttempts),
 		begun:  make(chan int, policy.MaxAttempts),
@@ -107,8 +108,10 @@
 func (d *driver[T]) take(ev *attemptEvent[T]) []retry.Action {
 	now := time.Now()
 	if ev.choice != nil {
-		d.err = ev.choice
-		return d.call.Fail(ev.number, retry.Refused, now)
+		if d.err == nil {
+			d.err = ev.choice
+		}
+		return d.call.Fail(ev.number, retry.NoCandidate, now)
 	}
 	if ev.done.err != nil {
 		d.err = ev.done.err
@@ -155,7 +158,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	d.cancels = append(d.cancels, cancel)
 	c := attemptCall{stage: d.stage.Name, pool: d.stage.Pool, number: number}
-	c.route = routing.Request{Pool: d.stage.Pool, Model: d.stage.Model, Adapter: d.stage.Adapter, Prefix: d.prefix, Excluded: d.used}
+	c.route = routing.Request{
+		Pool: d.stage.Pool, Model: d.stage.Model, Adapter: d.stage.Adapter,
+		Prefix: d.work.prefix, Bytes: d.work.bytes, Excluded: d.used,
+	}
 	choice, err := d.s.choose(c)
 	if err != nil {
 		d.events <- attemptEvent[T]{number: number, choice: err}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -26,7 +26,7 @@
 // generate runs a generate stage. A failed attempt is followed by one that
 // starts a little before the last token received; the overlap shows whether the
 // next engine continues the same completion.
-func (s *Server) generate(ctx context.Context, e *execution, st settings.Stage, prior string, report *StageReport) error {
+func (s *Server) generate(ctx context.Context, e *execution, st settings.Stage, prior string, p *place, report *StageReport) error {
 	req := upstream.ChatRequest{
 		Model:     st.Model,
 		Adapter:   st.Adapter,
@@ -39,9 +39,12 @@
 	// The grant is that of the first token alone; the whole stage may go on
 	// until the deadline.
 	grant.CancelAfter = 0
-	work := stageWork{grant: grant, prefix: upstream.PrefixChain(req.Messages)}
+	work := stageWork{grant: grant, prefix: upstream.PrefixChain(req.Messages), bytes: int64(promptBytes(req.Messages))}
 	g, err := attempts(ctx, s, e.q, st, work, report, func(ctx context.Context, addr string, a upstream.Attempt, progress func()) (generation, error) {
-		return s.chat(ctx, e, addr, a, req, progress)
+		return s.chat(ctx, e, addr, a, req, func(first time.Duration) {
+			p.progress(first)
+			progress()
+		})
 	})
 	if err == nil && g.first > 0 {
 		s.times.Observe(first, g.first, time.Now())
@@ -55,11 +58,15 @@
 // firstTokenKey names the distribution of the time to the first token, by the
 // size of the prompt.
 func firstTokenKey(st settings.Stage, messages []upstream.Message) budget.Key {
+	return budget.Key{Stage: st.Pool + "/first_token", Class: budget.SizeClass(promptBytes(messages))}
+}
+
+func promptBytes(messages []upstream.Message) int {
 	size := 0
 	for _, m := range messages {
 		size += len(m.Content)
 	}
-	return budget.Key{Stage: st.Pool + "/first_token", Class: budget.SizeClass(size)}
+	return size
 }
 
 // prompt puts the previous stage's output before the caller's messages.
@@ -73,7 +80,7 @@
 }
 
 // chat makes one attempt and writes its tokens to the execution.
-func (s *Server) chat(ctx context.Context, e *execution, addr string, a upstream.Attempt, req upstream.ChatRequest, progress func()) (generation, error) {
+func (s *Server) chat(ctx context.Context, e *execution, addr string, a upstream.Attempt, req upstream.ChatRequest, began func(first time.Duration)) (generation, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	start := time.Now()
@@ -85,7 +92,7 @@
 	end, err := s.client.Chat(ctx, addr, a, req, func(_ int, text string) error {
 		if g.first == 0 {
 			g.first = time.Since(start)
-			progress()
+			began(g.first)
 		}
 		if err := e.room(ctx, a.Number); err != nil {
 			return err
--- a/entry/keyed_call.go
+++ b/entry/keyed_call.go
@@ -41,7 +41,7 @@
 	choice, err := k.s.choose(c)
 	if err != nil {
 		k.choice = err
-		return k.failed(number, retry.Refused)
+		return k.failed(number, retry.NoCandidate)
 	}
 	k.used = append(k.used, choice.Upstream.Address)
 	var result upstream.ServiceResult
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -79,13 +79,15 @@
 	report := StageReport{Name: st.Name, Kind: string(st.Kind)}
 	out := ""
 	if st.Kind == settings.Generate {
-		err = s.generate(ctx, e, st, prior, &report)
+		err = s.generate(ctx, e, st, prior, p, &report)
 	} else {
 		out, err = s.unary(ctx, e, st, prior, plan.Grants[0], &report)
 	}
 	took := time.Since(start)
 	p.release(report.served(took), err)
-	if err == nil {
+	if err == nil || isLate(err) {
+		// A stage that was given up is observed as well, or a pool that is
+		// always too slow would never show in its distribution.
 		s.times.Observe(stageKey(st, e.maxTokens), took, time.Now())
 	}
 	report.MS = float64(took.Microseconds()) / 1000
@@ -94,6 +96,12 @@
 	return out, err
 }
 
+// isLate says whether a stage was given up for lack of time.
+func isLate(err error) bool {
+	p, ok := problem.As(err)
+	return ok && p.Reason == problem.DeadlineExceeded
+}
+
 // whole makes the output of a last stage that does not generate the only token.
 func (e *execution) whole(output string) error {
 	e.tokens.Begin(1, time.Now())
@@ -107,7 +115,7 @@
 // unary runs an encode, retrieve or rerank stage, which may be repeated.
 func (s *Server) unary(ctx context.Context, e *execution, st settings.Stage, prior string, grant budget.Grant, report *StageReport) (string, error) {
 	in := upstream.StageRequest{Input: e.input, Prior: prior}
-	out, err := attempts(ctx, s, e.q, st, stageWork{grant: grant}, report, func(ctx context.Context, addr string, a upstream.Attempt, _ func()) (stageOutput, error) {
+	out, err := attempts(ctx, s, e.q, st, stageWork{grant: grant, bytes: int64(len(e.input) + len(prior))}, report, func(ctx context.Context, addr string, a upstream.Attempt, _ func()) (stageOutput, error) {
 		r, err := s.client.Stage(ctx, addr, a, string(st.Kind), string(e.q.priority), in)
 		return stageOutput{result: r}, err
 	})
--- a/entry/service_repeatable.go
+++ b/entry/service_repeatable.go
@@ -49,7 +49,7 @@
 		return nil, err
 	}
 	start := time.Now()
-	out, err := attempts(ctx, s, j.q, stages[0], stageWork{grant: plan.Grants[0]}, &StageReport{}, func(ctx context.Context, addr string, a upstream.Attempt, _ func()) (serviceOutput, error) {
+	out, err := attempts(ctx, s, j.q, stages[0], stageWork{grant: plan.Grants[0], bytes: int64(len(j.call.Body))}, &StageReport{}, func(ctx context.Context, addr string, a upstream.Attempt, _ func()) (serviceOutput, error) {
 		res, err := s.client.Service(ctx, addr, a, j.call)
 		return serviceOutput{result: res}, err
 	})
--- a/retry/failure.go
+++ b/retry/failure.go
@@ -20,9 +20,12 @@
 	ServerError Failure = "server_error"
 	// Mismatch is a response that belongs to another attempt.
 	Mismatch Failure = "mismatch"
+	// NoCandidate means that routing found no upstream to send to. Trying again
+	// at once would use up attempts and budget for nothing.
+	NoCandidate Failure = "no_candidate"
 	// Rejected is a 4xx response: the same call would fail again.
 	Rejected Failure = "rejected"
 )
 
 // retryable says whether another upstream may do better.
-func (f Failure) retryable() bool { return f != Rejected }
+func (f Failure) retryable() bool { return f != Rejected && f != NoCandidate }
