--- a/load/experiment/plot.go
+++ b/load/experiment/plot.go
@@ -40,7 +40,8 @@
 			return fmt.Errorf("experiment: plot: %w", err)
 		}
 	}
-	p.Legend.Top = true
+	// The curves begin at the top left and end at the right.
+	p.Legend.Left = true
 	image, err := p.WriterTo(plotWidth, plotHeight, "svg")
 	if err != nil {
 		return fmt.Errorf("experiment: plot: %w", err)
