--- a/admission/gate.go
+++ b/admission/gate.go
@@ -44,6 +44,7 @@
 type grant struct {
 	since time.Time
 	batch bool
+	first bool
 	// latency is the sample given by Progress, if any.
 	latency time.Duration
 }
@@ -58,6 +59,7 @@
 		granted: map[Ticket]grant{},
 	}
 	g.counts.Rejected = map[Reason]uint64{}
+	g.limiter.gated = true
 	for i := range g.classes {
 		g.classes[i] = &class{number: i}
 	}
@@ -94,10 +96,18 @@
 	}
 	gr.latency = max(1, latency)
 	g.granted[t] = gr
-	g.limiter.Observe(Sample{Latency: latency}, len(g.granted), now)
+	g.limiter.Observe(g.delayed(Sample{Latency: latency}, gr, now), len(g.granted), now)
 	g.Advance(now)
 }
 
+// delayed notes how long after its latency the sample is given, and whether it
+// is that of one of the first requests.
+func (g *Gate) delayed(s Sample, gr grant, now time.Time) Sample {
+	s.delay = max(0, now.Sub(gr.since)-s.Latency)
+	s.first = gr.first
+	return s
+}
+
 // Release ends a granted request.
 func (g *Gate) Release(t Ticket, s Sample, now time.Time) {
 	gr, ok := g.granted[t]
@@ -108,7 +118,7 @@
 		s.Latency = gr.latency
 	}
 	if gr.latency == 0 || s.Outcome == Dropped {
-		g.limiter.Observe(s, len(g.granted), now)
+		g.limiter.Observe(g.delayed(s, gr, now), len(g.granted), now)
 	}
 	delete(g.granted, t)
 	if gr.batch {
@@ -151,7 +161,7 @@
 
 // checkOverdue looks once per window whether most requests under way are overdue.
 func (g *Gate) checkOverdue(now time.Time) {
-	limit := g.limiter.overdueAfter()
+	limit := g.limiter.overdueAfter(now)
 	if now.Sub(g.checked) < g.opts.Limiter.Window || limit == 0 || len(g.granted) < g.opts.Limiter.WindowSamples {
 		return
 	}
@@ -210,8 +220,8 @@
 	if batch {
 		g.batch++
 	}
-	g.granted[it.ticket] = grant{since: now, batch: batch}
 	g.counts.Granted++
+	g.granted[it.ticket] = grant{since: now, batch: batch, first: g.counts.Granted <= firstGrants}
 	g.events = append(g.events, Event{Ticket: it.ticket})
 }
 
