docs: add the operators' guide; ctl: show the head of each audit chain

Cause: README.md names docs/operators.md, which did not exist. 'damaskctl verify' did not show the head hash that tells an auditor whether a log was extended or written anew, and had no JSON output. Tried: each procedure with separate processes on loopback (3 control VMs, 6 entry VMs, guild fleet): install, upgrade, drain, replacing entry and control VMs with and without the disk, rotation of certificates and tokens, loss of the leader's region, loss of the majority, account, unaccounted, audit, verify. Not tried: a mix of two versions, a restore of a data/groups backup. After: the page; tests compare its tables with settings.Specs(), problem.Kinds() and the names of the metrics, and check its links. verify shows records and head and takes -json.

--- a/ctl/account.go
+++ b/ctl/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"net/url"
 
@@ -96,13 +97,29 @@
 		return err
 	}
 	defer cancel()
+	replies := make([]verifyReply, 0, len(all.Addrs))
 	for _, addr := range all.Addrs {
 		one := &Client{Addrs: []string{addr}, Token: all.Token, HTTP: all.HTTP}
 		var report audit.Report
 		if err := one.Get(ctx, "/v1/audit/verify", nil, &report); err != nil {
 			return fmt.Errorf("%s: %w", addr, err)
 		}
-		fmt.Fprintf(r.Stdout, "%s: the chain is unbroken, %d segments\n", addr, report.Segments)
+		reply := verifyReply{Control: addr, Segments: report.Segments, Records: report.Records, Head: hex.EncodeToString(report.Head[:])}
+		replies = append(replies, reply)
+		if !r.json {
+			fmt.Fprintf(r.Stdout, "%s: the chain is unbroken, %d segments, %d records, head %s\n", addr, reply.Segments, reply.Records, reply.Head)
+		}
+	}
+	if r.json {
+		return r.printJSON(replies)
 	}
 	return nil
 }
+
+// verifyReply is the JSON output of verify for one control VM.
+type verifyReply struct {
+	Control  string `json:"control"`
+	Segments int    `json:"segments"`
+	Records  uint64 `json:"records"`
+	Head     string `json:"head"`
+}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"damaskbridge.example/damaskbridge/admin"
+	"damaskbridge.example/damaskbridge/audit"
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/keys"
@@ -254,6 +255,28 @@
 		Expect(out).To(MatchRegexp(`c2 +leader +- +0s`))
 	})
 
+	// Without the head, an auditor cannot tell a log that was extended from one
+	// that was written anew.
+	It("verifies each control VM's log and shows its records and the head of its chain", func() {
+		report := audit.Report{Segments: 2, Records: 7, Head: [32]byte{0xab, 0xcd}}
+		var asked []string
+		verified := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked = append(asked, r.URL.Path)
+			Expect(json.NewEncoder(w).Encode(report)).To(Succeed())
+		}))
+		defer verified.Close()
+		environment["DAMASK_CONTROL"] = verified.URL + "," + verified.URL + "/"
+		code, out, errs := damaskctl("verify")
+		Expect(code).To(Equal(ExitOK), errs)
+		Expect(out).To(ContainSubstring(verified.URL + ": the chain is unbroken, 2 segments, 7 records, head abcd00"))
+		Expect(asked).To(Equal([]string{"/v1/audit/verify", "/v1/audit/verify"}))
+		_, out, _ = damaskctl("verify", "-json")
+		var replies []verifyReply
+		Expect(json.Unmarshal([]byte(out), &replies)).To(Succeed())
+		Expect(replies).To(HaveLen(2))
+		Expect(replies[0].Head).To(HavePrefix("abcd00"))
+	})
+
 	// An audit query over many sessions, or the check of a year's log, takes
 	// longer than a short call. Given up after 5 s and sent to the next control
 	// VM, it would never end, whatever -timeout says.
--- /dev/null
+++ b/ctl/operators_page_test.go
@@ -0,0 +1,89 @@
+package ctl
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/settings"
+)
+
+var _ = Describe("docs/operators.md", func() {
+	var page string
+
+	BeforeEach(func() {
+		b, err := os.ReadFile("../docs/operators.md")
+		Expect(err).NotTo(HaveOccurred())
+		page = string(b)
+	})
+
+	// section gives the table rows between a heading and the next one.
+	section := func(heading string) []string {
+		_, rest, found := strings.Cut(page, "\n## "+heading+"\n")
+		Expect(found).To(BeTrue(), heading)
+		rest, _, _ = strings.Cut(rest, "\n## ")
+		var rows []string
+		for _, line := range strings.Split(rest, "\n") {
+			if strings.HasPrefix(line, "| `") {
+				rows = append(rows, line)
+			}
+		}
+		return rows
+	}
+
+	// A key whose bounds changed in the program only would mislead operators.
+	It("lists every settings key with the program's unit, default and bounds, and a meaning", func() {
+		rows := section("Settings keys")
+		specs := settings.Specs()
+		Expect(rows).To(HaveLen(len(specs)))
+		for i, s := range specs {
+			branch := "any"
+			if s.RootOnly {
+				branch = "root only"
+			}
+			want := fmt.Sprintf("| `%s` | %s | %s | %s | %s | ", s.Key, s.Unit, s.Default, s.Allowed(), branch)
+			Expect(rows[i]).To(HavePrefix(want))
+			Expect(strings.TrimPrefix(rows[i], want)).To(MatchRegexp(`^\S.* \|$`))
+		}
+	})
+
+	It("says what each problem means", func() {
+		rows := section("What each problem means for the operator")
+		Expect(rows).To(HaveLen(len(problem.Kinds())))
+		for _, k := range problem.Kinds() {
+			Expect(page).To(ContainSubstring("\n| `" + string(k) + "` | "))
+		}
+	})
+
+	// A counter without a meaning cannot be acted on.
+	It("names every metric of entry VMs and control VMs", func() {
+		name := regexp.MustCompile(`"(damask_[a-z_]+)`)
+		for _, file := range []string{"../entry/metrics.go", "../control/counters.go", "../control/status.go"} {
+			source, err := os.ReadFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			found := name.FindAllStringSubmatch(string(source), -1)
+			Expect(found).NotTo(BeEmpty(), file)
+			for _, m := range found {
+				Expect(page).To(MatchRegexp("`"+m[1]+"[`{]"), file)
+			}
+		}
+	})
+
+	It("has a target for each link to a section", func() {
+		headings := map[string]bool{}
+		for _, m := range regexp.MustCompile(`(?m)^#+ (.*)$`).FindAllStringSubmatch(page, -1) {
+			anchor := regexp.MustCompile(`[^a-z0-9 -]`).ReplaceAllString(strings.ToLower(m[1]), "")
+			headings[strings.ReplaceAll(anchor, " ", "-")] = true
+		}
+		links := regexp.MustCompile(`\]\(#([^)]*)\)`).FindAllStringSubmatch(page, -1)
+		Expect(links).NotTo(BeEmpty())
+		for _, l := range links {
+			Expect(headings).To(HaveKey(l[1]))
+		}
+	})
+})
--- a/ctl/read.go
+++ b/ctl/read.go
@@ -117,7 +117,7 @@
 	if r.json {
 		return r.printJSON(reply)
 	}
-	fmt.Fprintf(r.Stdout, "%s is draining: it takes no new requests within a second; stop its process with SIGTERM to end it\n", reply["vm"])
+	fmt.Fprintf(r.Stdout, "%s is draining: it reports not ready to the load balancer; then stop its process with SIGTERM, which ends it after its last request\n", reply["vm"])
 	return nil
 }
 
