ctl: do not report a change as not run after a lost reply

Cause: a call that failed at every control VM gave the error of its last attempt. A change whose reply was lost at one control VM and that another one refused for want of a majority was reported as control_unavailable, not_run, without the command that resends it, although it may have been accepted. A read without a majority reported the attempt that the timeout cut off in place of the refusal with its remedy. After: a change with an attempt of unknown outcome stays unknown and names the other attempt; attempts that did not reach a control VM count for neither. Ruled out: an answer from the replicated state after a lost reply is final, since it is found by the change id; it is still returned at once.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -56,23 +56,23 @@
 	if len(c.Addrs) == 0 {
 		return errors.New("no control VM is known; give -control or set DAMASK_CONTROL")
 	}
-	var last error
+	var failed failures
 	for range maxRounds {
 		for _, addr := range c.Addrs {
 			err := c.attempt(ctx, addr, r, out)
 			if err == nil || !again(err) {
 				return err
 			}
-			last = fmt.Errorf("%s: %w", addr, err)
+			failed.add(addr, err)
 			if ctx.Err() != nil {
-				return last
+				return failed.err(r.method)
 			}
 		}
 		if err := c.pause(ctx); err != nil {
-			return last
+			return failed.err(r.method)
 		}
 	}
-	return last
+	return failed.err(r.method)
 }
 
 // again says whether another control VM may answer the call.
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -255,6 +258,54 @@
 		Expect(out).To(MatchRegexp(`c2 +leader +- +0s`))
 	})
 
+	// scripted gives a client of one address per function; each answers every
+	// attempt at its address. There is one round.
+	scripted := func(answers ...func(*http.Request) (*http.Response, error)) *Client {
+		c := &Client{Token: "secret", Pause: func(context.Context, time.Duration) error { return context.Canceled }}
+		for i := range answers {
+			c.Addrs = append(c.Addrs, fmt.Sprintf("http://127.0.0.1:%d", i+1))
+		}
+		c.HTTP = &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			var i int
+			_, err := fmt.Sscanf(r.URL.Port(), "%d", &i)
+			Expect(err).NotTo(HaveOccurred())
+			return answers[i-1](r)
+		})}
+		return c
+	}
+	lostReply := func(*http.Request) (*http.Response, error) { return nil, io.ErrUnexpectedEOF }
+	notReached := func(*http.Request) (*http.Response, error) {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	noMajority := func(*http.Request) (*http.Response, error) {
+		w := httptest.NewRecorder()
+		problem.New(problem.ControlDown, problem.NotRun, "no leader").Write(w)
+		return w.Result(), nil
+	}
+
+	// The change of the lost reply may be accepted. Reported as not_run, it
+	// would be made again under a new id.
+	It("does not report a change as not run when an earlier attempt's reply was lost", func() {
+		_, err := scripted(lostReply, noMajority).ApplyDocument(context.Background(), "x", 0, "d.yaml", []byte(document))
+		Expect(err).To(MatchError(And(ContainSubstring("no leader"), ContainSubstring("unexpected EOF"))))
+		_, known := problem.As(err)
+		Expect(known).To(BeFalse(), "%v", err)
+	})
+
+	It("reports a change as not run when no attempt reached more than a refusal", func() {
+		_, err := scripted(noMajority, notReached).ApplyDocument(context.Background(), "x", 0, "d.yaml", []byte(document))
+		p, known := problem.As(err)
+		Expect(known).To(BeTrue(), "%v", err)
+		Expect(p.Execution).To(Equal(problem.NotRun))
+	})
+
+	// Without a majority, the attempt that the timeout cuts off comes last and
+	// its error names no remedy.
+	It("reports a read's refusal rather than a later attempt without an answer", func() {
+		_, err := scripted(noMajority, lostReply).Version(context.Background())
+		Expect(err).To(MatchError(ContainSubstring("no leader")))
+	})
+
 	// Without the head, an auditor cannot tell a log that was extended from one
 	// that was written anew.
 	It("verifies each control VM's log and shows its records and the head of its chain", func() {
