--- a/ctl/operators_page_test.go
+++ b/ctl/operators_page_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"damaskbridge.example/damaskbridge/config"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -74,6 +76,28 @@
 		}
 	})
 
+	// An example that the programs refuse stops a new user at the first step.
+	It("has examples of settings files and of a document that the programs accept", func() {
+		blocks := regexp.MustCompile("(?s)\n```yaml\n(.*?)```\n").FindAllStringSubmatch(page, -1)
+		Expect(blocks).To(HaveLen(3))
+		dir := GinkgoT().TempDir()
+		path := func(i int) string {
+			file := filepath.Join(dir, fmt.Sprintf("%d.yaml", i))
+			Expect(os.WriteFile(file, []byte(blocks[i][1]), 0o600)).To(Succeed())
+			return file
+		}
+		control, entry := config.DefaultControl(), config.DefaultEntry()
+		Expect(config.Read(path(0), control)).To(Succeed())
+		Expect(config.Read(path(1), entry)).To(Succeed())
+		Expect(control.IsVoter()).To(BeTrue())
+		for _, v := range control.Voters {
+			Expect(entry.Control).To(ContainElement(v.Address))
+		}
+		ops, err := settings.ParseDocument("first.yaml", []byte(blocks[2][1]), settings.NewTree())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ops).To(HaveLen(10))
+	})
+
 	It("has a target for each link to a section", func() {
 		headings := map[string]bool{}
 		for _, m := range regexp.MustCompile(`(?m)^#+ (.*)$`).FindAllStringSubmatch(page, -1) {
