--- a/control/loop.go
+++ b/control/loop.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/raft"
 	"damaskbridge.example/damaskbridge/wal"
 	"damaskbridge.example/damaskbridge/wire"
@@ -11,7 +12,7 @@
 
 // proposal waits for its entry to be applied.
 type proposal struct {
-	data  []byte
+	cmd   command.Command
 	term  uint64
 	reply chan wire.ProposeReply // of capacity 1
 }
@@ -78,7 +79,13 @@
 }
 
 func (r *Replica) propose(p *proposal) {
-	index, term, err := r.node.Propose(p.data)
+	p.cmd.NowUnixMS = r.opts.Clock()
+	data, err := command.Encode(&p.cmd)
+	if err != nil {
+		p.reply <- wire.ProposeReply{Done: true, Result: command.Result{Code: command.Malformed, Detail: err.Error()}}
+		return
+	}
+	index, term, err := r.node.Propose(data)
 	if err != nil {
 		reply := wire.ProposeReply{}
 		if errors.Is(err, raft.ErrNotLeader) {
--- a/control/options.go
+++ b/control/options.go
@@ -34,6 +34,9 @@
 	// goroutine. Nil means Machine.Snapshot, which holds up the heartbeats
 	// for as long as it takes.
 	Freeze func() (encode func() ([]byte, error))
+	// Clock gives the time of the next command in ms since 1970. It is called
+	// on the replica's goroutine. Nil means the wall clock.
+	Clock  func() int64
 	Caller transport.Caller
 	// Tick is the unit of the election and heartbeat times.
 	Tick           time.Duration
@@ -74,6 +77,9 @@
 	if o.FS == nil {
 		o.FS = wal.OS()
 	}
+	if o.Clock == nil {
+		o.Clock = func() int64 { return time.Now().UnixMilli() }
+	}
 	setDuration(&o.Tick, defaultTick)
 	setDuration(&o.LeaseTerm, defaultLeaseTerm)
 	setDuration(&o.SessionExpiry, defaultSessionExpiry)
--- a/control/replica.go
+++ b/control/replica.go
@@ -207,12 +207,7 @@
 	if v := r.published.Load(); !v.isLeader() {
 		return wire.ProposeReply{Leader: r.leaderAddr(v)}, nil
 	}
-	cmd.NowUnixMS = time.Now().UnixMilli()
-	data, err := command.Encode(&cmd)
-	if err != nil {
-		return wire.ProposeReply{}, err
-	}
-	p := &proposal{data: data, reply: make(chan wire.ProposeReply, 1)}
+	p := &proposal{cmd: cmd, reply: make(chan wire.ProposeReply, 1)}
 	r.count.proposals.Inc()
 	select {
 	case r.proposals <- p:
--- a/controlvm/audit.go
+++ b/controlvm/audit.go
@@ -14,13 +14,14 @@
 // handleAudit answers the audit calls of entry VMs, control VMs and operators.
 func (v *VM) handleAudit() {
 	copies := audit.NewCopyDir(filepath.Join(v.opts.Data, "audit-copies"))
+	v.copies = copies
 	v.server.Handle(transport.MethodAuditAppend, transport.HandlerFunc(
 		func(ctx context.Context, from transport.Peer, _ transport.Method, body []byte) ([]byte, error) {
 			return v.store.ServeAppend(ctx, from, body, copies)
 		}))
 	v.server.Handle(transport.MethodAuditQuery, transport.HandlerFunc(
 		func(_ context.Context, from transport.Peer, _ transport.Method, body []byte) ([]byte, error) {
-			return v.store.ServeQuery(from, body)
+			return v.store.ServeQueryCopies(from, body, copies)
 		}))
 }
 
@@ -45,6 +46,9 @@
 		} else if n > 0 {
 			v.log.Info().Int("segments", n).Msg("audit: old segments deleted")
 		}
+		if _, err := v.copies.Retire(time.Now(), v.opts.Retention); err != nil {
+			v.log.Error().Err(err).Msg("audit: old segments of copies could not be deleted")
+		}
 	})
 }
 
--- a/controlvm/vm.go
+++ b/controlvm/vm.go
@@ -15,6 +15,7 @@
 	"damaskbridge.example/damaskbridge/control"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/machine"
+	"damaskbridge.example/damaskbridge/session"
 	"damaskbridge.example/damaskbridge/transport"
 	"github.com/phuslu/log"
 )
@@ -24,9 +25,11 @@
 	opts    Options
 	log     *log.Logger
 	machine *machine.Machine
+	clock   machine.Clock
 	replica *control.Replica
 	server  *control.Server
 	store   *audit.Store
+	copies  *audit.CopyDir
 	caller  *transport.Client
 	rpc     *transport.Server
 	admin   net.Listener
@@ -97,6 +100,8 @@
 		Dir:     filepath.Join(v.opts.Data, "groups", "1"),
 		Machine: v.machine,
 		Views:   v.views(),
+		Clock:   func() int64 { return v.clock.Now(time.Now(), v.machine.NowUnixMS()) },
+		Freeze:  func() func() ([]byte, error) { return v.machine.Freeze().Encode },
 		Caller:  v.caller,
 		Logger:  v.log,
 
@@ -124,10 +129,16 @@
 	return control.Views{
 		Settings:     func() control.SettingsView { return v.machine.Tree() },
 		Sessions:     v.openSessions,
+		IsOpen:       v.isOpen,
 		RetireBefore: v.machine.RetireBefore,
 	}
 }
 
+func (v *VM) isOpen(id ids.SessionID) bool {
+	info, ok := v.machine.Session(id)
+	return ok && info.End == session.Open
+}
+
 func (v *VM) openSessions() []ids.SessionID {
 	open := v.machine.OpenSessions()
 	list := make([]ids.SessionID, 0, len(open))
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -13,7 +13,7 @@
 )
 
 // advanceInterval is the time between two looks at the queues.
-const advanceInterval = 10 * time.Millisecond
+const advanceInterval = 20 * time.Millisecond
 
 // place is a request's place in a pool.
 type place struct {
--- a/entry/engines.go
+++ b/entry/engines.go
@@ -10,9 +10,13 @@
 	"damaskbridge.example/damaskbridge/upstream"
 )
 
-// engineInterval is the time between two reads of an engine's cache events and
-// of what it has loaded.
-const engineInterval = time.Second
+const (
+	// engineInterval is the time between two reads of an engine's cache events.
+	engineInterval = time.Second
+	// stateEvery is the number of reads of cache events between two reads of
+	// what the engine has loaded, which changes by orders only.
+	stateEvery = 5
+)
 
 // enginePoller reads what the router needs to know of engines.
 type enginePoller struct {
@@ -20,6 +24,8 @@
 	// pools gives the names of the pools of engines.
 	pools func() []string
 
+	polls int
+
 	mu   sync.Mutex
 	seen map[string]uint64
 }
@@ -43,21 +49,23 @@
 }
 
 func (p *enginePoller) poll(ctx context.Context) {
+	withState := p.polls%stateEvery == 0
+	p.polls++
 	view := p.runners.members.View()
 	for _, pool := range p.pools() {
 		for _, u := range view.Pool(pool) {
-			go p.read(ctx, u.Address)
+			go p.read(ctx, u.Address, withState)
 		}
 	}
 }
 
 // read asks one engine. An engine that does not answer keeps its old picture;
 // the router discounts it by its age.
-func (p *enginePoller) read(ctx context.Context, addr string) {
+func (p *enginePoller) read(ctx context.Context, addr string, withState bool) {
 	ctx, cancel := context.WithTimeout(ctx, engineInterval)
 	defer cancel()
-	if state, err := p.runners.client.State(ctx, addr); err == nil {
-		p.runners.router.ObserveModels(addr, state.Models, state.Adapters)
+	if withState {
+		p.readState(ctx, addr)
 	}
 	events, err := p.runners.client.CacheEvents(ctx, addr, p.after(addr))
 	if err != nil || len(events) == 0 {
@@ -66,6 +74,13 @@
 	p.runners.router.ObserveCache(addr, p.take(addr, events))
 }
 
+func (p *enginePoller) readState(ctx context.Context, addr string) {
+	state, err := p.runners.client.State(ctx, addr)
+	if err == nil {
+		p.runners.router.ObserveModels(addr, state.Models, state.Adapters)
+	}
+}
+
 func (p *enginePoller) after(addr string) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/options.go
+++ b/entry/options.go
@@ -20,8 +20,10 @@
 	dispatchWindow = 2 * time.Second
 	// proposeTimeout limits one background proposal.
 	proposeTimeout = 5 * time.Second
-	// loadInterval is the time between reads of an idle runner's load.
-	loadInterval = 500 * time.Millisecond
+	// loadInterval is the time between reads of a runner's load. Each runner is
+	// heard once a second by at least one VM, so that one that drains is found
+	// out within the bound of 3 s.
+	loadInterval = time.Second
 )
 
 // Options are what a Server needs. All fields but the durations are required.
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -18,7 +18,7 @@
 const (
 	// orderInterval is the time between two looks for engines that lack a
 	// model or adapter.
-	orderInterval = 2 * time.Second
+	orderInterval = 5 * time.Second
 	// orderTerm is how long the right to give orders to one engine lasts.
 	orderTerm = 10 * time.Second
 	// drawTries bounds the draws of the weight store's budget for one order.
