upstream: completions may wait in an engine's queue without a progress timeout

Ruled out: a longer progress timeout for all calls; silent stage connections would be found later. Before: completions queued for longer than upstream.progress_timeout failed. After: the spec passes; gaps between tokens are judged by the stream, dead connections by TCP keepalive. Conclusion: as described.

--- a/upstream/chat.go
+++ b/upstream/chat.go
@@ -88,7 +88,9 @@
 // errIncomplete is a stream that ended without its end marker.
 var errIncomplete = errors.New("stream ended before its end marker")
 
-// Chat streams one completion. It calls emit for each token, in order, with
+// Chat streams one completion. A request may wait long in an engine's queue, so
+// its connection has no progress timeout; the caller judges the gaps between
+// tokens and ends ctx. It calls emit for each token, in order, with
 // the token's position in the whole completion, counted from 1. An error of
 // emit ends the call. Closing the connection cancels the engine's work.
 func (c *Client) Chat(ctx context.Context, addr string, a Attempt, r ChatRequest, emit func(position int, text string) error) (ChatEnd, error) {
@@ -104,7 +106,7 @@
 	if r.SkipTokens > 0 {
 		h.Set(HeaderResume, strconv.Itoa(r.SkipTokens))
 	}
-	resp, err := c.open(ctx, call{method: http.MethodPost, addr: addr, path: "/v1/chat/completions", header: h, body: body, attempt: a.String(), fresh: a.Number > 1})
+	resp, err := c.open(ctx, call{method: http.MethodPost, addr: addr, path: "/v1/chat/completions", header: h, body: body, attempt: a.String(), fresh: a.Number > 1, patient: true})
 	if err != nil {
 		return ChatEnd{}, err
 	}
@@ -130,7 +132,7 @@
 	if errors.Is(err, errMalformed) {
 		return &Error{Cause: Mismatch, Address: addr, Err: err}
 	}
-	return c.failed(ctx, addr, err, true, c.shared(addr))
+	return c.failed(ctx, addr, err, true, c.shared(route{addr: addr, patient: true}))
 }
 
 // errMalformed is a stream that does not follow the protocol.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -19,12 +19,19 @@
 	progress atomic.Int64
 
 	mu      sync.Mutex
-	runners map[string]*http.Transport
+	runners map[route]*http.Transport
+}
+
+// route names the kept connections to one runner.
+type route struct {
+	addr string
+	// patient connections have no progress timeout.
+	patient bool
 }
 
 // NewClient makes a client.
 func NewClient(o Options) *Client {
-	c := &Client{opts: o.withDefaults(), runners: make(map[string]*http.Transport)}
+	c := &Client{opts: o.withDefaults(), runners: make(map[route]*http.Transport)}
 	c.progress.Store(int64(c.opts.ProgressTimeout))
 	return c
 }
@@ -45,48 +52,47 @@
 // Forget drops the connections to a runner that has left.
 func (c *Client) Forget(addr string) {
 	c.mu.Lock()
-	t := c.runners[addr]
-	delete(c.runners, addr)
-	c.mu.Unlock()
-	if t != nil {
-		t.CloseIdleConnections()
+	defer c.mu.Unlock()
+	for _, r := range []route{{addr, false}, {addr, true}} {
+		if t := c.runners[r]; t != nil {
+			t.CloseIdleConnections()
+			delete(c.runners, r)
+		}
 	}
 }
 
-// shared gives the transport that keeps connections to addr.
-func (c *Client) shared(addr string) *http.Transport {
+// shared gives the transport that keeps connections to a runner.
+func (c *Client) shared(r route) *http.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t, ok := c.runners[addr]
+	t, ok := c.runners[r]
 	if !ok {
-		t = c.newTransport(nil)
-		c.runners[addr] = t
+		t = c.newTransport(nil, r.patient)
+		c.runners[r] = t
 	}
 	return t
 }
 
-func (c *Client) newTransport(g Guard) *http.Transport {
+func (c *Client) newTransport(g Guard, patient bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         c.dialer(g),
+		DialContext:         c.dialer(g, patient),
 		MaxIdleConnsPerHost: c.opts.MaxIdle,
 		IdleConnTimeout:     c.opts.ProgressTimeout,
 		DisableCompression:  true,
 	}
 }
 
-func (c *Client) dialer(g Guard) func(context.Context, string, string) (net.Conn, error) {
+func (c *Client) dialer(g Guard, patient bool) func(context.Context, string, string) (net.Conn, error) {
 	d := net.Dialer{Timeout: c.opts.DialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacknowledged}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		if g != nil {
-			// Giving up a guarded call early would only turn an answer into
-			// an unknown end, so its connection has no progress timeout.
+		if patient {
 			return &progressConn{Conn: conn, guard: g}, nil
 		}
-		return &progressConn{Conn: conn, timeout: time.Duration(c.progress.Load())}, nil
+		return &progressConn{Conn: conn, guard: g, timeout: time.Duration(c.progress.Load())}, nil
 	}
 }
 
@@ -100,10 +106,16 @@
 	attempt string
 	// fresh asks for a new connection.
 	fresh bool
+	// patient asks for a connection without a progress timeout.
+	patient bool
 	// guard asks for a new connection and is checked before its first byte.
+	// Giving up a guarded call early would only turn an answer into an unknown
+	// end, so its connection is patient.
 	guard Guard
 }
 
+func (k *call) route() route { return route{addr: k.addr, patient: k.patient} }
+
 // open sends the call and waits for the response headers. The caller closes
 // the response body. The attempt header of a 200 response has been checked.
 func (c *Client) open(ctx context.Context, k call) (*http.Response, error) {
@@ -136,9 +148,9 @@
 // between can have lost track of.
 func (c *Client) transportFor(k call) *http.Transport {
 	if k.guard == nil && !k.fresh {
-		return c.shared(k.addr)
+		return c.shared(k.route())
 	}
-	t := c.newTransport(k.guard)
+	t := c.newTransport(k.guard, k.patient || k.guard != nil)
 	t.DisableKeepAlives = true
 	return t
 }
@@ -191,7 +203,7 @@
 func (c *Client) readAll(ctx context.Context, addr string, resp *http.Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.opts.MaxResponseBytes+1))
 	if err != nil {
-		return nil, c.failed(ctx, addr, err, true, c.shared(addr))
+		return nil, c.failed(ctx, addr, err, true, c.shared(route{addr: addr}))
 	}
 	if int64(len(body)) > c.opts.MaxResponseBytes {
 		return nil, &Error{Cause: Mismatch, Address: addr, Err: errors.New("response body is too large")}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -150,6 +150,20 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("lets a completion wait in an engine's queue for longer than the progress timeout", func() {
+		// Long reports in a busy pool failed as silent connections although
+		// their engines were only queueing.
+		queued := 4 * 50 * time.Millisecond
+		addr, _ := serve(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(queued)
+			_, _ = w.Write([]byte(tokenA + finish + doneLine))
+		})
+		quick := NewClient(Options{ProgressTimeout: 50 * time.Millisecond})
+		DeferCleanup(quick.Close)
+		_, err := quick.Chat(context.Background(), addr, testAttempt(), ChatRequest{}, func(int, string) error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	DescribeTable("accepts a stream only with its end", func(body string, ok bool) {
 		addr, _ := serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
 		var got strings.Builder
