--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -26,7 +26,9 @@
 	Rates []float64
 	// Each is the time of one measurement.
 	Each time.Duration
-	Out  io.Writer
+	// Changes is the number of settings changes to time, 0 for none.
+	Changes int
+	Out     io.Writer
 }
 
 // Row is what the processes of one role used at one rate.
@@ -82,7 +84,10 @@
 		}
 		rows = append(rows, at...)
 	}
-	return write(o.Out, rows)
+	if err := write(o.Out, rows); err != nil {
+		return err
+	}
+	return timeChanges(ctx, s, o)
 }
 
 // measure gives the rows of one rate.
--- a/cmd/damask-capacity/main.go
+++ b/cmd/damask-capacity/main.go
@@ -23,13 +23,14 @@
 	controls := flag.Int("controls", 3, "control VMs")
 	rates := flag.String("rates", "0,50,100,200", "requests a second, 0 for idle, joined by commas")
 	each := flag.Duration("each", 10*time.Second, "time of each measurement")
+	changes := flag.Int("changes", 20, "settings changes to time")
 	version := flag.Bool("version", false, "print the version and exit")
 	flag.Parse()
 	if *version {
 		fmt.Println("damask-capacity", daemon.Version())
 		return
 	}
-	o := capacity.Options{Deployment: *deployment, Controls: *controls, Entries: *entries, Each: *each, Out: os.Stdout}
+	o := capacity.Options{Deployment: *deployment, Controls: *controls, Entries: *entries, Each: *each, Changes: *changes, Out: os.Stdout}
 	for _, text := range strings.Split(*rates, ",") {
 		rate, err := strconv.ParseFloat(text, 64)
 		if err != nil || rate < 0 {
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -117,3 +117,10 @@
 	defer f.mu.Unlock()
 	return append([]audit.Record(nil), f.records[request]...)
 }
+
+// discardRecorder drops audit records.
+type discardRecorder struct{}
+
+func (discardRecorder) Begin(context.Context, audit.Record) error { return nil }
+func (discardRecorder) Append(audit.Record) error                 { return nil }
+func (discardRecorder) Flush(context.Context) error               { return nil }
