--- a/entry/claim.go
+++ b/entry/claim.go
@@ -9,7 +9,9 @@
 
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/ledger"
 	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/settings"
 )
 
 const (
@@ -45,8 +47,10 @@
 	return [32]byte(h.Sum(nil))
 }
 
+// group gives the replicated group that holds the key.
 func (c *claim) group() ids.GroupID {
-	return c.s.groupOf(c.q.tree, c.q.workspace.Name, c.q.key)
+	groups := c.q.tree.Int("", settings.LedgerGroups)
+	return ledger.GroupOf(c.q.workspace.Name, c.q.key, uint32(groups))
 }
 
 // obtain claims the key. It gives a stored response if there is one, and waits
--- a/entry/server.go
+++ b/entry/server.go
@@ -198,11 +198,6 @@
 	s.client.Close()
 }
 
-// groupOf gives the replicated group that holds a key.
-func (s *Server) groupOf(*settings.Tree, string, string) ids.GroupID {
-	return ids.SettingsGroup
-}
-
 // handlerFunc answers a request or gives the problem to answer with.
 type handlerFunc func(w http.ResponseWriter, r *http.Request) error
 
