Streams can be resumed at any entry VM

Cause: behind the platform's load balancer a caller that comes back reaches any entry VM, and all but one answered resume_too_old. Ruled out: a redirect, since callers may not reach VMs behind the balancer; replicating tokens. Before: resumed only at the VM that began the stream. After: the session carries the VM's address, any entry VM finds it by one call to a control VM and passes the stream on; the spec passes for a known and an unknown stream. Conclusion: one call and one connection for each resume; nothing for requests that are not resumed.

--- a/command/command.go
+++ b/command/command.go
@@ -33,6 +33,9 @@
 type OpenSession struct {
 	Session ids.SessionID `cbor:"1,keyasint"`
 	Region  ids.Region    `cbor:"2,keyasint"`
+	// Callers is the address at which other entry VMs reach this one's HTTP
+	// listener, "ip:port".
+	Callers string `cbor:"3,keyasint,omitempty"`
 }
 
 // ExpireSession ends a session whose lease has run out. Its claims without a
--- a/config/entry.go
+++ b/config/entry.go
@@ -12,6 +12,10 @@
 	Process Process `yaml:"process"`
 	// Listen is where the load balancer sends callers' requests.
 	Listen Text `yaml:"listen"`
+	// Advertise is the address at which other entry VMs reach this one's
+	// listener, to pass on callers that resume a stream. It may be left out if
+	// listen names one address.
+	Advertise Text `yaml:"advertise"`
 	// Control lists the control VMs, nearest first.
 	Control []Text `yaml:"control"`
 	// Keys is the folder with the VM's certificate, as damaskctl wrote it.
@@ -72,6 +76,7 @@
 		e.VM.check(),
 		e.Process.check(),
 		checkListen("listen", e.Listen),
+		e.checkAdvertise(),
 		checkControlAddrs(e.Control),
 		checkFolder("keys", e.Keys),
 		checkURL("members_url", e.MembersURL),
@@ -84,6 +89,14 @@
 	)
 }
 
+// checkAdvertise accepts an empty or a callable address.
+func (e *Entry) checkAdvertise() error {
+	if e.Advertise == "" {
+		return nil
+	}
+	return checkAddr("advertise", e.Advertise)
+}
+
 // checkControlAddrs accepts a list of different callable addresses.
 func checkControlAddrs(addrs []Text) error {
 	if len(addrs) == 0 {
--- a/controlvm/vm.go
+++ b/controlvm/vm.go
@@ -65,6 +65,7 @@
 	}
 	v.server = control.NewServer(v.replica)
 	v.handleAudit()
+	v.handleLocate()
 	api := admin.New(&backend{vm: v}, operators)
 	if v.rpc, err = transport.Listen(v.opts.Listen, v.opts.Creds, v.server); err != nil {
 		return fmt.Errorf("controlvm: listen on %s: %w", v.opts.Listen, err)
--- a/entry/control.go
+++ b/entry/control.go
@@ -12,6 +12,9 @@
 type Control interface {
 	// Propose replicates a command and gives its result.
 	Propose(ctx context.Context, g ids.GroupID, c command.Command) (command.Result, error)
+	// Locate gives the address of the HTTP listener of a session's entry VM,
+	// empty if it is not known.
+	Locate(ctx context.Context, session ids.SessionID) (string, error)
 	// Renew keeps the session and the settings lease alive.
 	Renew(ctx context.Context, r wire.Renew) (wire.RenewReply, error)
 }
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -63,6 +63,13 @@
 	return wire.RenewReply{OK: true, TermMS: 3000, Version: tree.Version(), Changes: changes}, nil
 }
 
+func (f *fakeControl) Locate(_ context.Context, session ids.SessionID) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	info, _ := f.machine.Session(session)
+	return info.Callers, nil
+}
+
 func (f *fakeControl) setCut(cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/native.go
+++ b/entry/native.go
@@ -94,7 +94,7 @@
 	s.streams.add(e)
 	s.launch(context.WithoutCancel(r.Context()), e)
 	go s.cancelAbandoned(e)
-	w.Header().Set(HeaderResumeURL, "http://"+s.Addr()+"/v1/streams/"+e.q.id.String())
+	w.Header().Set(HeaderResumeURL, "http://"+s.resumeHost()+"/v1/streams/"+e.q.id.String())
 	return s.sendStream(w, r, e, 0)
 }
 
@@ -113,8 +113,11 @@
 		return err
 	}
 	e, ok := s.streams.find(r.PathValue("request"))
-	if !ok || e.q.workspace.Name != ws.Name {
-		return problem.New(problem.ResumeTooOld, problem.Unknown, "no stream %q is kept at this VM; use the %s of its response", r.PathValue("request"), HeaderResumeURL)
+	if !ok {
+		return s.forwardResume(w, r)
+	}
+	if e.q.workspace.Name != ws.Name {
+		return noStream(r)
 	}
 	return s.sendStream(w, r, e, from)
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -31,9 +31,12 @@
 	VM     ids.VMID
 	Region ids.Region
 	// Listen is the address for callers, "ip:port"; port 0 picks one.
-	Listen  string
-	Control Control
-	Audit   Recorder
+	Listen string
+	// Advertise is the address at which other entry VMs reach Listen. Default
+	// is Listen, if that names one address.
+	Advertise string
+	Control   Control
+	Audit     Recorder
 	// MembersURL is the platform's membership list.
 	MembersURL string
 	// MembersEvery is the time between reads of the list. Default 1 s.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -159,6 +159,41 @@
 		Expect(tail).To(Equal(tokens[2:]))
 	})
 
+	It("resumes a stream at another entry VM, as a load balancer may choose", func() {
+		b := newBench()
+		resp, raw := b.post("/v1/pipelines/answer", PipelineRequest{Input: "long report", MaxTokens: 60, Stream: true})
+		Expect(resp.StatusCode).To(Equal(http.StatusOK), string(raw))
+		tokens, _ := readEvents(raw)
+		other, err := NewServer(Options{
+			VM: "entry-2", Region: "two", Listen: "127.0.0.1:0", Control: b.control, Audit: b.recorder,
+			MembersURL: b.fleet.MembersURL(), Seed: 2,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(other.Start()).To(Succeed())
+		DeferCleanup(other.Close)
+		Eventually(other.Ready).WithTimeout(20 * time.Second).Should(Succeed())
+		get := func(id string) (int, []byte) {
+			req, err := http.NewRequest(http.MethodGet, "http://"+other.Addr()+"/v1/streams/"+id, nil)
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Authorization", "Bearer "+testToken)
+			req.Header.Set("Last-Event-ID", "3")
+			again, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			rest, err := io.ReadAll(again.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(again.Body.Close()).To(Succeed())
+			return again.StatusCode, rest
+		}
+		status, rest := get(resp.Header.Get(HeaderRequest))
+		Expect(status).To(Equal(http.StatusOK), string(rest))
+		tail, done := readEvents(rest)
+		Expect(tail).To(Equal(tokens[3:]))
+		Expect(done.Complete).To(BeTrue())
+		status, rest = get("entry-1.1.99")
+		Expect(status).To(Equal(http.StatusGone))
+		Expect(problemOf(rest).Reason).To(Equal(problem.ResumeTooOld))
+	})
+
 	It("serves an unchanged OpenAI client, streaming and not", func() {
 		b := newBench()
 		client := openai.NewClient(option.WithBaseURL(b.url+"/v1"), option.WithAPIKey(testToken))
--- a/entry/run.go
+++ b/entry/run.go
@@ -47,6 +47,7 @@
 		VM:            ids.VMID(c.VM.Name),
 		Region:        ids.Region(c.VM.Region),
 		Listen:        string(c.Listen),
+		Advertise:     string(c.Advertise),
 		Control:       control.NewClient(caller, addrs),
 		Audit:         NewSessionRecorder(caller, addrs, writer),
 		MembersURL:    string(c.MembersURL),
--- a/entry/server.go
+++ b/entry/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 	seq      *sequence
 	sub      *subscriber
 	streams  *streams
+	// forwards carries resumes to other entry VMs.
+	forwards *http.Transport
 	started  time.Time
 
 	listener net.Listener
@@ -52,7 +55,7 @@
 	s := &Server{
 		opts: o, log: o.Logger, counters: newCounters(), client: upstream.NewClient(o.Upstream),
 		budgets: newBudgets(), gates: admission.NewShared(admission.DefaultOptions()),
-		times: budget.NewShared(budget.DefaultOptions()), seq: newSequence(), streams: newStreams(),
+		times: budget.NewShared(budget.DefaultOptions()), seq: newSequence(), streams: newStreams(), forwards: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
 		started: time.Now().Truncate(time.Second),
 	}
 	var err error
@@ -74,6 +77,7 @@
 		return fmt.Errorf("entry: listen on %s: %w; choose a free address", s.opts.Listen, err)
 	}
 	s.listener = l
+	s.sub.callers = s.advertised()
 	s.http = &http.Server{
 		Handler:           s.mux(),
 		ReadHeaderTimeout: s.opts.HeaderTimeout,
@@ -96,6 +100,19 @@
 	return nil
 }
 
+// advertised gives the address at which other entry VMs reach this one, empty
+// if it listens on all addresses and none is set.
+func (s *Server) advertised() string {
+	if s.opts.Advertise != "" {
+		return s.opts.Advertise
+	}
+	addr, err := netip.ParseAddrPort(s.Addr())
+	if err != nil || addr.Addr().IsUnspecified() {
+		return ""
+	}
+	return addr.String()
+}
+
 // Addr gives the address for callers.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -196,6 +213,7 @@
 	_ = s.http.Close()
 	s.loops.Wait()
 	s.client.Close()
+	s.forwards.CloseIdleConnections()
 }
 
 // handlerFunc answers a request or gives the problem to answer with.
--- a/entry/subscriber.go
+++ b/entry/subscriber.go
@@ -19,6 +19,7 @@
 type subscriber struct {
 	vm      ids.VMID
 	region  ids.Region
+	callers string
 	control Control
 	log     *log.Logger
 	seq     *sequence
@@ -112,7 +113,7 @@
 	defer cancel()
 	s.incarnation++
 	session := ids.SessionID{VM: s.vm, Incarnation: s.incarnation}
-	open := &command.OpenSession{Session: session, Region: s.region}
+	open := &command.OpenSession{Session: session, Region: s.region, Callers: s.callers}
 	res, err := s.control.Propose(ctx, ids.SettingsGroup, command.Command{OpenSession: open})
 	if err != nil {
 		return fmt.Errorf("open session: %w", err)
--- a/session/session.go
+++ b/session/session.go
@@ -50,7 +50,9 @@
 	UpTo uint64 `cbor:"3,keyasint" json:"up_to"`
 	// LastSeq is the last number that the session says it used; it is known
 	// only of closed sessions.
-	LastSeq      uint64 `cbor:"4,keyasint,omitempty" json:"last_seq,omitempty"`
+	LastSeq uint64 `cbor:"4,keyasint,omitempty" json:"last_seq,omitempty"`
+	// Callers is the address of the VM's HTTP listener for other entry VMs.
+	Callers      string `cbor:"8,keyasint,omitempty" json:"callers,omitempty"`
 	OpenedUnixMS int64  `cbor:"5,keyasint" json:"opened_unix_ms"`
 	EndedUnixMS  int64  `cbor:"6,keyasint,omitempty" json:"ended_unix_ms,omitempty"`
 	End          End    `cbor:"7,keyasint,omitempty" json:"end"`
@@ -78,8 +80,8 @@
 // clock went back can choose a greater number.
 func (t *Table) Open(c *command.OpenSession, nowUnixMS int64) (replaced *ids.SessionID, r command.Result) {
 	vm := c.Session.VM
-	if vm == "" || len(vm) > maxVMBytes || len(c.Region) > maxVMBytes {
-		return nil, command.Result{Code: command.Malformed, Detail: "the VM or region name is empty or too long; correct the VM's settings"}
+	if vm == "" || len(vm) > maxVMBytes || len(c.Region) > maxVMBytes || len(c.Callers) > maxVMBytes {
+		return nil, command.Result{Code: command.Malformed, Detail: "the VM or region name or the address is empty or too long; correct the VM's settings"}
 	}
 	if s, ok := t.open[vm]; ok && s.Session == c.Session {
 		return nil, command.Result{UpTo: s.UpTo}
@@ -95,7 +97,7 @@
 		t.end(s, Replaced, nowUnixMS)
 	}
 	t.newest[vm] = c.Session.Incarnation
-	t.open[vm] = &Info{Session: c.Session, Region: c.Region, UpTo: Block, OpenedUnixMS: nowUnixMS}
+	t.open[vm] = &Info{Session: c.Session, Region: c.Region, Callers: c.Callers, UpTo: Block, OpenedUnixMS: nowUnixMS}
 	return replaced, command.Result{UpTo: Block}
 }
 
--- a/transport/method.go
+++ b/transport/method.go
@@ -16,6 +16,7 @@
 	MethodStatus:      "status",
 	MethodSnapshot:    "snapshot",
 	MethodAdmin:       "admin",
+	MethodLocate:      "locate",
 }
 
 // String gives the method's name as used in metrics and logs.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -21,6 +21,7 @@
 	MethodStatus
 	MethodSnapshot
 	MethodAdmin
+	MethodLocate
 )
 
 // Peer is the authenticated other end of a call, as its certificate names it.
