Experiments: shared clock, event queue, draws and statistics in internal/virtualtime

Cause: the experiments of admission, budget, retry and routing each had a copy of the same event queue, and of the draws and statistics.

--- a/admission/experiment_test.go
+++ b/admission/experiment_test.go
@@ -1,14 +1,14 @@
 package admission
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/virtualtime"
 )
 
 var experimentSeeds = flag.Int("experiment.seeds", 1, "seeds of each run of the admission experiment")
@@ -33,54 +33,6 @@
 	modelPriorities = []float64{0.3, 0.5, 0.2}
 )
 
-type event struct {
-	at time.Duration
-	n  int
-	do func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	n := len(*h)
-	e := (*h)[n-1]
-	*h = (*h)[:n-1]
-	return e
-}
-
-type clock struct {
-	now   time.Duration
-	queue events
-	n     int
-}
-
-func (c *clock) after(d time.Duration, do func()) {
-	c.n++
-	heap.Push(&c.queue, event{c.now + d, c.n, do})
-}
-
-func (c *clock) run() {
-	for len(c.queue) > 0 {
-		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
-		e.do()
-	}
-}
-
-func pick(shares []float64, x float64) int {
-	i := 0
-	for ; i < len(shares)-1 && x > shares[i]; i++ {
-		x -= shares[i]
-	}
-	return i
-}
-
 type outcome struct {
 	offered, rejected, good int
 	// inWindow counts the good answers given before the end of the arrivals, so
@@ -116,7 +68,7 @@
 
 // simulate runs one load. With gated false every request is sent at once.
 func simulate(load func(at time.Duration) float64, gated bool, eng engine, seed uint64) *outcome {
-	c := &clock{}
+	c := &virtualtime.Clock{}
 	rng := rand.New(rand.NewPCG(seed, 3))
 	o := &outcome{
 		byWorkspace: make([]int, 5), offersW: make([]int, 5),
@@ -129,9 +81,9 @@
 		begin := func() {
 			running++
 			if eng {
-				c.after(demand/10, first)
+				c.After(demand/10, first)
 			}
-			c.after(demand, func() {
+			c.After(demand, func() {
 				running--
 				if len(queue) > 0 {
 					next := queue[0]
@@ -159,30 +111,30 @@
 			delete(granted[vm], e.Ticket)
 			if e.Rejection == nil {
 				run()
-			} else if c.now > modelWarm {
+			} else if c.Now() > modelWarm {
 				o.rejected++
 			}
 		}
 	}
 	var arrive func()
 	arrive = func() {
-		at := c.now
-		demand := time.Duration(float64(eng.service()) * math.Exp(modelSpread*rng.NormFloat64()-modelSpread*modelSpread/2))
-		vm, ws, prio := pick(modelShares, rng.Float64()), pick(modelWorkspaces, rng.Float64()), pick(modelPriorities, rng.Float64())
+		at := c.Now()
+		demand := time.Duration(float64(eng.service()) * virtualtime.LogNormal(rng, modelSpread))
+		vm, ws, prio := virtualtime.Pick(rng, modelShares), virtualtime.Pick(rng, modelWorkspaces), virtualtime.Pick(rng, modelPriorities)
 		if at >= modelWarm {
 			o.offered++
 			o.offersW[ws]++
 			o.offersP[prio]++
 		}
 		answer := func() {
-			inTime := c.now-at <= eng.deadline()
-			if inTime && c.now >= modelWarm && c.now <= modelTime {
+			inTime := c.Now()-at <= eng.deadline()
+			if inTime && c.Now() >= modelWarm && c.Now() <= modelTime {
 				o.inWindow++
 			}
 			if at < modelWarm {
 				return
 			}
-			o.latencies = append(o.latencies, c.now-at)
+			o.latencies = append(o.latencies, c.Now()-at)
 			if inTime {
 				o.good++
 				o.byWorkspace[ws]++
@@ -194,17 +146,17 @@
 			granted[vm][g.next+1] = func() {}
 			var t Ticket
 			run := func() {
-				sent, latency := c.now, time.Duration(0)
+				sent, latency := c.Now(), time.Duration(0)
 				serve(demand, func() {
-					latency = c.now - sent
-					g.Progress(t, latency, start.Add(c.now))
+					latency = c.Now() - sent
+					g.Progress(t, latency, start.Add(c.Now()))
 					drain(vm)
 				}, func() {
 					answer()
 					if !eng {
-						latency = c.now - sent
+						latency = c.Now() - sent
 					}
-					g.Release(t, Sample{Latency: latency}, start.Add(c.now))
+					g.Release(t, Sample{Latency: latency}, start.Add(c.Now()))
 					drain(vm)
 				})
 			}
@@ -222,25 +174,25 @@
 			relative = load(at)
 		}
 		perSecond := relative * modelSlots / eng.service().Seconds()
-		if gap := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)); at+gap < modelTime {
-			c.after(gap, arrive)
+		if gap := virtualtime.Gap(rng, perSecond); at+gap < modelTime {
+			c.After(gap, arrive)
 		}
 	}
-	c.after(0, arrive)
+	c.After(0, arrive)
 	if gated {
 		var tick func()
 		tick = func() {
 			for vm, g := range gates {
-				g.Advance(start.Add(c.now))
+				g.Advance(start.Add(c.Now()))
 				drain(vm)
 			}
-			if c.now < modelTime+time.Second {
-				c.after(modelTick, tick)
+			if c.Now() < modelTime+time.Second {
+				c.After(modelTick, tick)
 			}
 		}
-		c.after(0, tick)
+		c.After(0, tick)
 	}
-	c.run()
+	c.Run()
 	slices.Sort(o.latencies)
 	for _, g := range gates {
 		o.limits = append(o.limits, g.Limit())
@@ -292,7 +244,7 @@
 				att += float64(last.good) / float64(last.offered) / n
 				rejected += float64(last.rejected) / float64(last.offered) / n
 			}
-			p := func(q int) float64 { return last.latencies[len(last.latencies)*q/100].Seconds() * 1000 }
+			p := func(q int) float64 { return virtualtime.Percentile(last.latencies, q).Seconds() * 1000 }
 			t.Logf("%-8s engine=%-5v gated=%-5v goodput %.3f attainment %.3f rejected %.3f p50 %4.0f p99 %5.0f ms  by workspace %v of %v by priority %v of %v limits %v",
 				l.name, eng, gated, goodput, att, rejected, p(50), p(99), last.byWorkspace, last.offersW, last.byPriority, last.offersP, last.limits)
 			if !gated {
--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -1,14 +1,13 @@
 package budget
 
 import (
-	"container/heap"
 	"flag"
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"damaskbridge.example/damaskbridge/admission"
+	"damaskbridge.example/damaskbridge/internal/virtualtime"
 )
 
 var experimentSeeds = flag.Int("experiment.seeds", 1, "seeds of each run of the deadline experiment")
@@ -34,46 +33,6 @@
 	{Key{Stage: "generate"}, 250 * time.Millisecond, 50},
 }
 
-type event struct {
-	at time.Duration
-	n  int
-	do func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	n := len(*h)
-	e := (*h)[n-1]
-	*h = (*h)[:n-1]
-	return e
-}
-
-type clock struct {
-	now   time.Duration
-	queue events
-	n     int
-}
-
-func (c *clock) after(d time.Duration, do func()) {
-	c.n++
-	heap.Push(&c.queue, event{c.now + d, c.n, do})
-}
-
-func (c *clock) run() {
-	for len(c.queue) > 0 {
-		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
-		e.do()
-	}
-}
-
 type station struct {
 	running int
 	queue   []func() bool
@@ -100,7 +59,7 @@
 }
 
 type model struct {
-	clock
+	virtualtime.Clock
 	mode     mode
 	slow     func(stage int, at time.Duration) float64
 	tracker  *Tracker
@@ -113,7 +72,7 @@
 	spent, useful           time.Duration
 }
 
-func (m *model) wall() time.Time { return start.Add(m.now) }
+func (m *model) wall() time.Time { return start.Add(m.Now()) }
 
 // drain carries out the events of a stage's gate.
 func (m *model) drain(i int) {
@@ -149,13 +108,13 @@
 
 func (m *model) enter(i int, began time.Duration, demands []time.Duration, used time.Duration) {
 	if i == len(modelStages) {
-		if m.now-began <= modelDeadline {
+		if m.Now()-began <= modelDeadline {
 			m.good++
 			m.useful += used
 		}
 		return
 	}
-	left := modelDeadline - (m.now - began)
+	left := modelDeadline - (m.Now() - began)
 	if m.mode.early && i == 0 {
 		if m.mode.gate {
 			left -= m.waits()
@@ -169,7 +128,7 @@
 		m.serve(i, began, demands, used, func(admission.Sample) {})
 		return
 	}
-	plan := m.tracker.Plan(m.keys[i:], modelDeadline-(m.now-began), m.wall())
+	plan := m.tracker.Plan(m.keys[i:], modelDeadline-(m.Now()-began), m.wall())
 	g := m.gates[i]
 	// The ticket is needed before Offer gives it: a grant may come at once.
 	var t admission.Ticket
@@ -189,41 +148,41 @@
 }
 
 func (m *model) serve(i int, began time.Duration, demands []time.Duration, used time.Duration, release func(admission.Sample)) {
-	entered, begunAt := m.now, m.now
+	entered, begunAt := m.Now(), m.Now()
 	over, running := false, false
 	m.stations[i].queue = append(m.stations[i].queue, func() bool {
 		if over {
 			return false
 		}
-		running, begunAt = true, m.now
-		d := time.Duration(float64(demands[i]) * m.slow(i, m.now))
-		m.after(d, func() {
+		running, begunAt = true, m.Now()
+		d := time.Duration(float64(demands[i]) * m.slow(i, m.Now()))
+		m.After(d, func() {
 			if over {
 				return
 			}
 			over = true
 			m.stations[i].running--
 			m.spent += d
-			m.tracker.Observe(m.keys[i], m.now-entered, m.wall())
-			release(admission.Sample{Latency: m.now - entered})
+			m.tracker.Observe(m.keys[i], m.Now()-entered, m.wall())
+			release(admission.Sample{Latency: m.Now() - entered})
 			m.enter(i+1, began, demands, used+d)
 			m.next(i)
 		})
 		return true
 	})
 	if m.mode.cancel {
-		plan := m.tracker.Plan(m.keys[i:], modelDeadline-(m.now-began), m.wall())
-		m.after(plan.Grants[0].CancelAfter, func() {
+		plan := m.tracker.Plan(m.keys[i:], modelDeadline-(m.Now()-began), m.wall())
+		m.After(plan.Grants[0].CancelAfter, func() {
 			if over {
 				return
 			}
 			over = true
 			if running {
-				m.spent += m.now - begunAt
+				m.spent += m.Now() - begunAt
 				m.stations[i].running--
 				m.next(i)
 			}
-			m.tracker.Observe(m.keys[i], m.now-entered, m.wall())
+			m.tracker.Observe(m.keys[i], m.Now()-entered, m.wall())
 			release(admission.Sample{Outcome: admission.Dropped})
 		})
 	}
@@ -249,12 +208,12 @@
 	arrive = func() {
 		demands := make([]time.Duration, len(modelStages))
 		for i, s := range modelStages {
-			demands[i] = time.Duration(float64(s.service) * math.Exp(modelSpread*rng.NormFloat64()-modelSpread*modelSpread/2))
+			demands[i] = time.Duration(float64(s.service) * virtualtime.LogNormal(rng, modelSpread))
 		}
 		m.offered++
-		m.enter(0, m.now, demands, 0)
-		if gap := time.Duration(rng.ExpFloat64() / (load * modelRate) * float64(time.Second)); m.now+gap < modelTime {
-			m.after(gap, arrive)
+		m.enter(0, m.Now(), demands, 0)
+		if gap := virtualtime.Gap(rng, load*modelRate); m.Now()+gap < modelTime {
+			m.After(gap, arrive)
 		}
 	}
 	tick = func() {
@@ -262,15 +221,15 @@
 			g.Advance(m.wall())
 			m.drain(i)
 		}
-		if m.now < modelTime+2*modelDeadline {
-			m.after(modelTick, tick)
+		if m.Now() < modelTime+2*modelDeadline {
+			m.After(modelTick, tick)
 		}
 	}
-	m.after(0, arrive)
+	m.After(0, arrive)
 	if md.gate {
-		m.after(0, tick)
+		m.After(0, tick)
 	}
-	m.run()
+	m.Run()
 	return m
 }
 
--- a/retry/experiment_test.go
+++ b/retry/experiment_test.go
@@ -1,9 +1,7 @@
 package retry
 
 import (
-	"container/heap"
 	"flag"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -11,6 +9,7 @@
 
 	"damaskbridge.example/damaskbridge/budget"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/virtualtime"
 )
 
 var experimentSeeds = flag.Int("experiment.seeds", 1, "seeds of each run of the hedging experiment")
@@ -29,46 +28,6 @@
 	modelTimeout = 200 * time.Millisecond
 )
 
-type event struct {
-	at time.Duration
-	n  int
-	do func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	n := len(*h)
-	e := (*h)[n-1]
-	*h = (*h)[:n-1]
-	return e
-}
-
-type clock struct {
-	now   time.Duration
-	queue events
-	n     int
-}
-
-func (c *clock) after(d time.Duration, do func()) {
-	c.n++
-	heap.Push(&c.queue, event{c.now + d, c.n, do})
-}
-
-func (c *clock) run() {
-	for len(c.queue) > 0 {
-		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
-		e.do()
-	}
-}
-
 // job is one attempt at a runner.
 type job struct {
 	cancelled, running bool
@@ -115,7 +74,7 @@
 // simulate gives the attainment, the 99th percentile and the attempts for each
 // request.
 func simulate(v variant, load, faulty float64, seed uint64) (att, p99, attempts float64) {
-	c := &clock{}
+	c := &virtualtime.Clock{}
 	rng := rand.New(rand.NewPCG(seed, 3))
 	pickRNG := rand.New(rand.NewPCG(seed, 4))
 	runners := make([]runner, modelRunners)
@@ -126,7 +85,7 @@
 	sent, offered := 0, 0
 	request := func(demands [DefaultMaxAttempts]time.Duration, breaks [DefaultMaxAttempts]bool) {
 		offered++
-		began := c.now
+		began := c.Now()
 		p := Policy{Idempotent: true, MaxAttempts: v.attempts, Deadline: start.Add(began + modelDeadline)}
 		if v.hedge {
 			plan := tracker.Plan([]budget.Key{key}, modelDeadline, start.Add(began))
@@ -155,28 +114,28 @@
 			j := &job{}
 			jobs[n] = j
 			j.begin = func() {
-				c.after(demands[n-1], func() {
+				c.After(demands[n-1], func() {
 					if j.cancelled {
 						return
 					}
 					j.cancelled = true
 					r.running--
 					if breaks[n-1] {
-						apply(call.Fail(n, Broken, start.Add(c.now)))
+						apply(call.Fail(n, Broken, start.Add(c.Now())))
 						r.next()
 						return
 					}
-					apply(call.Complete(Result{Carrier: n, ID: call.ID(n), Valid: true}, start.Add(c.now)))
+					apply(call.Complete(Result{Carrier: n, ID: call.ID(n), Valid: true}, start.Add(c.Now())))
 					r.next()
 				})
 			}
 			r.queue = append(r.queue, j)
 			r.next()
 			if v.timeouts {
-				c.after(modelTimeout, func() {
+				c.After(modelTimeout, func() {
 					if !j.cancelled && !call.Ended() {
 						drop(n)
-						apply(call.Fail(n, Stalled, start.Add(c.now)))
+						apply(call.Fail(n, Stalled, start.Add(c.Now())))
 					}
 				})
 			}
@@ -189,23 +148,23 @@
 				case Cancel:
 					drop(a.Attempt)
 				case Win:
-					latencies = append(latencies, c.now-began)
-					tracker.Observe(key, c.now-began, start.Add(c.now))
+					latencies = append(latencies, c.Now()-began)
+					tracker.Observe(key, c.Now()-began, start.Add(c.Now()))
 				}
 			}
 		}
-		apply(call.Start(start.Add(c.now)))
+		apply(call.Start(start.Add(c.Now())))
 		if p.HedgeAfter > 0 {
-			c.after(p.HedgeAfter, func() { apply(call.Tick(start.Add(c.now))) })
+			c.After(p.HedgeAfter, func() { apply(call.Tick(start.Add(c.Now()))) })
 		}
-		c.after(modelDeadline, func() { apply(call.Tick(start.Add(c.now))) })
+		c.After(modelDeadline, func() { apply(call.Tick(start.Add(c.Now()))) })
 	}
 	var arrive func()
 	arrive = func() {
 		var demands [DefaultMaxAttempts]time.Duration
 		var breaks [DefaultMaxAttempts]bool
 		for i := range demands {
-			d := float64(modelService) * math.Exp(modelSpread*rng.NormFloat64()-modelSpread*modelSpread/2)
+			d := float64(modelService) * virtualtime.LogNormal(rng, modelSpread)
 			if rng.Float64() < faulty {
 				d *= 10
 			}
@@ -214,18 +173,17 @@
 		}
 		request(demands, breaks)
 		perSecond := load * modelRunners * modelSlots / modelService.Seconds() / (1 + 9*faulty)
-		if gap := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)); c.now+gap < modelTime {
-			c.after(gap, arrive)
+		if gap := virtualtime.Gap(rng, perSecond); c.Now()+gap < modelTime {
+			c.After(gap, arrive)
 		}
 	}
-	c.after(0, arrive)
-	c.run()
+	c.After(0, arrive)
+	c.Run()
 	for len(latencies) < offered {
 		latencies = append(latencies, modelDeadline)
 	}
 	slices.Sort(latencies)
-	good, _ := slices.BinarySearch(latencies, modelDeadline)
-	return float64(good) / float64(offered), latencies[offered*99/100].Seconds() * 1000, float64(sent) / float64(offered)
+	return virtualtime.PartBelow(latencies, modelDeadline), virtualtime.Percentile(latencies, 99).Seconds() * 1000, float64(sent) / float64(offered)
 }
 
 // Guards the use of hedges against slow attempts, and the budget against
--- a/routing/experiment_prefix_test.go
+++ b/routing/experiment_prefix_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/virtualtime"
 )
 
 // The prefix model: engines keep the prompt prefixes of a few templates, and a
@@ -63,7 +65,7 @@
 
 // simulatePrefix gives the part of cached prompts and the latencies.
 func simulatePrefix(saveMS float64, seed uint64) (hits float64, latencies []time.Duration) {
-	c := &clock{}
+	c := &virtualtime.Clock{}
 	rng := rand.New(rand.NewPCG(seed, 5))
 	zipf := rand.NewZipf(rng, 1.1, 5, prefixTemplates-1)
 	view := pool(prefixEngines).View()
@@ -81,7 +83,7 @@
 	hit := 0
 	var arrive func()
 	arrive = func() {
-		at := c.now
+		at := c.Now()
 		vm := vms[rng.IntN(prefixVMs)]
 		template := int(zipf.Uint64())
 		choice, err := vm.Choose(view, Request{Pool: "p", Prefix: chainOf(template)}, start.Add(at))
@@ -92,7 +94,7 @@
 		e := &engines[n]
 		begin := func() {
 			e.running++
-			cached, events := e.use(template, start.Add(c.now))
+			cached, events := e.use(template, start.Add(c.Now()))
 			d := prefixMiss
 			if cached {
 				hit++
@@ -100,13 +102,13 @@
 			}
 			for _, r := range vms {
 				if rng.Float64() >= prefixLost {
-					c.after(prefixLag, func() { r.ObserveCache(address(n), events) })
+					c.After(prefixLag, func() { r.ObserveCache(address(n), events) })
 				}
 			}
-			c.after(d, func() {
+			c.After(d, func() {
 				e.running--
-				latencies = append(latencies, c.now-at)
-				vm.Done(choice.Ticket, Outcome{Latency: c.now - at}, start.Add(c.now))
+				latencies = append(latencies, c.Now()-at)
+				vm.Done(choice.Ticket, Outcome{Latency: c.Now() - at}, start.Add(c.Now()))
 				if len(e.queue) > 0 {
 					next := e.queue[0]
 					e.queue = e.queue[1:]
@@ -119,12 +121,12 @@
 		} else {
 			e.queue = append(e.queue, begin)
 		}
-		if gap := time.Duration(rng.ExpFloat64() / prefixRate * float64(time.Second)); at+gap < modelTime {
-			c.after(gap, arrive)
+		if gap := virtualtime.Gap(rng, prefixRate); at+gap < modelTime {
+			c.After(gap, arrive)
 		}
 	}
-	c.after(0, arrive)
-	c.run()
+	c.After(0, arrive)
+	c.Run()
 	slices.Sort(latencies)
 	return float64(hit) / float64(len(latencies)), latencies
 }
@@ -138,8 +140,8 @@
 			hits, l := simulatePrefix(saveMS, uint64(seed+1))
 			n := float64(*experimentSeeds)
 			f.hits += hits / n
-			f.p50 += l[len(l)/2].Seconds() * 1000 / n
-			f.p99 += l[len(l)*99/100].Seconds() * 1000 / n
+			f.p50 += virtualtime.Percentile(l, 50).Seconds() * 1000 / n
+			f.p99 += virtualtime.Percentile(l, 99).Seconds() * 1000 / n
 		}
 		t.Logf("block saves %2.0f ms: cached %.3f p50 %3.0f ms p99 %3.0f ms", saveMS, f.hits, f.p50, f.p99)
 		return f
--- a/routing/experiment_test.go
+++ b/routing/experiment_test.go
@@ -1,15 +1,14 @@
 package routing
 
 import (
-	"container/heap"
 	"flag"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/virtualtime"
 	"damaskbridge.example/damaskbridge/membership"
 )
 
@@ -192,46 +191,6 @@
 	}},
 }
 
-type event struct {
-	at time.Duration
-	n  int
-	do func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	n := len(*h)
-	e := (*h)[n-1]
-	*h = (*h)[:n-1]
-	return e
-}
-
-type clock struct {
-	now   time.Duration
-	queue events
-	n     int
-}
-
-func (c *clock) after(d time.Duration, do func()) {
-	c.n++
-	heap.Push(&c.queue, event{c.now + d, c.n, do})
-}
-
-func (c *clock) run() {
-	for len(c.queue) > 0 {
-		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
-		e.do()
-	}
-}
-
 type runner struct {
 	running int
 	queue   []func()
@@ -240,7 +199,7 @@
 // simulate gives the latencies of all requests, in order, and the part that
 // went to another region. Arrivals and service demands depend on the seed alone.
 func simulate(sc scenario, mk func(uint64, scenario, int) policy, seed uint64) ([]time.Duration, float64) {
-	c := &clock{}
+	c := &virtualtime.Clock{}
 	rng := rand.New(rand.NewPCG(seed, 3))
 	runners := make([]runner, modelRunners)
 	vms := make([]policy, len(modelShares))
@@ -252,7 +211,7 @@
 	serve := func(r int, demand time.Duration, done func()) {
 		begin := func() {
 			runners[r].running++
-			c.after(time.Duration(float64(demand)*sc.slow(r, c.now)), func() {
+			c.After(time.Duration(float64(demand)*sc.slow(r, c.Now())), func() {
 				runners[r].running--
 				if q := runners[r].queue; len(q) > 0 {
 					runners[r].queue = q[1:]
@@ -269,12 +228,9 @@
 	}
 	var arrive func()
 	arrive = func() {
-		at := c.now
-		demand := time.Duration(float64(modelService) * math.Exp(modelSpread*rng.NormFloat64()-modelSpread*modelSpread/2))
-		x, vm := rng.Float64(), 0
-		for ; vm < len(vms)-1 && x > modelShares[vm]; vm++ {
-			x -= modelShares[vm]
-		}
+		at := c.Now()
+		demand := time.Duration(float64(modelService) * virtualtime.LogNormal(rng, modelSpread))
+		vm := virtualtime.Pick(rng, modelShares)
 		r, done := vms[vm].choose(start.Add(at))
 		var way time.Duration
 		if sc.region(vm) != sc.region(r) {
@@ -282,45 +238,45 @@
 			way = modelCross / 2
 		}
 		if sc.fails != nil && sc.fails(r, at) {
-			c.after(time.Millisecond, func() {
+			c.After(time.Millisecond, func() {
 				failed++
-				done(Outcome{Result: Failure, Latency: time.Millisecond}, start.Add(c.now))
+				done(Outcome{Result: Failure, Latency: time.Millisecond}, start.Add(c.Now()))
 			})
 		} else {
-			c.after(way, func() {
+			c.After(way, func() {
 				serve(r, demand, func() {
-					c.after(way, func() {
-						latencies = append(latencies, c.now-at)
-						done(Outcome{Latency: c.now - at}, start.Add(c.now))
+					c.After(way, func() {
+						latencies = append(latencies, c.Now()-at)
+						done(Outcome{Latency: c.Now() - at}, start.Add(c.Now()))
 					})
 				})
 			})
 		}
 		perSecond := sc.rate(at) * modelRunners * modelSlots / modelService.Seconds()
-		if gap := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)); at+gap < modelTime {
-			c.after(gap, arrive)
+		if gap := virtualtime.Gap(rng, perSecond); at+gap < modelTime {
+			c.After(gap, arrive)
 		}
 	}
-	c.after(0, arrive)
+	c.After(0, arrive)
 	for i := range modelRunners {
 		var measure func()
 		measure = func() {
-			l := Load{Running: runners[i].running, Waiting: len(runners[i].queue), At: start.Add(c.now)}
+			l := Load{Running: runners[i].running, Waiting: len(runners[i].queue), At: start.Add(c.Now())}
 			if i == sc.liar {
 				l.Running, l.Waiting = 0, 0
 			}
-			c.after(modelLag, func() {
+			c.After(modelLag, func() {
 				for _, vm := range vms {
-					vm.report(i, l, start.Add(c.now))
+					vm.report(i, l, start.Add(c.Now()))
 				}
 			})
-			if c.now < modelTime {
-				c.after(modelPeriod, measure)
+			if c.Now() < modelTime {
+				c.After(modelPeriod, measure)
 			}
 		}
-		c.after(modelPeriod*time.Duration(i)/modelRunners, measure)
+		c.After(modelPeriod*time.Duration(i)/modelRunners, measure)
 	}
-	c.run()
+	c.Run()
 	// A failed request counts as one that is never answered.
 	for range failed {
 		latencies = append(latencies, time.Hour)
@@ -330,8 +286,7 @@
 }
 
 func attainment(latencies []time.Duration) float64 {
-	within, _ := slices.BinarySearch(latencies, modelDeadline+1)
-	return float64(within) / float64(len(latencies))
+	return virtualtime.PartBelow(latencies, modelDeadline+1)
 }
 
 // Guards the routing policy against falling behind its baselines: on the same
@@ -345,8 +300,8 @@
 				l, x := simulate(sc, p.make, uint64(seed+1))
 				cross += x / float64(*experimentSeeds)
 				att += attainment(l) / float64(*experimentSeeds)
-				p50 += l[len(l)/2].Seconds() * 1000 / float64(*experimentSeeds)
-				p99 += l[len(l)*99/100].Seconds() * 1000 / float64(*experimentSeeds)
+				p50 += virtualtime.Percentile(l, 50).Seconds() * 1000 / float64(*experimentSeeds)
+				p99 += virtualtime.Percentile(l, 99).Seconds() * 1000 / float64(*experimentSeeds)
 			}
 			t.Logf("%-12s %-18s attainment %.4f  p50 %4.0f ms  p99 %5.0f ms  other region %.2f", sc.name, p.name, att, p50, p99, cross)
 			if p.name == "chain" {
