Entry VM: gauges of admission, upstreams, lease and routing

Cause: operators could not see limits, queues and the lease. Ruled out: a status page of its own. Before: counters only. Conclusion: none of it is on the request path.

--- /dev/null
+++ b/entry/gauges.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// writeGauges writes the present state of the policy and of the control state.
+func (s *Server) writeGauges(w io.Writer) {
+	now := time.Now()
+	if snap := s.sub.snapshot(); snap != nil {
+		metrics.WriteGaugeUint64(w, "damask_entry_settings_version", version(snap.tree))
+		left := max(0, snap.lease.until.Sub(now))
+		metrics.WriteGaugeUint64(w, "damask_entry_settings_lease_milliseconds", uint64(left.Milliseconds()))
+	}
+	for pool, st := range s.gates.Status() {
+		gauge(w, "damask_entry_gate_limit", pool, st.Limit)
+		gauge(w, "damask_entry_gate_in_flight", pool, st.InFlight)
+		gauge(w, "damask_entry_gate_waiting", pool, st.Waiting)
+	}
+	view := s.runners.members.View()
+	for _, pool := range view.Pools() {
+		usable := 0
+		for _, u := range view.Pool(pool) {
+			if u.Usable(now) {
+				usable++
+			}
+		}
+		gauge(w, "damask_entry_upstreams_usable", pool, usable)
+		gauge(w, "damask_entry_upstreams_listed", pool, len(view.Pool(pool)))
+	}
+	s.writeRouting(w)
+}
+
+// writeRouting writes the counters of the router and of the membership view.
+func (s *Server) writeRouting(w io.Writer) {
+	r := s.runners.router.Counts()
+	metrics.WriteCounterUint64(w, "damask_entry_routing_choices_total", r.Choices)
+	metrics.WriteCounterUint64(w, "damask_entry_routing_no_candidate_total", r.NoCandidate)
+	metrics.WriteCounterUint64(w, "damask_entry_routing_probes_total", r.Probes)
+	metrics.WriteCounterUint64(w, "damask_entry_routing_ejections_total", r.Ejections)
+	metrics.WriteCounterUint64(w, "damask_entry_routing_ejections_refused_total", r.EjectionsRefused)
+	m := s.runners.members.Counts()
+	metrics.WriteCounterUint64(w, "damask_entry_membership_suspect_lists_total", m.SuspectLists)
+	metrics.WriteCounterUint64(w, "damask_entry_membership_draining_total", m.Draining)
+	metrics.WriteCounterUint64(w, "damask_entry_membership_refused_total", m.Refused)
+	metrics.WriteCounterUint64(w, "damask_entry_membership_signs_applied_total", m.SignsApplied)
+}
+
+func gauge(w io.Writer, name, pool string, n int) {
+	metrics.WriteGaugeUint64(w, fmt.Sprintf("%s{pool=%q}", name, pool), uint64(n))
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -228,7 +228,10 @@
 	m.Handle("POST /v1/services/{name}/{op}", s.handle(s.handleService))
 	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	m.HandleFunc("GET /readyz", s.handleReady)
-	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.counters.write(w) })
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.counters.write(w)
+		s.writeGauges(w)
+	})
 	m.Handle("/", s.handle(func(_ http.ResponseWriter, r *http.Request) error {
 		return problem.New(problem.NotFound, problem.NotRun, "%s %s", r.Method, r.URL.Path)
 	}))
