--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -149,6 +149,10 @@
 	if err := os.MkdirAll(c.ControlDir(i), 0o700); err != nil {
 		return nil, fmt.Errorf("cluster: %w", err)
 	}
+	operators, err := admin.NewOperators([]admin.Operator{{Name: "operator", TokenSHA256: []string{keys.Digest(OperatorToken)}}})
+	if err != nil {
+		return nil, err
+	}
 	return controlvm.Start(controlvm.Options{
 		VM:        controlName(i),
 		Region:    c.Region(i),
@@ -157,7 +161,7 @@
 		Data:      c.ControlDir(i),
 		Peers:     c.peers,
 		Creds:     c.creds[controlName(i)],
-		Operators: []admin.Operator{{Name: "operator", TokenSHA256: []string{keys.Digest(OperatorToken)}}},
+		Operators: operators,
 		CopyTo:    c.peers[(i+1)%len(c.peers)].Addr,
 		Logger:    c.opts.Logger,
 	})
--- a/config/control.go
+++ b/config/control.go
@@ -13,6 +13,9 @@
 	Listen Text `yaml:"listen"`
 	// Admin is where operators call (HTTP).
 	Admin Text `yaml:"admin"`
+	// AdminTLS serves operators over HTTPS and asks for an operator's
+	// certificate besides the token. Health checks then need one as well.
+	AdminTLS bool `yaml:"admin_tls"`
 	// Keys is the folder with the VM's certificate, as damaskctl wrote it.
 	Keys Text `yaml:"keys"`
 	// Data is the folder of everything that has to survive a restart.
--- a/controlvm/backend.go
+++ b/controlvm/backend.go
@@ -14,7 +14,9 @@
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/ledger"
 	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/session"
 	"damaskbridge.example/damaskbridge/settings"
+	"golang.org/x/sync/errgroup"
 )
 
 // backend serves the operators' API from a control VM.
@@ -116,11 +118,12 @@
 		return admin.AuditReply{}, err
 	}
 	reply := admin.AuditReply{Complete: len(missing) == 0, Missing: b.names(missing)}
+	requests := ofWorkspace(entries, q.Workspace)
 	for i := range entries {
 		if len(reply.Records) >= q.Limit {
 			break
 		}
-		if !matches(&q, &entries[i].Record) {
+		if requests != nil && !requests[entries[i].Record.Request] || !matches(&q, &entries[i].Record) {
 			continue
 		}
 		raw, err := json.Marshal(entries[i])
@@ -148,15 +151,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	sessions = slices.DeleteFunc(sessions, func(i session.Info) bool { return q.VM != "" && i.Session.VM != q.VM })
 	var all []audit.Entry
 	var missing []string
-	for _, info := range sessions {
-		if q.VM != "" && info.Session.VM != q.VM {
-			continue
-		}
-		entries, lost := reader.Session(ctx, info.Session)
-		all = append(all, entries...)
-		missing = append(missing, lost...)
+	for _, r := range b.readSessions(ctx, sessions) {
+		all = append(all, r.entries...)
+		missing = append(missing, r.missing...)
 	}
 	slices.SortStableFunc(all, func(x, y audit.Entry) int {
 		return int(x.Record.AtUnixMS - y.Record.AtUnixMS)
@@ -164,11 +164,52 @@
 	return all, missing, nil
 }
 
+// sessionRecords are the records of one session and the addresses of control
+// VMs that did not answer.
+type sessionRecords struct {
+	entries []audit.Entry
+	missing []string
+}
+
+// sessionReads is how many sessions are read at once. While a control VM is
+// down each read waits for its time limit, so reading them one by one takes
+// minutes.
+const sessionReads = 16
+
+// readSessions reads the records of sessions, in their order.
+func (b *backend) readSessions(ctx context.Context, sessions []session.Info) []sessionRecords {
+	out := make([]sessionRecords, len(sessions))
+	reader := b.vm.reader()
+	var group errgroup.Group
+	group.SetLimit(sessionReads)
+	for i := range sessions {
+		group.Go(func() error {
+			out[i].entries, out[i].missing = reader.Session(ctx, sessions[i].Session)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return out
+}
+
+// ofWorkspace gives the requests of a workspace, nil for no name. Only the begin
+// record of a request names its workspace.
+func ofWorkspace(entries []audit.Entry, name string) map[ids.RequestID]bool {
+	if name == "" {
+		return nil
+	}
+	requests := make(map[ids.RequestID]bool)
+	for i := range entries {
+		if r := &entries[i].Record; r.Kind == audit.Begin && r.Workspace == name {
+			requests[r.Request] = true
+		}
+	}
+	return requests
+}
+
 func matches(q *admin.AuditQuery, r *audit.Record) bool {
 	at := time.UnixMilli(r.AtUnixMS)
 	switch {
-	case q.Workspace != "" && r.Kind == audit.Begin && r.Workspace != q.Workspace:
-		return false
 	case !q.From.IsZero() && at.Before(q.From):
 		return false
 	case !q.To.IsZero() && !at.Before(q.To):
--- a/controlvm/http.go
+++ b/controlvm/http.go
@@ -11,6 +11,7 @@
 	"damaskbridge.example/damaskbridge/audit"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/session"
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -85,19 +86,15 @@
 	if err != nil {
 		return nil, err
 	}
+	sessions = slices.DeleteFunc(sessions, func(i session.Info) bool { return i.End == session.Open })
 	b := &backend{vm: v}
 	out := admin.UnaccountedReply{Complete: true, Sessions: []audit.UnaccountedReport{}}
-	for i := range sessions {
-		state := stateOf(&sessions[i])
-		if !state.Ended {
-			continue
-		}
-		entries, missing := v.reader().Session(ctx, state.Session)
-		report := audit.Unaccounted(entries, state)
+	for i, r := range b.readSessions(ctx, sessions) {
+		report := audit.Unaccounted(r.entries, stateOf(&sessions[i]))
 		if len(report.WithoutEnd)+len(report.WithoutRecord) > 0 {
 			out.Sessions = append(out.Sessions, report)
 		}
-		for _, vm := range b.names(missing) {
+		for _, vm := range b.names(r.missing) {
 			out.Complete = false
 			if !slices.Contains(out.Missing, vm) {
 				out.Missing = append(out.Missing, vm)
--- a/controlvm/options.go
+++ b/controlvm/options.go
@@ -36,7 +36,10 @@
 	// Peers are the control VMs that form the group, this one included.
 	Peers     []control.Peer
 	Creds     transport.Credentials
-	Operators []admin.Operator
+	Operators *admin.Operators
+	// AdminTLS serves operators over HTTPS and asks for an operator's
+	// certificate besides the token.
+	AdminTLS bool
 	// SegmentBytes and Retention are those of the audit log; 0 means the
 	// defaults of package audit.
 	SegmentBytes int64
@@ -58,6 +61,8 @@
 		return fmt.Errorf("controlvm: data folder is empty; set it")
 	case len(o.Peers) == 0:
 		return fmt.Errorf("controlvm: no control VMs; list those that form the group")
+	case o.Operators == nil:
+		return fmt.Errorf("controlvm: no operators; list the digest of at least one token")
 	case o.Creds == nil:
 		return fmt.Errorf("controlvm: no credentials; give the key folder")
 	}
--- a/controlvm/run.go
+++ b/controlvm/run.go
@@ -23,7 +23,10 @@
 	if err != nil {
 		return fmt.Errorf("control: keys: %w", err)
 	}
-	o := optionsOf(c)
+	o, err := optionsOf(c)
+	if err != nil {
+		return err
+	}
 	o.Creds = creds
 	o.Logger = logger
 	v, err := Start(o)
@@ -43,7 +46,7 @@
 }
 
 // optionsOf maps the settings file to options.
-func optionsOf(c *config.Control) Options {
+func optionsOf(c *config.Control) (Options, error) {
 	o := Options{
 		VM:           ids.VMID(c.VM.Name),
 		Region:       ids.Region(c.VM.Region),
@@ -57,9 +60,12 @@
 	for _, p := range c.Voters {
 		o.Peers = append(o.Peers, control.Peer{VM: ids.VMID(p.VM), Region: ids.Region(p.Region), Addr: string(p.Address), Voter: true})
 	}
-	for i, digest := range c.OperatorTokens {
-		name := fmt.Sprintf("operator-%d", i+1)
-		o.Operators = append(o.Operators, admin.Operator{Name: name, TokenSHA256: []string{string(digest)}})
+	o.AdminTLS = c.AdminTLS
+	digests := make([]string, 0, len(c.OperatorTokens))
+	for _, digest := range c.OperatorTokens {
+		digests = append(digests, string(digest))
 	}
-	return o
+	var err error
+	o.Operators, err = admin.OperatorsOf(digests)
+	return o, err
 }
--- a/controlvm/vm.go
+++ b/controlvm/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -59,21 +60,21 @@
 	if err := v.openFiles(); err != nil {
 		return err
 	}
-	operators, err := admin.NewOperators(v.opts.Operators)
-	if err != nil {
-		return err
-	}
 	v.server = control.NewServer(v.replica)
 	v.handleAudit()
 	v.handleLocate()
-	api := admin.New(&backend{vm: v}, operators)
+	api := admin.New(&backend{vm: v}, v.opts.Operators)
+	var err error
 	if v.rpc, err = transport.Listen(v.opts.Listen, v.opts.Creds, v.server); err != nil {
 		return fmt.Errorf("controlvm: listen on %s: %w", v.opts.Listen, err)
 	}
 	if v.admin, err = net.Listen("tcp", v.opts.Admin); err != nil {
 		return fmt.Errorf("controlvm: listen on %s: %w; choose a free address", v.opts.Admin, err)
 	}
-	v.http = &http.Server{Handler: v.mux(api, operators), ReadHeaderTimeout: headerTimeout}
+	if v.opts.AdminTLS {
+		v.admin = tls.NewListener(v.admin, admin.TLSConfig(v.opts.Creds))
+	}
+	v.http = &http.Server{Handler: v.mux(api, v.opts.Operators), ReadHeaderTimeout: headerTimeout}
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	v.loops.Go(func() { _ = v.http.Serve(v.admin) })
--- a/entry/subscriber.go
+++ b/entry/subscriber.go
@@ -141,7 +141,7 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	old := s.snapshot()
-	req := wire.Renew{Session: old.session, Region: s.region, InForce: version(old.tree), Signs: s.signs(time.Now()), Draining: s.draining.Load()}
+	req := wire.Renew{Session: old.session, Region: s.region, InForce: version(old.tree), Signs: s.signs(time.Now()), Draining: s.draining.Load() || old.drain}
 	sent := time.Now()
 	reply, err := s.control.Renew(ctx, req)
 	if err != nil {
@@ -234,8 +234,12 @@
 func (s *subscriber) closeSession(ctx context.Context) error {
 	session, last := s.seq.used()
 	cmd := command.Command{CloseSession: &command.CloseSession{Session: session, LastSeq: last}}
-	if _, err := s.control.Propose(ctx, ids.SettingsGroup, cmd); err != nil {
+	res, err := s.control.Propose(ctx, ids.SettingsGroup, cmd)
+	if err != nil {
 		return fmt.Errorf("close session: %w", err)
 	}
+	if res.Code != command.OK {
+		return fmt.Errorf("close session: %s", res.Detail)
+	}
 	return nil
 }
--- a/entry/tune.go
+++ b/entry/tune.go
@@ -10,6 +10,9 @@
 	"damaskbridge.example/damaskbridge/settings"
 )
 
+// percent is the whole of a percentage.
+const percent = 100
+
 // tune puts the settings of the tree's root that concern pools into effect.
 // What concerns single requests is read from their branch with each request.
 func (s *Server) tune(tree *settings.Tree) {
@@ -17,6 +20,7 @@
 	s.runners.members.TuneSlowStart(max(tree.Duration("", settings.SlowStart), time.Millisecond))
 	s.gates.Tune(admissionOptions(tree))
 	s.budgets.tune(budgetOptions(tree))
+	s.times.TuneHedge(float64(tree.Int("", settings.HedgePercentile)) / percent)
 	s.client.TuneProgress(tree.Duration("", settings.UpstreamProgressWindow))
 }
 
@@ -39,7 +43,6 @@
 
 func budgetOptions(tree *settings.Tree) retry.BudgetOptions {
 	b := retry.DefaultBudgetOptions()
-	const percent = 100
 	b.Part = float64(tree.Int("", settings.RetryBudgetPercent)) / percent
 	return b
 }
--- a/settings/spec.go
+++ b/settings/spec.go
@@ -59,21 +59,21 @@
 	{Key: BodyMaxBytes, Unit: UnitBytes, Default: "1MiB", Min: kib, Max: 64 * mib},
 	{Key: WorkspaceWeight, Unit: UnitCount, Default: "1", Min: 1, Max: 10_000},
 	{Key: PriorityDefault, Unit: UnitChoice, Default: "normal", Choices: []string{"interactive", "normal", "batch"}},
-	{Key: AdmissionMinLimit, Unit: UnitCount, Default: "4", Min: 1, Max: 100_000},
-	{Key: AdmissionMaxLimit, Unit: UnitCount, Default: "1000", Min: 1, Max: 100_000},
-	{Key: AdmissionQueue, Unit: UnitCount, Default: "1000", Min: 0, Max: 100_000},
-	{Key: RetryBudgetPercent, Unit: UnitPercent, Default: "10", Min: 0, Max: 100},
+	rootOnly(Spec{Key: AdmissionMinLimit, Unit: UnitCount, Default: "4", Min: 1, Max: 100_000}),
+	rootOnly(Spec{Key: AdmissionMaxLimit, Unit: UnitCount, Default: "1000", Min: 1, Max: 100_000}),
+	rootOnly(Spec{Key: AdmissionQueue, Unit: UnitCount, Default: "1000", Min: 0, Max: 100_000}),
+	rootOnly(Spec{Key: RetryBudgetPercent, Unit: UnitPercent, Default: "10", Min: 0, Max: 100}),
 	{Key: RetryMaxAttempts, Unit: UnitCount, Default: "3", Min: 1, Max: 10},
 	{Key: HedgeEnabled, Unit: UnitBool, Default: "true"},
-	{Key: HedgePercentile, Unit: UnitPercent, Default: "95", Min: 50, Max: 99},
+	rootOnly(Spec{Key: HedgePercentile, Unit: UnitPercent, Default: "95", Min: 50, Max: 99}),
 	// Above one half, a wrong view of one VM could empty a pool.
-	{Key: EjectionMaxPercent, Unit: UnitPercent, Default: "50", Min: 0, Max: 50},
-	{Key: CrossRegionAllowed, Unit: UnitBool, Default: "true"},
-	duration(CrossRegionPenaltyMS, "40ms", 0, 10*time.Second),
-	duration(SlowStart, "10s", 0, 10*time.Minute),
+	rootOnly(Spec{Key: EjectionMaxPercent, Unit: UnitPercent, Default: "50", Min: 0, Max: 50}),
+	rootOnly(Spec{Key: CrossRegionAllowed, Unit: UnitBool, Default: "true"}),
+	rootOnly(duration(CrossRegionPenaltyMS, "40ms", 0, 10*time.Second)),
+	rootOnly(duration(SlowStart, "10s", 0, 10*time.Minute)),
 	duration(StreamTokenGap, "2s", 10*time.Millisecond, 5*time.Minute),
 	duration(StreamResumeRetention, "60s", 0, time.Hour),
-	duration(UpstreamProgressWindow, "5s", 50*time.Millisecond, 10*time.Minute),
+	rootOnly(duration(UpstreamProgressWindow, "5s", 50*time.Millisecond, 10*time.Minute)),
 	rootOnly(duration(AnswerRetention, "24h", time.Minute, 30*day)),
 	// Entry VMs claim every key in group 1 today. A greater number would be
 	// without effect until a later program reads it and then looks for claims
@@ -81,7 +81,8 @@
 	rootOnly(Spec{Key: LedgerGroups, Unit: UnitCount, Default: "1", Min: 1, Max: 1}),
 	{Key: AuditBeforeDispatch, Unit: UnitChoice, Default: "durable", Choices: []string{"durable", "async"}},
 	// The customer audits once a year, so the default outlasts a year.
-	rootOnly(duration(AuditRetention, "9600h", day, 3660*day)),
+	// A shorter retention could leave requests of the year unaccounted for.
+	rootOnly(duration(AuditRetention, "9600h", 366*day, 3660*day)),
 	rootOnly(Spec{Key: WeightStoreRate, Unit: UnitBytesPerSecond, Default: "1GiB", Min: 1, Max: tib}),
 })
 
