--- a/ctl/account.go
+++ b/ctl/account.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"net/http"
 	"net/url"
 
 	"damaskbridge.example/damaskbridge/admin"
@@ -20,15 +21,11 @@
 	if err := r.parse(1, 1); err != nil {
 		return err
 	}
-	c, ctx, cancel, err := r.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	var reply admin.RequestAccount
-	if err := c.Get(ctx, "/v1/audit/requests/"+url.PathEscape(r.flags.Arg(0)), nil, &reply); err != nil {
-		return err
-	}
+	path := "/v1/audit/requests/" + url.PathEscape(r.args[0])
+	return call(ctx, r, request{method: http.MethodGet, path: path}, r.printAccount)
+}
+
+func (r *run) printAccount(reply admin.RequestAccount) error {
 	if r.json {
 		return r.printJSON(reply)
 	}
@@ -57,15 +54,10 @@
 	if err := r.parse(0, 0); err != nil {
 		return err
 	}
-	c, ctx, cancel, err := r.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	var reply admin.UnaccountedReply
-	if err := c.Get(ctx, "/v1/audit/unaccounted", nil, &reply); err != nil {
-		return err
-	}
+	return call(ctx, r, request{method: http.MethodGet, path: "/v1/audit/unaccounted"}, r.printUnaccounted)
+}
+
+func (r *run) printUnaccounted(reply admin.UnaccountedReply) error {
 	if r.json {
 		return r.printJSON(reply)
 	}
--- a/ctl/read.go
+++ b/ctl/read.go
@@ -71,49 +71,26 @@
 	if err := r.parse(0, 0); err != nil {
 		return err
 	}
-	c, ctx, cancel, err := r.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	var reply admin.HistoryReply
 	q := url.Values{"limit": {fmt.Sprint(*limit)}, "before": {fmt.Sprint(*before)}}
-	if err := c.get(ctx, "/v1/history", q, &reply); err != nil {
-		return err
-	}
-	return r.printHistory(reply)
+	return call(ctx, r, request{method: http.MethodGet, path: "/v1/history", query: q}, r.printHistory)
 }
 
 func (r *run) status(ctx context.Context) error {
 	if err := r.parse(0, 0); err != nil {
 		return err
 	}
-	c, ctx, cancel, err := r.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	var reply admin.Status
-	if err := c.get(ctx, "/v1/status", nil, &reply); err != nil {
-		return err
-	}
-	return r.printStatus(reply)
+	return call(ctx, r, request{method: http.MethodGet, path: "/v1/status"}, r.printStatus)
 }
 
 func (r *run) drain(ctx context.Context) error {
 	if err := r.parse(1, 1); err != nil {
 		return err
 	}
-	c, ctx, cancel, err := r.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	var reply map[string]string
 	path := "/v1/entries/" + url.PathEscape(r.args[0]) + "/drain"
-	if err := c.do(ctx, request{method: http.MethodPost, path: path}, &reply); err != nil {
-		return err
-	}
+	return call(ctx, r, request{method: http.MethodPost, path: path}, r.printDrain)
+}
+
+func (r *run) printDrain(reply map[string]string) error {
 	if r.json {
 		return r.printJSON(reply)
 	}
@@ -139,14 +116,5 @@
 	if err := r.parse(0, 0); err != nil {
 		return err
 	}
-	c, ctx, cancel, err := r.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	var reply admin.AuditReply
-	if err := c.get(ctx, "/v1/audit", q, &reply); err != nil {
-		return err
-	}
-	return r.printAudit(reply)
+	return call(ctx, r, request{method: http.MethodGet, path: "/v1/audit", query: q}, r.printAudit)
 }
