--- a/ids/request.go
+++ b/ids/request.go
@@ -18,7 +18,8 @@
 	return fmt.Sprintf("%s.%d", r.Session, r.Seq)
 }
 
-// ParseRequestID reads the form that String writes.
+// ParseRequestID reads the form that String writes, and no other: an id has one
+// text, so that texts can be compared.
 func ParseRequestID(s string) (RequestID, error) {
 	head, seqText, ok := cutLast(s)
 	if !ok {
@@ -37,7 +38,11 @@
 		return RequestID{}, fmt.Errorf("request id %q: incarnation: %w", s, err)
 	}
 	session := SessionID{VM: VMID(vm), Incarnation: Incarnation(inc)}
-	return RequestID{Session: session, Seq: seq}, nil
+	id := RequestID{Session: session, Seq: seq}
+	if id.String() != s {
+		return RequestID{}, fmt.Errorf("request id %q: numbers have leading zeros; write %q", s, id)
+	}
+	return id, nil
 }
 
 // cutLast splits s at its last dot. VM names may contain dots themselves.
--- a/upstream/chat.go
+++ b/upstream/chat.go
@@ -183,21 +183,37 @@
 		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	if k.Usage != nil {
+		if k.Usage.PromptTokens < 0 || k.Usage.Details.CachedTokens < 0 {
+			return fmt.Errorf("%w: usage counts fewer than 0 tokens", errMalformed)
+		}
 		end.PromptTokens = k.Usage.PromptTokens
 		end.CachedTokens = k.Usage.Details.CachedTokens
 	}
-	for _, choice := range k.Choices {
-		if choice.FinishReason != nil {
-			r.finished = true
+	if len(k.Choices) > 1 {
+		// One completion is asked for; the tokens of two would be mixed.
+		return fmt.Errorf("%w: a chunk has %d choices, want 1", errMalformed, len(k.Choices))
+	}
+	for i := range k.Choices {
+		if err := r.choice(&k.Choices[i]); err != nil {
+			return err
 		}
-		if choice.Delta.Content == "" {
-			continue
+	}
+	return nil
+}
+
+func (r *chatReader) choice(c *chatChoice) error {
+	if c.Delta.Content != "" {
+		if r.finished {
+			return fmt.Errorf("%w: a token follows the finish reason", errMalformed)
 		}
 		r.position++
-		if err := r.emit(r.position, choice.Delta.Content); err != nil {
+		if err := r.emit(r.position, c.Delta.Content); err != nil {
 			return &emitError{err}
 		}
 	}
+	if c.FinishReason != nil {
+		r.finished = true
+	}
 	return nil
 }
 
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -190,3 +191,21 @@
 	finish   = `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"
 	doneLine = "data: [DONE]\n\n"
 )
+
+// rawRunner answers one call with the given bytes.
+func rawRunner(response string) (addr string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write([]byte(response))
+		}
+	}()
+	return l.Addr().String()
+}
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -22,8 +22,22 @@
 // Load asks a runner for its load report.
 func (c *Client) Load(ctx context.Context, addr string) (LoadReport, error) {
 	var r LoadReport
-	err := c.getJSON(ctx, addr, "/load", &r)
-	return r, err
+	if err := c.getJSON(ctx, addr, "/load", &r); err != nil {
+		return LoadReport{}, err
+	}
+	if !r.plausible() {
+		err := fmt.Errorf("/load: running %d and waiting %d are not between 0 and %d", r.Running, r.Waiting, maxLoadCount)
+		return LoadReport{}, &Error{Cause: Mismatch, Address: addr, Err: err}
+	}
+	return r, nil
+}
+
+// maxLoadCount limits the requests of one runner in a load report. Sums of
+// counts within it cannot overflow, and none is negative.
+const maxLoadCount = 1 << 24
+
+func (r *LoadReport) plausible() bool {
+	return r.Running >= 0 && r.Running <= maxLoadCount && r.Waiting >= 0 && r.Waiting <= maxLoadCount && r.AtUnixMS >= 0
 }
 
 // getJSON reads a small JSON document over a kept connection.
@@ -47,7 +61,8 @@
 }
 
 // parseLoadHeader reads "running=2;waiting=0;at=1700000000000". Parts that
-// can't be read are left at zero; a report is only a hint.
+// can't be read are left at zero; a report is only a hint. One with an
+// implausible count counts as no report.
 func parseLoadHeader(s string) LoadReport {
 	var r LoadReport
 	for part := range strings.SplitSeq(s, ";") {
@@ -68,5 +83,8 @@
 			r.AtUnixMS = n
 		}
 	}
+	if !r.plausible() {
+		return LoadReport{}
+	}
 	return r
 }
--- a/upstream/members.go
+++ b/upstream/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"strings"
 )
 
@@ -26,6 +28,20 @@
 func (c *Client) Members(ctx context.Context, url string) (MemberList, error) {
 	addr, path, _ := strings.Cut(strings.TrimPrefix(url, "http://"), "/")
 	var l MemberList
-	err := c.getJSON(ctx, addr, "/"+path, &l)
-	return l, err
+	if err := c.getJSON(ctx, addr, "/"+path, &l); err != nil {
+		return MemberList{}, err
+	}
+	l.dropUnusable()
+	return l, nil
+}
+
+// dropUnusable leaves out members without a pool or whose address is not
+// ip:port. The address becomes part of a URL, where other text could name
+// another path or host. The rest of the list stays in use, so that one bad line
+// does not hide which VMs are leaving.
+func (l *MemberList) dropUnusable() {
+	l.Members = slices.DeleteFunc(l.Members, func(m Member) bool {
+		at, err := netip.ParseAddrPort(m.Address)
+		return err != nil || at.Port() == 0 || at.Addr().Zone() != "" || m.Pool == ""
+	})
 }
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -40,16 +40,38 @@
 		return ServiceResult{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !finalStatus(resp.StatusCode) {
+		return ServiceResult{}, &Error{Cause: Status, Address: addr, Status: resp.StatusCode}
+	}
 	raw, err := c.readAll(ctx, addr, resp)
 	if err != nil {
 		return ServiceResult{}, err
 	}
 	out := ServiceResult{
 		Status:      resp.StatusCode,
-		ContentType: resp.Header.Get("Content-Type"),
+		ContentType: storableContentType(resp.Header.Get("Content-Type")),
 		Body:        raw,
 		Load:        parseLoadHeader(resp.Header.Get(HeaderLoad)),
 		WireBytes:   len(s.Body) + len(raw),
 	}
 	return out, nil
 }
+
+// finalStatus says whether a status can be passed on as that of a response.
+// net/http panics when it is to write a status below 100, and takes one below
+// 200 for an interim response.
+func finalStatus(status int) bool {
+	const first, last = 200, 599
+	return status >= first && status <= last
+}
+
+// storableContentType gives the content type if it is printable ASCII, else
+// none. The ledger's CBOR text does not decode with bytes that are not UTF-8.
+func storableContentType(s string) string {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return ""
+		}
+	}
+	return s
+}
