--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,12 @@
 	if err != nil {
 		return 2
 	}
+	if flags.NArg() > 0 {
+		// Package flag stops at the first argument that is no flag; a -check
+		// after it would be ignored and the program would run.
+		fmt.Fprintf(errOut, "%s: argument %q is no flag; remove it\n", p.Name, flags.Arg(0))
+		return 2
+	}
 	if *version {
 		fmt.Fprintln(out, p.Name, Version())
 		return 0
