Control VM: an audit log begun after a lost disk gets its own second copy

Ruled out: fetching the copy back at the start, which would hold up the VM and mix two logs. Before: TestCopyAfterLostDisk failed with 'life 1 has no second copy'. After: the copy's name holds the store's identity; passes.

--- a/controlvm/audit.go
+++ b/controlvm/audit.go
@@ -32,7 +32,7 @@
 	}
 	target := &audit.RemoteTarget{Caller: v.caller, Addr: v.opts.CopyTo}
 	every(ctx, copyInterval, func() {
-		if err := v.store.Replicate(ctx, v.opts.VM, target); err != nil && ctx.Err() == nil {
+		if err := v.store.Replicate(ctx, v.source, target); err != nil && ctx.Err() == nil {
 			v.log.Warn().Err(err).Msg("audit: the second copy is behind")
 		}
 	})
--- /dev/null
+++ b/controlvm/auditid_test.go
@@ -0,0 +1,48 @@
+package controlvm
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+
+	"damaskbridge.example/damaskbridge/audit"
+	"damaskbridge.example/damaskbridge/ids"
+)
+
+// TestCopyAfterLostDisk guards against a control VM whose new records have no
+// second copy because the old copy under the same name is longer.
+func TestCopyAfterLostDisk(t *testing.T) {
+	copies := audit.NewCopyDir(t.TempDir())
+	session := ids.SessionID{VM: "entry-1", Incarnation: 1}
+	for life := range 2 {
+		dir := filepath.Join(t.TempDir(), "audit")
+		store, err := audit.Open(dir, audit.Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		request := ids.RequestID{Session: session, Seq: uint64(life + 1)}
+		batch := audit.Batch{Number: uint64(life + 1), Records: []audit.Record{{Kind: audit.Begin, Request: request, Workspace: "w", Target: "a longer name in the first life"[life*20:]}}}
+		if err := store.Append(session, batch); err != nil {
+			t.Fatal(err)
+		}
+		source, err := auditSource("control-1", dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := store.Replicate(context.Background(), source, copies); err != nil {
+			t.Fatalf("life %d has no second copy: %v", life, err)
+		}
+		again, err := auditSource("control-1", dir)
+		if err != nil || again != source {
+			t.Fatalf("the identity changed from %s to %s: %v", source, again, err)
+		}
+		if err := store.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if reopened, err := audit.Open(dir, audit.Options{}); err != nil {
+			t.Fatalf("the store does not open with its identity file: %v", err)
+		} else if err := reopened.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/controlvm/vm.go
+++ b/controlvm/vm.go
@@ -31,12 +31,14 @@
 	server  *control.Server
 	store   *audit.Store
 	copies  *audit.CopyDir
-	caller  *transport.Client
-	rpc     *transport.Server
-	admin   net.Listener
-	http    *http.Server
-	stop    context.CancelFunc
-	loops   sync.WaitGroup
+	// source names this VM's audit store at the VM that keeps its copy.
+	source ids.VMID
+	caller *transport.Client
+	rpc    *transport.Server
+	admin  net.Listener
+	http   *http.Server
+	stop   context.CancelFunc
+	loops  sync.WaitGroup
 }
 
 // Start opens the files and begins to serve. Damaged files give an error that
@@ -89,11 +91,15 @@
 // openFiles opens the audit log and the replica.
 func (v *VM) openFiles() error {
 	o := audit.Options{SegmentBytes: v.opts.SegmentBytes, Retention: v.opts.Retention}
-	store, err := audit.Open(filepath.Join(v.opts.Data, "audit"), o)
+	dir := filepath.Join(v.opts.Data, "audit")
+	store, err := audit.Open(dir, o)
 	if err != nil {
 		return fmt.Errorf("controlvm: audit log: %w", err)
 	}
 	v.store = store
+	if v.source, err = auditSource(v.opts.VM, dir); err != nil {
+		return err
+	}
 	v.replica, err = control.Open(control.Options{
 		Self:    v.opts.VM,
 		Group:   ids.SettingsGroup,
