audit: copies of lost stores are searched with every query

Cause: copies were searched only while a control VM did not answer; after a lost disk the VM answers from a new store and the old records were not found. Ruled out: searching every copy with every query, which reads them from end to end. Before: 'life 1 finds request 1 0 times, want once' (go test ./controlvm). After: passes; a copy counts as lost when its store has not asked for a minute or a newer store of the same VM has. Conclusion: queries cost more only after a loss.

--- a/audit/copy.go
+++ b/audit/copy.go
@@ -7,7 +7,9 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
+	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/transport"
@@ -94,13 +96,48 @@
 // for concurrent use.
 type CopyDir struct {
 	dir string
-	mu  sync.Mutex
+
+	mu sync.Mutex
+	// asked is when each source last asked what the folder has of it.
+	asked map[ids.VMID]time.Time
 }
 
+// sourceSilence is the time without a question from a source after which its
+// store is taken for lost and its copy is searched with every query. A source
+// asks every second.
+const sourceSilence = time.Minute
+
 var _ Target = (*CopyDir)(nil)
 
 // NewCopyDir makes a target that stores copies below dir.
-func NewCopyDir(dir string) *CopyDir { return &CopyDir{dir: dir} }
+func NewCopyDir(dir string) *CopyDir {
+	return &CopyDir{dir: dir, asked: make(map[ids.VMID]time.Time)}
+}
+
+// lost says whether a source's store may be lost: it has been silent for long,
+// or another store of the same VM has asked since, as after a lost disk.
+func (d *CopyDir) lost(source ids.VMID, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.asked[source]
+	if !ok || now.Sub(at) > sourceSilence {
+		return true
+	}
+	for other, later := range d.asked {
+		if other != source && vmOf(other) == vmOf(source) && later.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// vmOf gives the VM of a source, which is "vm.store" or "vm".
+func vmOf(source ids.VMID) ids.VMID {
+	if i := strings.LastIndexByte(string(source), '.'); i >= 0 {
+		return source[:i]
+	}
+	return source
+}
 
 // Dir is the folder with the copy of a source's segments.
 func (d *CopyDir) Dir(source ids.VMID) string {
@@ -122,6 +159,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.asked[source] = time.Now()
 	a, err := readAnchor(d.Dir(source))
 	if err != nil {
 		return h, err
--- a/audit/copyquery.go
+++ b/audit/copyquery.go
@@ -4,9 +4,13 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"time"
+
+	"damaskbridge.example/damaskbridge/ids"
 )
 
-// find reads all copies from end to end and gives the entries that m asks for.
+// find reads copies from end to end and gives the entries that m asks for: all
+// copies if m says so, else those of stores that may be lost.
 // Damage ends the reading of a copy, and what was found before it counts: the
 // search is for records whose own control VM does not answer.
 func (d *CopyDir) find(m queryMessage) ([]Entry, error) {
@@ -19,6 +23,9 @@
 	}
 	var found []Entry
 	for _, source := range sources {
+		if !m.Copies && !d.lost(ids.VMID(source.Name()), time.Now()) {
+			continue
+		}
 		dir := filepath.Join(d.dir, source.Name())
 		numbers, err := listSegments(dir)
 		if err != nil {
--- a/audit/message.go
+++ b/audit/message.go
@@ -121,7 +121,8 @@
 }
 
 // ServeQueryCopies does what ServeQuery does and searches the copies that this
-// VM keeps of others' records, too, if the caller asks for it.
+// VM keeps of others' records, too: all if the caller asks for it, else those of
+// stores that may be lost.
 func (s *Store) ServeQueryCopies(from transport.Peer, body []byte, copies *CopyDir) ([]byte, error) {
 	if from.Role == transport.RoleEntry {
 		return nil, fmt.Errorf("audit: VM %s with role %q may not read the audit log", from.VM, from.Role)
@@ -142,7 +143,7 @@
 	if err != nil {
 		return queryReply{}, err
 	}
-	if m.Copies && copies != nil {
+	if copies != nil {
 		copied, err := copies.find(m)
 		if err != nil {
 			return queryReply{}, err
