controlvm: operators of the specs are indexed ones

Cause: the option's type changed while the specs were written. Before: vet failed after the merge. After: specs of controlvm, daemon and sample pass.

--- a/controlvm/controlvm_test.go
+++ b/controlvm/controlvm_test.go
@@ -50,11 +50,13 @@
 	Expect(err).NotTo(HaveOccurred())
 	addr := free.LocalAddr().String()
 	Expect(free.Close()).To(Succeed())
+	operators, err := admin.NewOperators([]admin.Operator{{Name: "operator", TokenSHA256: []string{keys.Digest(operatorToken)}}})
+	Expect(err).NotTo(HaveOccurred())
 	return Options{
 		VM: "control-1", Region: "one", Listen: addr, Admin: "127.0.0.1:0", Data: dir,
 		Peers:     []control.Peer{{VM: "control-1", Region: "one", Addr: addr, Voter: true}},
 		Creds:     all["control-1"],
-		Operators: []admin.Operator{{Name: "operator", TokenSHA256: []string{keys.Digest(operatorToken)}}},
+		Operators: operators,
 	}
 }
 
