controlvm: the spec of a changed byte picks the segment among the store's files

Cause: the store's folder has an identity file since. Before: 'one segment' found two files. After: the pattern names segments; passes with the same checks.

--- a/controlvm/controlvm_test.go
+++ b/controlvm/controlvm_test.go
@@ -166,7 +166,7 @@
 			record := audit.Record{Kind: audit.Begin, Request: ids.RequestID{Session: session, Seq: n}, AtUnixMS: 1, Workspace: "house"}
 			Expect(v.store.Append(session, audit.Batch{Number: n, Records: []audit.Record{record}})).To(Succeed())
 		}
-		files, err := filepath.Glob(filepath.Join(o.Data, "audit", "*"))
+		files, err := filepath.Glob(filepath.Join(o.Data, "audit", "*.audit"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(files).To(HaveLen(1), "one segment")
 		raw, err := os.ReadFile(files[0])
