entry: limits on callers' input; fuzz targets of requests and stored ends

Cause: a path that is not UTF-8 or longer than 64 KiB went into the audit record as it was; such a record cannot be decoded or is refused, and its request is missing. A Last-Event-ID above a finished stream's count made the handler loop without waiting until the caller left. An operation's name with an escaped slash or a query became another path at the service. Keys and operations that are not UTF-8 gave ledger commands that do not decode. The number of messages, max_tokens and the number of keys had no limit. A service's own end_unknown problem, stored and repeated, passed for one of this system: its not_run was untrue and its status 0 panics net/http.

Ruled out: labels of metrics from callers' text; they come from settings and fixed lists. Deadlines, priorities and workspaces out of range.

Fuzzed without a failure: FuzzCallerRequest 23406 executions in 11 s with 4 workers, FuzzStoredEnd 34043 in 10 s with 3.

Conclusion: any body and headers give a response or a valid problem, and each accepted request has a begin and an end record that can be read.

--- a/entry/accept.go
+++ b/entry/accept.go
@@ -35,7 +35,7 @@
 		tree:      snap.tree,
 		workspace: ws,
 		branch:    ws.Branch,
-		target:    r.URL.Path,
+		target:    auditText(r.URL.Path),
 		started:   now,
 		deadline:  now.Add(snap.tree.Duration(ws.Branch, settings.DeadlineDefault)),
 		account:   &account{to: s.opts.Audit, request: id, failed: s.counters.auditLost},
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -31,8 +31,8 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return s.refuse(q, q.fail(problem.BadRequest, "body: %v", err))
 	}
-	if len(in.Messages) == 0 {
-		return s.refuse(q, q.fail(problem.BadRequest, "messages are empty"))
+	if err := checkChat(q, &in); err != nil {
+		return s.refuse(q, err)
 	}
 	p, err := s.bindPipeline(q, r, in.Model)
 	if err != nil {
--- a/entry/native.go
+++ b/entry/native.go
@@ -38,6 +38,9 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return s.refuse(q, q.fail(problem.BadRequest, "body: %v", err))
 	}
+	if err := checkMaxTokens(q, "max_tokens", in.MaxTokens); err != nil {
+		return s.refuse(q, err)
+	}
 	e := newExecution(q, p)
 	e.input = in.Input
 	e.messages = []upstream.Message{{Role: "user", Content: in.Input}}
@@ -116,9 +119,31 @@
 	if !ok || e.q.workspace.Name != ws.Name {
 		return problem.New(problem.ResumeTooOld, problem.Unknown, "no stream %q is kept at this VM; use the %s of its response", r.PathValue("request"), HeaderResumeURL)
 	}
+	if from, err = e.resumeFrom(from); err != nil {
+		return err
+	}
 	return s.sendStream(w, r, e, from)
 }
 
+// resumeFrom checks that the event was sent. A caller that names a later one
+// would miss the tokens up to it and still get the end of a complete stream.
+func (e *execution) resumeFrom(event uint64) (uint64, error) {
+	if event == 0 {
+		return 0, nil
+	}
+	tokens, end, _, err := e.tokens.Read(event - 1)
+	switch {
+	case err != nil || len(tokens) > 0:
+		// An event that has left the buffer is reported by follow.
+		return event, nil
+	case end != nil && event == end.Count+1:
+		// The event of the end itself; it is sent again.
+		return end.Count, nil
+	default:
+		return 0, problem.New(problem.BadRequest, problem.Unknown, "Last-Event-ID is %d and the stream has not come to it", event).For(e.q.id.String())
+	}
+}
+
 func lastEvent(r *http.Request) (uint64, error) {
 	text := r.Header.Get("Last-Event-ID")
 	if text == "" {
--- a/entry/params.go
+++ b/entry/params.go
@@ -27,9 +27,6 @@
 	HeaderResumeURL = "Damask-Resume-Url"
 )
 
-// maxKeyBytes limits an idempotency key.
-const maxKeyBytes = 255
-
 // Priority orders requests in admission.
 type Priority string
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -50,21 +50,28 @@
 	if !slices.Contains(q.workspace.Services, name) {
 		return nil, q.fail(problem.Forbidden, "service %q is not bound to workspace %q", name, q.workspace.Name)
 	}
+	if err := checkOp(q, op); err != nil {
+		return nil, err
+	}
 	if err := q.bind(r, name+"/"+op); err != nil {
 		return nil, err
 	}
-	q.key = r.Header.Get(HeaderKey)
+	contentType := r.Header.Get("Content-Type")
+	if !printable(contentType) {
+		return nil, q.fail(problem.BadRequest, "Content-Type is not printable ASCII")
+	}
+	var err error
+	if q.key, err = idempotencyKey(q, r); err != nil {
+		return nil, err
+	}
 	if q.key == "" && !svc.Repeatable(op) {
 		return nil, q.fail(problem.KeyMissing, "operation %q of service %q", op, name)
 	}
-	if len(q.key) > maxKeyBytes {
-		return nil, q.fail(problem.BadRequest, "%s is longer than %d bytes", HeaderKey, maxKeyBytes)
-	}
 	raw, err := body(q.tree, q.branch, w, r)
 	if err != nil {
 		return nil, err
 	}
-	call := upstream.ServiceCall{Op: op, Key: q.key, ContentType: r.Header.Get("Content-Type"), Body: raw}
+	call := upstream.ServiceCall{Op: op, Key: q.key, ContentType: contentType, Body: raw}
 	return &serviceJob{q: q, svc: svc, op: op, call: call}, nil
 }
 
--- a/entry/service_keyed.go
+++ b/entry/service_keyed.go
@@ -117,12 +117,19 @@
 		return keyedEnd{answer: a, replayed: true}
 	}
 	var p problem.Problem
-	if err := json.Unmarshal(a.Body, &p); err != nil || p.Reason != problem.EndUnknown {
+	if err := json.Unmarshal(a.Body, &p); err != nil || !isEndUnknown(&p) {
 		return keyedEnd{answer: a, replayed: true}
 	}
 	return keyedEnd{err: &p}
 }
 
+// isEndUnknown says whether p is a problem that recordUnknown stores. A service
+// may answer with a problem of the same reason; with another state it would tell
+// the caller that nothing ran, and with a status of 0 net/http panics.
+func isEndUnknown(p *problem.Problem) bool {
+	return p.Reason == problem.EndUnknown && p.Status == problem.EndUnknown.Status() && p.Execution == problem.Unknown
+}
+
 // dispatchKeyed tries upstreams under the claim until one may have started.
 func (s *Server) dispatchKeyed(ctx context.Context, j *serviceJob, c *claim) keyedEnd {
 	policy := retry.Policy{
