e2e: silent cuts, isolation and frozen flows between separate processes

Cause: the end-to-end tests had faults of processes only. No test cut or froze the network between control and entry VMs as separate processes.

Options.Links puts a UDP relay in front of each control VM. System gets Cut, CutBoth, Isolate, Heal and Freeze. Package relay gets ListenUDPFrom, for callers of several regions at one address, and Freeze gives a count.

Ruled out: one relay address per pair of VMs. Control VMs tell their own address in raft messages, reports and join requests, and forward the leader's address in replies; the receivers then use these addresses in place of those in their settings (control.book.learn). A VM that lists its real address for itself is soon called around its relay. So each control VM has one relay address, listed for itself too, and a flow's caller is found as the process that owns the socket (/proc).

Before: no test.

--- a/e2e/settings.go
+++ b/e2e/settings.go
@@ -48,10 +48,10 @@
 	fmt.Fprintf(&b, "listen: %s\nadmin: %s\nkeys: %s\ndata: %s\n", v.listen, v.admin, folder, filepath.Join(v.data, "data"))
 	b.WriteString("voters:\n")
 	for _, p := range s.controls {
-		fmt.Fprintf(&b, "  - {vm: %s, region: %s, address: %s}\n", p.name, p.region, p.listen)
+		fmt.Fprintf(&b, "  - {vm: %s, region: %s, address: %s}\n", p.name, p.region, p.address)
 	}
 	if len(s.controls) > 1 {
-		fmt.Fprintf(&b, "audit: {copy_to: %s}\n", s.controls[(i+1)%len(s.controls)].listen)
+		fmt.Fprintf(&b, "audit: {copy_to: %s}\n", s.controls[(i+1)%len(s.controls)].address)
 	}
 	fmt.Fprintf(&b, "operator_tokens: [%s]\n", keys.Digest(cluster.OperatorToken))
 	return os.WriteFile(v.file, []byte(b.String()), 0o600)
@@ -68,7 +68,7 @@
 	for _, near := range []bool{true, false} {
 		for _, p := range s.controls {
 			if (p.region == v.region) == near {
-				fmt.Fprintf(&b, "  - %s\n", p.listen)
+				fmt.Fprintf(&b, "  - %s\n", p.address)
 			}
 		}
 	}
--- a/e2e/system.go
+++ b/e2e/system.go
@@ -24,6 +24,9 @@
 	// Binaries is the folder of the programs, Dir that of everything else.
 	Binaries string
 	Dir      string
+	// Links has the VMs call each other over relays, for Cut, CutBoth,
+	// Isolate, Heal and Freeze.
+	Links bool
 }
 
 const (
@@ -40,6 +43,7 @@
 	admin    string
 	controls []*vm
 	entries  []*vm
+	links    *links // nil without Options.Links
 }
 
 // vm is one entry or control VM: its addresses, its settings and its process.
@@ -48,6 +52,8 @@
 	region  string
 	program string
 	listen  string
+	// address is where other VMs call this one: listen, or its relay.
+	address string
 	admin   string
 	file    string
 	data    string
@@ -58,6 +64,9 @@
 // ready.
 func Start(ctx context.Context, o Options) (*System, error) {
 	s := &System{opts: o}
+	if o.Links {
+		s.links = newLinks()
+	}
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -111,6 +120,11 @@
 		if err != nil {
 			return err
 		}
+		if s.links != nil {
+			if v.address, err = s.links.add(v); err != nil {
+				return err
+			}
+		}
 		s.controls = append(s.controls, v)
 	}
 	for i := range s.opts.Entries {
@@ -141,7 +155,7 @@
 	if err := os.MkdirAll(data, 0o700); err != nil {
 		return nil, fmt.Errorf("e2e: %w", err)
 	}
-	v := &vm{name: name, region: region, program: program, listen: listen, admin: admin, data: data}
+	v := &vm{name: name, region: region, program: program, listen: listen, address: listen, admin: admin, data: data}
 	v.file = filepath.Join(s.opts.Dir, name+".yaml")
 	return v, nil
 }
@@ -162,6 +176,9 @@
 		return err
 	}
 	v.process = p
+	if s.links != nil {
+		s.links.started(v.name, p.cmd.Process.Pid)
+	}
 	return nil
 }
 
@@ -285,7 +302,7 @@
 
 // Close ends all processes that this system started.
 func (s *System) Close() {
-	for _, v := range append(append([]*vm{}, s.entries...), s.controls...) {
+	for _, v := range s.all() {
 		if v.process != nil {
 			_ = v.process.kill()
 		}
@@ -293,12 +310,20 @@
 	if s.fleet != nil {
 		_ = s.fleet.kill()
 	}
+	if s.links != nil {
+		s.links.network.Close()
+	}
+}
+
+// all lists the entry VMs and then the control VMs.
+func (s *System) all() []*vm {
+	return append(append([]*vm{}, s.entries...), s.controls...)
 }
 
 // Stop drains all VMs.
 func (s *System) Stop() error {
 	var errs []error
-	for _, v := range append(append([]*vm{}, s.entries...), s.controls...) {
+	for _, v := range s.all() {
 		errs = append(errs, v.process.stop(drainLimit))
 	}
 	return errors.Join(errs...)
--- a/e2e/usage.go
+++ b/e2e/usage.go
@@ -26,7 +26,7 @@
 // Usages reads the usage of every VM's process.
 func (s *System) Usages(ctx context.Context) ([]Usage, error) {
 	var all []Usage
-	for _, v := range append(append([]*vm{}, s.entries...), s.controls...) {
+	for _, v := range s.all() {
 		u, err := usageOf(ctx, v)
 		if err != nil {
 			return nil, err
--- a/relay/network.go
+++ b/relay/network.go
@@ -13,6 +13,11 @@
 	To   ids.Region
 }
 
+// joins says whether the direction is one of those between two regions.
+func (p Pair) joins(a, b ids.Region) bool {
+	return p == (Pair{a, b}) || p == (Pair{b, a})
+}
+
 // Network holds the directions between regions and the relays on them. It is
 // safe for concurrent use.
 type Network struct {
@@ -25,9 +30,10 @@
 
 // closer is a relay of either protocol.
 type closer interface {
-	Freeze()
 	Close()
-	pair() Pair
+	// freezeBetween freezes the present connections between two regions and
+	// gives their number.
+	freezeBetween(a, b ids.Region) int
 }
 
 // NewNetwork makes a network whose directions between different regions begin
@@ -85,15 +91,16 @@
 }
 
 // Freeze stops the present connections between two regions, in both
-// directions and for good; new ones work.
-func (n *Network) Freeze(a, b ids.Region) {
+// directions and for good; new ones work. It gives the number of connections.
+func (n *Network) Freeze(a, b ids.Region) int {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range n.relays {
-		if p := r.pair(); p == (Pair{a, b}) || p == (Pair{b, a}) {
-			r.Freeze()
-		}
+	relays := append([]closer{}, n.relays...)
+	n.mu.Unlock()
+	frozen := 0
+	for _, r := range relays {
+		frozen += r.freezeBetween(a, b)
 	}
+	return frozen
 }
 
 // Bytes gives the payload bytes that arrived, by pair of regions.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,13 +3,16 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/relay"
 )
 
@@ -190,4 +193,43 @@
 		expectEcho(dial("udp", r.Addr()), "new")
 		expectSilence(old)
 	})
+
+	// Guards against a cut or a freeze that reaches callers of another region
+	// at a shared address, or that misses the own ones.
+	It("tells the callers of one address apart", func() {
+		n := relay.NewNetwork(0, 0)
+		DeferCleanup(n.Close)
+		var mu sync.Mutex
+		regions := map[netip.AddrPort]ids.Region{}
+		r, err := n.ListenUDPFrom("127.0.0.1:0", udpEcho(), func(caller netip.AddrPort) (ids.Region, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			region, ok := regions[caller]
+			return region, ok
+		}, "c")
+		Expect(err).NotTo(HaveOccurred())
+		from := func(region ids.Region) net.Conn {
+			c := dial("udp", r.Addr())
+			mu.Lock()
+			defer mu.Unlock()
+			regions[c.LocalAddr().(*net.UDPAddr).AddrPort()] = region
+			return c
+		}
+		a, b := from("a"), from("b")
+		expectEcho(a, "a")
+		expectEcho(b, "b")
+		n.Direction("c", "a").Cut()
+		send(a, "lost")
+		expectEcho(b, "b")
+		expectSilence(a)
+		n.Restore("a", "c")
+		Expect(n.Freeze("c", "a")).To(Equal(1))
+		send(a, "frozen")
+		expectEcho(b, "b")
+		expectEcho(from("a"), "new")
+		expectSilence(a)
+		unknown := dial("udp", r.Addr())
+		send(unknown, "lost")
+		expectSilence(unknown)
+	})
 })
--- a/relay/tcp.go
+++ b/relay/tcp.go
@@ -46,7 +46,16 @@
 // Addr gives the address that callers use.
 func (r *TCP) Addr() string { return r.listener.Addr().String() }
 
-func (r *TCP) pair() Pair { return r.pairing }
+func (r *TCP) freezeBetween(a, b ids.Region) int {
+	if !r.pairing.joins(a, b) {
+		return 0
+	}
+	all := r.open()
+	for _, t := range all {
+		t.freeze()
+	}
+	return len(all)
+}
 
 func (r *TCP) run() {
 	for {
--- a/relay/udp.go
+++ b/relay/udp.go
@@ -19,16 +19,23 @@
 	// maxFlows bounds the callers of one relay; packets of further ones are
 	// lost.
 	maxFlows = 4096
+	// askAgainAfter is how long a flow is silent before its caller's region is
+	// asked again: the port may have gone to another caller meanwhile.
+	askAgainAfter = time.Second
 )
 
-// UDP relays packets from callers in one region to a target in another. Each
-// caller address has a flow of its own, over which responses return.
+// RegionOf gives the region of a caller's address. It is false if the region
+// is not known; the packet is then lost, and the next one asks again.
+type RegionOf func(caller netip.AddrPort) (ids.Region, bool)
+
+// UDP relays packets from callers to a target in another region. Each caller
+// address has a flow of its own, over which responses return.
 type UDP struct {
-	socket  *net.UDPConn
-	target  *net.UDPAddr
-	pairing Pair
-	forward *Direction
-	back    *Direction
+	network  *Network
+	socket   *net.UDPConn
+	target   *net.UDPAddr
+	regionOf RegionOf
+	to       ids.Region
 
 	mu     sync.Mutex
 	flows  map[netip.AddrPort]*flow
@@ -39,6 +46,13 @@
 // over the network's link between two regions. Close, or the network's Close,
 // ends it.
 func (n *Network) ListenUDP(addr, target string, from, to ids.Region) (*UDP, error) {
+	return n.ListenUDPFrom(addr, target, func(netip.AddrPort) (ids.Region, bool) { return from, true }, to)
+}
+
+// ListenUDPFrom relays packets as ListenUDP does, for callers of several
+// regions at one address. It asks regionOf for each new flow, and again for one
+// that was silent for a second.
+func (n *Network) ListenUDPFrom(addr, target string, regionOf RegionOf, to ids.Region) (*UDP, error) {
 	local, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w; give an address as ip:port", err)
@@ -52,12 +66,12 @@
 		return nil, fmt.Errorf("relay: %w; give an address of this machine that is free", err)
 	}
 	r := &UDP{
-		socket:  socket,
-		target:  remote,
-		pairing: Pair{From: from, To: to},
-		forward: n.Direction(from, to),
-		back:    n.Direction(to, from),
-		flows:   map[netip.AddrPort]*flow{},
+		network:  n,
+		socket:   socket,
+		target:   remote,
+		regionOf: regionOf,
+		to:       to,
+		flows:    map[netip.AddrPort]*flow{},
 	}
 	n.register(r)
 	go r.run()
@@ -67,8 +81,6 @@
 // Addr gives the address that callers use.
 func (r *UDP) Addr() string { return r.socket.LocalAddr().String() }
 
-func (r *UDP) pair() Pair { return r.pairing }
-
 func (r *UDP) run() {
 	buf := make([]byte, packetBytes)
 	for {
@@ -78,7 +90,6 @@
 		}
 		f := r.flow(caller)
 		if f == nil {
-			r.forward.drop()
 			continue
 		}
 		f.forward.push(buf[:n])
@@ -90,21 +101,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if f, ok := r.flows[caller]; ok {
-		return f
+		if !r.hasNewOwner(f, caller) {
+			return f
+		}
+		f.close()
+		delete(r.flows, caller)
 	}
-	if r.closed || len(r.flows) >= maxFlows {
+	from, ok := r.regionOf(caller)
+	if !ok || r.closed {
+		return nil
+	}
+	forward, back := r.network.Direction(from, r.to), r.network.Direction(r.to, from)
+	if len(r.flows) >= maxFlows {
+		forward.drop()
 		return nil
 	}
 	socket, err := net.DialUDP("udp", nil, r.target)
 	if err != nil {
+		forward.drop()
 		return nil
 	}
-	f := &flow{socket: socket, stop: make(chan struct{})}
-	f.forward = newPacketQueue(r.forward, f, func(p []byte) error {
+	f := &flow{socket: socket, pairing: Pair{From: from, To: r.to}, lastAt: time.Now(), stop: make(chan struct{})}
+	f.forward = newPacketQueue(forward, f, func(p []byte) error {
 		_, err := socket.Write(p)
 		return err
 	})
-	f.back = newPacketQueue(r.back, f, func(p []byte) error {
+	f.back = newPacketQueue(back, f, func(p []byte) error {
 		_, err := r.socket.WriteToUDPAddrPort(p, caller)
 		return err
 	})
@@ -113,6 +135,19 @@
 	return f
 }
 
+// hasNewOwner says whether the address of a flow that was silent has gone to a
+// caller of another region.
+func (r *UDP) hasNewOwner(f *flow, caller netip.AddrPort) bool {
+	now := time.Now()
+	silent := now.Sub(f.lastAt)
+	f.lastAt = now
+	if silent < askAgainAfter {
+		return false
+	}
+	from, ok := r.regionOf(caller)
+	return ok && from != f.pairing.From
+}
+
 // Freeze stops the present flows for good; callers with another address get
 // new ones that work.
 func (r *UDP) Freeze() {
@@ -123,6 +158,19 @@
 	}
 }
 
+func (r *UDP) freezeBetween(a, b ids.Region) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	frozen := 0
+	for _, f := range r.flows {
+		if f.pairing.joins(a, b) {
+			f.freeze()
+			frozen++
+		}
+	}
+	return frozen
+}
+
 // Close ends the relay and its flows.
 func (r *UDP) Close() {
 	r.mu.Lock()
@@ -140,9 +188,12 @@
 // flow is the packets of one caller.
 type flow struct {
 	socket  *net.UDPConn
+	pairing Pair
 	forward *packetQueue
 	back    *packetQueue
 	stop    chan struct{}
+	// lastAt is the time of the caller's last packet. UDP.mu guards it.
+	lastAt time.Time
 
 	mu     sync.Mutex
 	frozen bool
