e2e: frozen connection to the only control VM that an entry VM reaches

Cause: the spec with all flows frozen can also pass when the entry VM moves on to a control VM to which it had no connection yet, so it does not show that a silent connection is replaced. The new spec cuts the other two control VMs off and also checks that a connection was closed as silent.

--- a/e2e/partitions_test.go
+++ b/e2e/partitions_test.go
@@ -94,19 +94,24 @@
 	}
 }
 
-// ownVersion reads the settings version that a control VM itself has applied,
-// whether or not a leader confirms it.
-func ownVersion(ctx context.Context, s *e2e.System, control int) (uint64, error) {
-	_, body, err := get(ctx, s.AdminURLs()[control]+"/metrics")
+// metric reads one metric of a VM.
+func metric(ctx context.Context, base, name string) (uint64, error) {
+	_, body, err := get(ctx, base+"/metrics")
 	if err != nil {
 		return 0, err
 	}
 	for line := range strings.Lines(body) {
-		if value, ok := strings.CutPrefix(line, "damask_control_settings_version "); ok {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
 			return strconv.ParseUint(strings.TrimSpace(value), 10, 64)
 		}
 	}
-	return 0, errors.New("no settings version in the metrics")
+	return 0, fmt.Errorf("no metric %s", name)
+}
+
+// ownVersion reads the settings version that a control VM itself has applied,
+// whether or not a leader confirms it.
+func ownVersion(ctx context.Context, s *e2e.System, control int) (uint64, error) {
+	return metric(ctx, s.AdminURLs()[control], "damask_control_settings_version")
 }
 
 // lookup sends a repeatable request to an entry VM. It gives the problem of
@@ -315,4 +320,23 @@
 		eventually(ctx, func() (*problem.Problem, error) { return lookup(ctx, s, d, 0) }).Should(gomega.BeNil())
 		intact(<-reports)
 	})
+
+	// Guards against a client that keeps a silent connection because each call
+	// on it ends before the silence is noticed. There is no other control VM
+	// to move on to.
+	ginkgo.It("has an entry VM replace a frozen connection to the only control VM that it reaches", func() {
+		s, d := startLinked(ctx)
+		reports := startLoad(ctx, s, d, faultRate, faultTime)
+		s.CutBoth("entry-1", controlName(1))
+		s.CutBoth("entry-1", controlName(2))
+		eventually(ctx, func() int { return s.Freeze("entry-1", controlName(0)) }).Should(gomega.BeNumerically(">", 0))
+		changed := change(ctx, s, "after-freeze", 7, 0, 1, 2)
+		eventually(ctx, inForce(ctx, s, "entry-1")).Should(gomega.Equal(changed))
+		eventually(ctx, ready(ctx, s.Targets()[0].URL)).Should(gomega.Equal(http.StatusOK))
+		eventually(ctx, func() (*problem.Problem, error) { return lookup(ctx, s, d, 0) }).Should(gomega.BeNil())
+		silent, err := metric(ctx, s.Targets()[0].URL, "damask_transport_connections_closed_silent_total")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(silent).To(gomega.BeNumerically(">", 0))
+		intact(<-reports)
+	})
 })
