A completion must have as many tokens as its engine counted

Cause: the count passed to the stream's check was the number of tokens received, so an event lost inside a stream that ended in order went unnoticed (reported by the fuzzing of the reader). Ruled out: trusting the finish reason. Before: accepted. After: the engine's usage is compared; engines that report none are not checked. Conclusion: a mismatch fails the attempt and the next one continues.

--- a/entry/generate.go
+++ b/entry/generate.go
@@ -102,7 +102,9 @@
 	})
 	g.end = end
 	if err == nil {
-		_, err = e.tokens.Finish(a.Number, uint64(end.Tokens), time.Now())
+		// The engine's own count shows a token that was lost in a stream that
+		// still ended in order.
+		_, err = e.tokens.Finish(a.Number, uint64(end.Reported), time.Now())
 	}
 	if err == nil {
 		return g, nil
--- a/upstream/chat.go
+++ b/upstream/chat.go
@@ -33,7 +33,10 @@
 
 // ChatEnd is what an engine says at the end of a completion.
 type ChatEnd struct {
-	Tokens       int
+	// Tokens is the position of the last token received.
+	Tokens int
+	// Reported is the engine's own count of the completion, 0 if it gave none.
+	Reported     int
 	PromptTokens int
 	CachedTokens int
 	Load         LoadReport
@@ -183,9 +186,10 @@
 		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	if k.Usage != nil {
-		if k.Usage.PromptTokens < 0 || k.Usage.Details.CachedTokens < 0 {
+		if k.Usage.CompletionTokens < 0 || k.Usage.PromptTokens < 0 || k.Usage.Details.CachedTokens < 0 {
 			return fmt.Errorf("%w: usage counts fewer than 0 tokens", errMalformed)
 		}
+		end.Reported = k.Usage.CompletionTokens
 		end.PromptTokens = k.Usage.PromptTokens
 		end.CachedTokens = k.Usage.Details.CachedTokens
 	}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -165,6 +165,16 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("gives the engine's own count, which shows a lost token", func() {
+		addr, _ := serve(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(tokenA + finish + usageTwo + doneLine))
+		})
+		end, err := c.Chat(context.Background(), addr, testAttempt(), ChatRequest{}, func(int, string) error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(end.Tokens).To(Equal(1))
+		Expect(end.Reported).To(Equal(2))
+	})
+
 	DescribeTable("accepts a stream only with its end", func(body string, ok bool) {
 		addr, _ := serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
 		var got strings.Builder
@@ -186,6 +196,7 @@
 })
 
 const (
+	usageTwo = `data: {"choices":[],"usage":{"prompt_tokens":1,"completion_tokens":2}}` + "\n\n"
 	tokenA   = `data: {"choices":[{"delta":{"content":"a"}}]}` + "\n\n"
 	tokenB   = `data: {"choices":[{"delta":{"content":"b"}}]}` + "\n\n"
 	finish   = `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"
