--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -35,9 +35,9 @@
 	return s.runners.router.Choose(s.runners.members.View(), c.route, time.Now())
 }
 
-// try makes one attempt at the chosen runner. It keeps the books: the audit
-// records, the router's in-flight counts, the upstream's state and the count
-// of attempts that may have run.
+// try makes one attempt at the chosen runner. It writes the audit records and
+// updates the router's in-flight counts, the upstream's state and the count of
+// attempts that may have run.
 func (s *Server) try(ctx context.Context, q *request, c attemptCall, choice routing.Choice, run attemptRun) attemptDone {
 	u := choice.Upstream
 	done := attemptDone{upstream: u.Address, region: string(u.Region)}
--- a/entry/native.go
+++ b/entry/native.go
@@ -208,7 +208,7 @@
 }
 
 // cancelAbandoned ends an execution that no caller has followed for the grace
-// time, so that engines don't work for nobody.
+// time, so that engines don't generate tokens that no caller reads.
 func (s *Server) cancelAbandoned(e *execution) {
 	tick := time.NewTicker(resumeGrace)
 	defer tick.Stop()
--- a/entry/service_keyed.go
+++ b/entry/service_keyed.go
@@ -163,7 +163,7 @@
 	return keyedEnd{err: reason}
 }
 
-// recordKeyed makes the response durable before the caller hears it.
+// recordKeyed makes the response durable before the caller receives it.
 func (s *Server) recordKeyed(ctx context.Context, c *claim, a *command.Answer) keyedEnd {
 	if err := c.record(ctx, *a); err != nil {
 		p := problem.New(problem.LedgerDown, problem.Ran, "the response could not be recorded: %v", err)
@@ -172,7 +172,7 @@
 	return keyedEnd{answer: a}
 }
 
-// recordUnknown stores that the end is unknown, so that a repeat hears the same
+// recordUnknown stores that the end is unknown, so that a repeat gets the same
 // and nothing is dispatched again.
 func (s *Server) recordUnknown(ctx context.Context, c *claim, cause error) keyedEnd {
 	p := problem.New(problem.EndUnknown, problem.Unknown, "%v", cause).For(c.q.id.String())
--- a/ids/request.go
+++ b/ids/request.go
@@ -7,7 +7,7 @@
 )
 
 // RequestID names one request: the session that accepted it and its sequence
-// number in that session. It is unique for good.
+// number in that session. It is never reused.
 type RequestID struct {
 	Session SessionID `cbor:"1,keyasint" json:"session"`
 	Seq     uint64    `cbor:"2,keyasint" json:"seq"`
--- a/ids/vm.go
+++ b/ids/vm.go
@@ -6,6 +6,6 @@
 // Region names a region. Traffic between regions is slow and paid by volume.
 type Region string
 
-// Incarnation numbers the lives of one VM. It grows with each start, so that
-// state of an earlier life is never mistaken for that of the present one.
+// Incarnation numbers the starts of one VM. It grows with each start, so that
+// state from before a restart is never taken for present state.
 type Incarnation uint64
--- a/membership/entry.go
+++ b/membership/entry.go
@@ -20,7 +20,7 @@
 	succeededAt  time.Time
 	trustFrom    time.Time
 	// returnedAt is when the list brought the upstream in or back; signs of
-	// leaving from before belong to an earlier life.
+	// leaving from before belong to an earlier incarnation.
 	returnedAt time.Time
 	unlisted   bool
 
--- a/settings/apply.go
+++ b/settings/apply.go
@@ -36,7 +36,7 @@
 	atUnixMS int64
 }
 
-// Apply gives the tree after the change and what the operator hears. A change
+// Apply gives the tree after the change and what the operator receives. A change
 // id that was applied before gives the same tree and the first result again.
 // A change that is not accepted gives a tree of the same version that holds
 // the result of its id. AtUnixMS of the change is the time for its retention.
--- a/settings/resource.go
+++ b/settings/resource.go
@@ -91,7 +91,7 @@
 	Invalid  ApplyState = "invalid"
 )
 
-// ChangeResult is what the operator hears; a resend gets the same one.
+// ChangeResult is what the operator receives; a resend gets the same one.
 type ChangeResult struct {
 	State   ApplyState `cbor:"1,keyasint" json:"state"`
 	Version uint64     `cbor:"2,keyasint" json:"version"`
--- a/standin/core.go
+++ b/standin/core.go
@@ -112,7 +112,7 @@
 	return nil
 }
 
-// onFault sets the function that hears of each use of a fault switch.
+// onFault sets the function that is called with each use of a fault switch.
 func (k *core) onFault(hook func(Fault, *conn)) {
 	k.hookMu.Lock()
 	defer k.hookMu.Unlock()
