One piece for token digests, priorities and child branches

Cause: a last read found three things written twice: the token digest in admin and entry beside keys.Digest, the priority type in entry beside admission.Priority (checked when bound, then parsed again with its error dropped), and the joining of branch paths in entry beside that of settings. Before: as above. After: keys.Digest, admission.Priority and settings.ChildBranch serve both; no check or literal in a test has changed. Conclusion: behaviour is the same.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -16,6 +16,7 @@
 
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/keys"
 	"damaskbridge.example/damaskbridge/machine"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
@@ -111,7 +112,7 @@
 const testToken = "operator-token"
 
 func newAPI(b Backend) *API {
-	operators, err := NewOperators([]Operator{{Name: "ada", TokenSHA256: []string{TokenDigest(testToken)}}})
+	operators, err := NewOperators([]Operator{{Name: "ada", TokenSHA256: []string{keys.Digest(testToken)}}})
 	if err != nil {
 		panic(err)
 	}
@@ -158,10 +159,10 @@
 		var counters strings.Builder
 		a.WriteMetrics(&counters)
 		Expect(counters.String()).To(ContainSubstring(`damask_admin_problems_total{reason="unauthenticated"} 5`))
-		named, err := OperatorsOf([]string{TokenDigest(testToken)})
+		named, err := OperatorsOf([]string{keys.Digest(testToken)})
 		Expect(err).NotTo(HaveOccurred())
 		name, _ := named.find("Bearer " + testToken)
-		Expect(name).To(Equal("token-" + TokenDigest(testToken)[:8]))
+		Expect(name).To(Equal("token-" + keys.Digest(testToken)[:8]))
 		_, err = NewOperators([]Operator{{Name: "a", TokenSHA256: []string{"x"}}})
 		Expect(err).To(MatchError(ContainSubstring("64 hex digits")))
 	})
--- a/admin/operators.go
+++ b/admin/operators.go
@@ -59,12 +59,6 @@
 	return nil
 }
 
-// TokenDigest gives the hex SHA-256 digest of a token, as settings hold it.
-func TokenDigest(token string) string {
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:])
-}
-
 // find gives the operator of an Authorization header. The lookup is by digest,
 // so that its timing tells nothing about the tokens.
 func (o *Operators) find(header string) (name string, ok bool) {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -104,7 +104,7 @@
 
 	BeforeEach(func() {
 		b = &backend{machine: machine.New()}
-		operators, err := admin.NewOperators([]admin.Operator{{Name: "ada", TokenSHA256: []string{admin.TokenDigest("secret")}}})
+		operators, err := admin.NewOperators([]admin.Operator{{Name: "ada", TokenSHA256: []string{keys.Digest("secret")}}})
 		Expect(err).NotTo(HaveOccurred())
 		api = admin.New(b, operators)
 		lost.Store(0)
@@ -241,7 +241,7 @@
 		environment["DAMASK_TOKEN"] = token.Token
 		_, out, _ = damaskctl("keys", "digest")
 		Expect(strings.TrimSpace(out)).To(Equal(token.SHA256))
-		Expect(admin.TokenDigest(token.Token)).To(Equal(token.SHA256))
+		Expect(keys.Digest(token.Token)).To(Equal(token.SHA256))
 	})
 
 	// An entry VM without a lease refuses requests; shown as serving, it would
--- a/entry/accept.go
+++ b/entry/accept.go
@@ -47,7 +47,7 @@
 // its deadline and its priority.
 func (q *request) bind(r *http.Request, target string) error {
 	q.target = target
-	q.branch = childBranch(q.workspace.Branch, target)
+	q.branch = settings.ChildBranch(q.workspace.Branch, target)
 	var err error
 	if q.deadline, err = deadline(q.tree, q.branch, r, q.started); err != nil {
 		return err
@@ -56,14 +56,6 @@
 	return err
 }
 
-// childBranch joins a branch and a name; the root's name is empty.
-func childBranch(branch, name string) string {
-	if branch == "" {
-		return name
-	}
-	return branch + "/" + name
-}
-
 // refuse accounts for a request that ends with a problem and gives it back.
 func (s *Server) refuse(q *request, err error) error {
 	if p, ok := problem.As(err); ok && p.Instance == "" {
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -87,12 +87,10 @@
 }
 
 func (s *Server) admissionRequest(q *request, need time.Duration) admission.Request {
-	// Priorities were checked when the request was bound.
-	prio, _ := admission.ParsePriority(string(q.priority))
 	return admission.Request{
 		Workspace: q.workspace.Name,
 		Weight:    float64(q.tree.Int(q.branch, settings.WorkspaceWeight)),
-		Priority:  prio,
+		Priority:  q.priority,
 		Deadline:  q.deadline,
 		Need:      need,
 		Started:   q.mayHaveRun.Load() > 0,
--- a/entry/auth.go
+++ b/entry/auth.go
@@ -1,11 +1,10 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
+	"damaskbridge.example/damaskbridge/keys"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -20,8 +19,7 @@
 	if !ok || token == "" {
 		return nil, problem.New(problem.Unauthenticated, problem.NotRun, "no bearer token")
 	}
-	sum := sha256.Sum256([]byte(token))
-	w, ok := tree.WorkspaceByToken(hex.EncodeToString(sum[:]))
+	w, ok := tree.WorkspaceByToken(keys.Digest(token))
 	if !ok {
 		return nil, problem.New(problem.Unauthenticated, problem.NotRun, "the token belongs to no workspace")
 	}
--- a/entry/budgets.go
+++ b/entry/budgets.go
@@ -47,7 +47,7 @@
 // retryPolicy is the policy for a stage that may be repeated. The stage is given
 // up when the later ones could not end in the time left.
 func (s *Server) retryPolicy(q *request, st settings.Stage, grant budget.Grant) retry.Policy {
-	branch := childBranch(q.branch, st.Name)
+	branch := settings.ChildBranch(q.branch, st.Name)
 	p := retry.Policy{
 		Idempotent:   true,
 		MaxAttempts:  int(q.tree.Int(branch, settings.RetryMaxAttempts)),
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -32,7 +32,7 @@
 		Adapter:   st.Adapter,
 		Messages:  e.prompt(prior),
 		MaxTokens: e.maxTokens,
-		Priority:  string(e.q.priority),
+		Priority:  e.q.priority.String(),
 	}
 	first := firstTokenKey(st, req.Messages)
 	grant := s.times.Plan([]budget.Key{first}, time.Until(e.q.deadline), time.Now()).Grants[0]
--- a/entry/params.go
+++ b/entry/params.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"damaskbridge.example/damaskbridge/admission"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -27,20 +28,6 @@
 	HeaderResumeURL = "Damask-Resume-Url"
 )
 
-// Priority orders requests in admission.
-type Priority string
-
-// Priorities, from the most to the least urgent.
-const (
-	Interactive Priority = "interactive"
-	Normal      Priority = "normal"
-	Batch       Priority = "batch"
-)
-
-func (p Priority) known() bool {
-	return p == Interactive || p == Normal || p == Batch
-}
-
 // deadline reads the caller's deadline. Without one the branch's default
 // holds; a longer one than allowed is cut to the maximum.
 func deadline(tree *settings.Tree, branch string, r *http.Request, now time.Time) (time.Time, error) {
@@ -64,13 +51,14 @@
 }
 
 // priority reads the caller's priority, else the branch's default.
-func priority(tree *settings.Tree, branch string, r *http.Request) (Priority, error) {
-	p := Priority(r.Header.Get(HeaderPriority))
-	if p == "" {
-		p = Priority(tree.String(branch, settings.PriorityDefault))
+func priority(tree *settings.Tree, branch string, r *http.Request) (admission.Priority, error) {
+	text := r.Header.Get(HeaderPriority)
+	if text == "" {
+		text = tree.String(branch, settings.PriorityDefault)
 	}
-	if !p.known() {
-		return "", problem.New(problem.BadRequest, problem.NotRun, "%s is %q, want interactive, normal or batch", HeaderPriority, p)
+	p, err := admission.ParsePriority(text)
+	if err != nil {
+		return p, problem.New(problem.BadRequest, problem.NotRun, "%s is %q, want interactive, normal or batch", HeaderPriority, text)
 	}
 	return p, nil
 }
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -116,7 +116,7 @@
 func (s *Server) unary(ctx context.Context, e *execution, st settings.Stage, prior string, grant budget.Grant, report *StageReport) (string, error) {
 	in := upstream.StageRequest{Input: e.input, Prior: prior}
 	out, err := attempts(ctx, s, e.q, st, stageWork{grant: grant, bytes: int64(len(e.input) + len(prior))}, report, func(ctx context.Context, addr string, a upstream.Attempt, _ func()) (stageOutput, error) {
-		r, err := s.client.Stage(ctx, addr, a, string(st.Kind), string(e.q.priority), in)
+		r, err := s.client.Stage(ctx, addr, a, string(st.Kind), e.q.priority.String(), in)
 		return stageOutput{result: r}, err
 	})
 	report.CostUnits = out.result.CostUnits
--- a/entry/request.go
+++ b/entry/request.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"damaskbridge.example/damaskbridge/admission"
 	"damaskbridge.example/damaskbridge/audit"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
@@ -20,7 +21,7 @@
 	// branch is where the request's settings are looked up.
 	branch   string
 	target   string
-	priority Priority
+	priority admission.Priority
 	started  time.Time
 	deadline time.Time
 	key      string
--- a/settings/branch.go
+++ b/settings/branch.go
@@ -103,7 +103,7 @@
 	f(path, b)
 	for _, name := range b.children.sortedKeys() {
 		child, _ := b.children.get(name)
-		child.walk(joinPath(path, name), f)
+		child.walk(ChildBranch(path, name), f)
 	}
 }
 
@@ -112,7 +112,8 @@
 	return head, rest
 }
 
-func joinPath(path, name string) string {
+// ChildBranch gives the path of a child branch; the root's path is empty.
+func ChildBranch(path, name string) string {
 	if path == "" {
 		return name
 	}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -108,7 +108,7 @@
 // StageBranch is where the values of one stage of a workspace's pipeline are
 // looked up first.
 func StageBranch(w *Workspace, pipeline, stage string) string {
-	return joinPath(joinPath(w.Branch, pipeline), stage)
+	return ChildBranch(ChildBranch(w.Branch, pipeline), stage)
 }
 
 // Effective gives the value of key that holds at branch, and where it comes
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -313,7 +313,7 @@
 		return
 	}
 	b.children.each(func(name string, child *branch) bool {
-		e.checkPairAt(p, joinPath(path, name), child, low, high, false)
+		e.checkPairAt(p, ChildBranch(path, name), child, low, high, false)
 		return true
 	})
 }
