The users' platform: whole path in one adapter

Cause: damaskbridge did not speak the platform's protocol. Adds catalog (published documents, highest version wins), directory (documents, runners and entry VMs for entry VMs), exchange (single HTTP/1.1 requests), placement, batch (stage calls over requests), gateway (data path), callers (listener), plain TCP links, discovery of control VMs from seeds and a voter policy; platform only translates. Before: nothing served.

--- /dev/null
+++ b/batch/assembler.go
@@ -0,0 +1,236 @@
+package batch
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"damaskbridge.example/damaskbridge/catalog"
+)
+
+const (
+	// maxTries bounds the calls that hold one item.
+	maxTries = 3
+	// minLeft is the least time before its deadline with which an item is
+	// still sent.
+	minLeft = 50 * time.Millisecond
+)
+
+// Assembler assembles the calls of one service.
+type Assembler struct {
+	spec    catalog.Pieces
+	workers map[string]*worker
+	queue   []Item
+}
+
+// NewAssembler makes an assembler for runners as spec describes.
+func NewAssembler(spec catalog.Pieces) *Assembler {
+	return &Assembler{spec: spec, workers: map[string]*worker{}}
+}
+
+// SetSpec takes a changed description of the runners.
+func (a *Assembler) SetSpec(spec catalog.Pieces) { a.spec = spec }
+
+// SetWorkers takes the present runners. A runner with another ID at the same
+// address is a new one.
+func (a *Assembler) SetWorkers(list []Worker) {
+	seen := map[string]bool{}
+	for _, w := range list {
+		seen[w.Addr] = true
+		old := a.workers[w.Addr]
+		if old != nil && old.ID == w.ID {
+			old.Worker = w
+			continue
+		}
+		a.workers[w.Addr] = &worker{Worker: w, results: map[string]result{}}
+	}
+	for addr := range a.workers {
+		if !seen[addr] {
+			delete(a.workers, addr)
+		}
+	}
+}
+
+// Add queues items.
+func (a *Assembler) Add(items ...Item) { a.queue = append(a.queue, items...) }
+
+// Cancel drops the waiting items with these refs and gives the refs that it
+// found.
+func (a *Assembler) Cancel(refs map[uint64]bool) (dropped []uint64) {
+	a.queue = slices.DeleteFunc(a.queue, func(i Item) bool {
+		if refs[i.Ref] {
+			dropped = append(dropped, i.Ref)
+		}
+		return refs[i.Ref]
+	})
+	return dropped
+}
+
+// Free forgets results that nobody needs.
+func (a *Assembler) Free(runner string, handles []string) {
+	w := a.workers[runner]
+	if w == nil {
+		return
+	}
+	for _, h := range handles {
+		w.forget(h)
+	}
+}
+
+// Waiting is the number of queued items, Busy that of calls under way.
+func (a *Assembler) Waiting() int { return len(a.queue) }
+
+// Busy is the number of calls under way.
+func (a *Assembler) Busy() int {
+	n := 0
+	for _, w := range a.workers {
+		n += w.calls
+	}
+	return n
+}
+
+// Next gives the calls to send now and the items that have ended without one.
+// The items that are due first go first; a call takes what fits into a batch
+// and into the runner's memory.
+func (a *Assembler) Next(now time.Time) (calls []Call, ended []End) {
+	ended = a.dropLate(now)
+	if len(a.queue) == 0 {
+		return nil, ended
+	}
+	sort.SliceStable(a.queue, func(i, j int) bool { return a.queue[i].Due.Before(a.queue[j].Due) })
+	for len(a.queue) > 0 {
+		w := a.pick(now)
+		if w == nil {
+			break
+		}
+		items := a.take(w)
+		if len(items) == 0 {
+			break
+		}
+		w.calls++
+		w.lastUsed = now
+		calls = append(calls, Call{Runner: w.Addr, RunnerID: w.ID, Items: items, Took: a.spec.Estimate(len(items))})
+	}
+	return calls, ended
+}
+
+// dropLate ends the items that are of no use any more.
+func (a *Assembler) dropLate(now time.Time) []End {
+	var ended []End
+	a.queue = slices.DeleteFunc(a.queue, func(i Item) bool {
+		if now.Add(minLeft).Before(i.Deadline) {
+			return false
+		}
+		ended = append(ended, End{Item: i, Result: Result{Reason: Late}})
+		return true
+	})
+	return ended
+}
+
+// pick gives the usable runner with the most free memory, the longest unused
+// one among equals.
+func (a *Assembler) pick(now time.Time) *worker {
+	var best *worker
+	for _, w := range a.workers {
+		w.release(now)
+		if !w.usable(now, max(a.spec.Slots, 1)) {
+			continue
+		}
+		if best == nil || w.room < best.room || w.room == best.room && w.lastUsed.Before(best.lastUsed) {
+			best = w
+		}
+	}
+	return best
+}
+
+// take removes the next batch for w from the queue.
+func (a *Assembler) take(w *worker) []Item {
+	var items []Item
+	kept := a.queue[:0]
+	free := a.spec.RoomBytes - w.room
+	for _, i := range a.queue {
+		// A result larger than all of the memory is tried at an empty runner.
+		fits := a.spec.RoomBytes == 0 || i.ResultBytes <= free || w.room == 0
+		if len(items) >= max(a.spec.Batch, 1) || !fits {
+			kept = append(kept, i)
+			continue
+		}
+		free -= i.ResultBytes
+		w.room += i.ResultBytes
+		i.tries++
+		items = append(items, i)
+	}
+	a.queue = kept
+	return items
+}
+
+// Done takes the end of a call. Items without a result are queued again while
+// that may help; the others have ended.
+func (a *Assembler) Done(now time.Time, c Call, r CallResult) []End {
+	w := a.workers[c.Runner]
+	if w != nil && w.ID == c.RunnerID {
+		a.settle(now, w, c, r)
+	}
+	var ended []End
+	for n, item := range c.Items {
+		result := Result{Reason: Failed}
+		if n < len(r.Results) {
+			result = r.Results[n]
+		} else if r.Refused {
+			// A refusal does not count against the item.
+			item.tries--
+		}
+		if a.again(now, item, result) {
+			a.queue = append(a.queue, item)
+			continue
+		}
+		result.Runner = c.Runner
+		ended = append(ended, End{Item: item, Result: result})
+	}
+	return ended
+}
+
+// settle accounts the end of a call at its runner.
+func (a *Assembler) settle(now time.Time, w *worker, c Call, r CallResult) {
+	w.calls--
+	for n, item := range c.Items {
+		w.room -= item.ResultBytes
+		if n < len(r.Results) && r.Results[n].Handle != "" {
+			w.room += item.ResultBytes
+			w.results[r.Results[n].Handle] = result{bytes: item.ResultBytes, expires: now.Add(a.spec.Retention)}
+		}
+	}
+	switch {
+	case r.Lost:
+		w.failed(now)
+	case r.Refused:
+		w.avoidUntil = now.Add(fullAvoid)
+	default:
+		w.failures = 0
+	}
+}
+
+func (a *Assembler) again(now time.Time, item Item, r Result) bool {
+	if r.Handle != "" || r.Reason == Late || r.Reason == InputGone {
+		return false
+	}
+	return item.tries < maxTries && now.Add(a.spec.Estimate(1)).Before(item.Deadline)
+}
+
+// Wake is when Next should be asked again without any other event, zero if
+// nothing waits.
+func (a *Assembler) Wake(now time.Time) time.Time {
+	if len(a.queue) == 0 {
+		return time.Time{}
+	}
+	wake := now.Add(wakeEvery)
+	for _, w := range a.workers {
+		if w.avoidUntil.After(now) && w.avoidUntil.Before(wake) {
+			wake = w.avoidUntil
+		}
+	}
+	return wake
+}
+
+// wakeEvery bounds how long a waiting item's deadline goes unnoticed.
+const wakeEvery = 100 * time.Millisecond
--- /dev/null
+++ b/callers/server.go
@@ -0,0 +1,133 @@
+package callers
+
+import (
+	"context"
+	"errors"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	listener net.Listener
+	handler  http.Handler
+	log      *log.Logger
+	stopped  chan struct{}
+	once     sync.Once
+
+	mu      sync.Mutex
+	limits  Limits
+	current *generation
+	all     []*generation
+}
+
+// generation is the HTTP server of the connections that began under the same
+// limits.
+type generation struct {
+	http  *http.Server
+	conns *feed
+}
+
+// Listen serves h at addr until Stop.
+func Listen(addr string, h http.Handler, logger *log.Logger) (*Server, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{})}
+	s.SetLimits(Limits{})
+	go s.accept()
+	return s, nil
+}
+
+// Addr is the address of the listener.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// SetLimits has new connections bound by l. Open ones keep their limits.
+func (s *Server) SetLimits(l Limits) {
+	l = l.withDefaults()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil && s.limits == l {
+		return
+	}
+	g := &generation{
+		http: &http.Server{
+			Handler: s.handler, MaxHeaderBytes: l.MaxHeaderBytes,
+			ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+			ErrorLog: stdlog.New(&errorLog{s.log}, "", 0),
+		},
+		conns: newFeed(s.listener.Addr()),
+	}
+	s.limits, s.current = l, g
+	s.all = append(s.all, g)
+	go func() { _ = g.http.Serve(g.conns) }()
+}
+
+// acceptPause is the wait after a failed accept, for instance for want of
+// descriptors.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			select {
+			case <-s.stopped:
+				return
+			case <-time.After(acceptPause):
+				s.log.Warn().Err(err).Msg("callers: accept failed")
+				continue
+			}
+		}
+		s.mu.Lock()
+		g := s.current
+		s.mu.Unlock()
+		if !g.conns.give(c) {
+			_ = c.Close()
+		}
+	}
+}
+
+// EndKeepAlive has every answer from now on end its connection.
+func (s *Server) EndKeepAlive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.all {
+		g.http.SetKeepAlivesEnabled(false)
+	}
+}
+
+// Stop takes no more connections and waits for the requests under way until
+// ctx ends; then it closes what is left.
+func (s *Server) Stop(ctx context.Context) error {
+	s.once.Do(func() { close(s.stopped) })
+	_ = s.listener.Close()
+	s.mu.Lock()
+	all := s.all
+	s.mu.Unlock()
+	errs := make([]error, len(all))
+	var waits sync.WaitGroup
+	for i, g := range all {
+		waits.Go(func() {
+			if errs[i] = g.http.Shutdown(ctx); errs[i] != nil {
+				_ = g.http.Close()
+			}
+		})
+	}
+	waits.Wait()
+	return errors.Join(errs...)
+}
+
+// errorLog passes what net/http reports on to the log.
+type errorLog struct{ log *log.Logger }
+
+func (e *errorLog) Write(b []byte) (int, error) {
+	e.log.Debug().Str("detail", string(b)).Msg("callers: connection error")
+	return len(b), nil
+}
--- a/command/command.go
+++ b/command/command.go
@@ -3,6 +3,7 @@
 package command
 
 import (
+	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -26,6 +27,8 @@
 	Drop          *Drop            `cbor:"12,keyasint,omitempty"`
 	DrawWeights   *DrawWeights     `cbor:"13,keyasint,omitempty"`
 	CloseSession  *CloseSession    `cbor:"14,keyasint,omitempty"`
+	// Publish puts a catalog document in force if its version is the highest.
+	Publish *catalog.Document `cbor:"15,keyasint,omitempty"`
 }
 
 // OpenSession registers an incarnation of an entry VM. An older incarnation of
--- a/config/load.go
+++ b/config/load.go
@@ -11,7 +11,7 @@
 
 // Settings are the settings of one program.
 type Settings interface {
-	*Entry | *Control
+	*Entry | *Control | *Deployed
 	// Check rejects values that cannot work, with a remedy.
 	Check() error
 }
--- a/control/book.go
+++ b/control/book.go
@@ -11,10 +11,12 @@
 type book struct {
 	mu    sync.Mutex
 	addrs map[ids.VMID]string
+	// namesAreAddrs says that a VM's name is its address.
+	namesAreAddrs bool
 }
 
-func newBook(peers []Peer) *book {
-	b := &book{addrs: map[ids.VMID]string{}}
+func newBook(peers []Peer, namesAreAddrs bool) *book {
+	b := &book{addrs: map[ids.VMID]string{}, namesAreAddrs: namesAreAddrs}
 	for _, p := range peers {
 		b.addrs[p.VM] = p.Addr
 	}
@@ -22,6 +24,9 @@
 }
 
 func (b *book) addr(vm ids.VMID) string {
+	if b.namesAreAddrs {
+		return addressOf(vm)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.addrs[vm]
--- a/control/lead.go
+++ b/control/lead.go
@@ -25,7 +25,11 @@
 			continue
 		}
 		s.expireSessions(ctx, v)
-		_ = s.replica.Do(ctx, s.replica.promote)
+		if s.opts.Seeds != nil {
+			_ = s.replica.Do(ctx, s.replica.tendVoters)
+		} else {
+			_ = s.replica.Do(ctx, s.replica.promote)
+		}
 		if now := time.Now(); now.Sub(retired) >= s.opts.RetireEvery {
 			retired = now
 			s.retire(ctx, now)
--- a/control/loop.go
+++ b/control/loop.go
@@ -79,6 +79,13 @@
 }
 
 func (r *Replica) propose(p *proposal) {
+	if p.cmd.Publish != nil {
+		if err := r.enoughCopies(); err != nil {
+			r.opts.Logger.Warn().Err(err).Uint64("version", p.cmd.Publish.Version).Msg("control: document refused")
+			p.reply <- wire.ProposeReply{}
+			return
+		}
+	}
 	p.cmd.NowUnixMS = r.opts.Clock()
 	data, err := command.Encode(&p.cmd)
 	if err != nil {
@@ -213,6 +220,9 @@
 		commit: s.Commit, applied: r.applied, snapshot: s.Snapshot, match: s.Match,
 		settings: r.opts.Views.Settings(),
 	}
+	if r.opts.Views.Document != nil {
+		v.document = r.opts.Views.Document()
+	}
 	if round, ok := r.node.LeaseRound(); ok {
 		v.proof = r.epoch.Add(time.Duration(round) * r.opts.Tick)
 		if r.leaderTerm != s.Term {
@@ -223,7 +233,7 @@
 		v.leaderSince = r.leaderSince
 	}
 	r.published.Store(v)
-	if old == nil || old.leader != v.leader || old.role != v.role || old.leaderSince != v.leaderSince || old.settings.Version() != v.settings.Version() {
+	if old == nil || old.leader != v.leader || old.role != v.role || old.leaderSince != v.leaderSince || old.settings.Version() != v.settings.Version() || old.document != v.document {
 		if old != nil && old.leader != v.leader && !v.leader.IsZero() {
 			r.count.elections.Inc()
 			r.opts.Logger.Info().Str("leader", v.leader.String()).Uint64("term", v.term).Msg("control: leader changed")
--- a/control/machine.go
+++ b/control/machine.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/settings"
@@ -28,6 +29,9 @@
 	// IsOpen says whether a session is open. Nil means a search in Sessions,
 	// which costs the leader time in proportion to all sessions.
 	IsOpen func(ids.SessionID) bool
+	// Document gives the published catalog document in force; nil for a state
+	// machine without one.
+	Document func() *catalog.Document
 	// RetireBefore gives the time of the next Retire command; nil for none.
 	RetireBefore func(nowUnixMS int64) int64
 }
--- a/control/options.go
+++ b/control/options.go
@@ -23,6 +23,16 @@
 	// Peers lists the control VMs that form the group. Other control VMs join
 	// as learners and relay for their entry VMs.
 	Peers []Peer
+	// Seeds gives the addresses of some control VMs, in place of Peers, where
+	// control VMs find each other. Every VM's name is then its address. It may
+	// give others later. Nil means that Peers lists the group.
+	Seeds func() []string
+	// Bootstrap allows the seeds to start a new group. It is set only at the
+	// first start of the whole system.
+	Bootstrap bool
+	// WantedVoters is the number of voters that a group found by seeds keeps;
+	// a majority of them holds every document.
+	WantedVoters int
 	// Dir is the folder of this group's files.
 	Dir string
 	// FS is the file layer; nil means the operating system's.
@@ -71,6 +81,8 @@
 	defaultRelayEvery      = 250 * time.Millisecond
 	defaultSnapshotEntries = 10_000
 	defaultRetireEvery     = 10 * time.Second
+	// defaultWantedVoters tolerates the loss of two disks.
+	defaultWantedVoters = 5
 )
 
 func (o *Options) setDefaults() {
@@ -97,6 +109,9 @@
 	if o.Logger == nil {
 		o.Logger = &log.Logger{Level: log.PanicLevel}
 	}
+	if o.WantedVoters == 0 {
+		o.WantedVoters = defaultWantedVoters
+	}
 	o.Peers = withVoters(o.Peers)
 	if p, ok := o.peer(o.Self); ok && o.Addr == "" {
 		o.Addr = p.Addr
--- a/control/replica.go
+++ b/control/replica.go
@@ -84,7 +84,7 @@
 	}
 	r := &Replica{
 		opts:      opts,
-		book:      newBook(opts.Peers),
+		book:      newBook(opts.Peers, opts.Seeds != nil),
 		count:     newCounters(),
 		proposals: make(chan *proposal, proposalBatch),
 		inbox:     make(chan []raft.Message, inboxBatches),
@@ -104,7 +104,11 @@
 	}
 	r.publish()
 	go r.run()
-	r.helpers.Go(r.join)
+	if opts.Seeds != nil {
+		r.helpers.Go(r.joinBySeeds)
+	} else {
+		r.helpers.Go(r.join)
+	}
 	return r, nil
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -77,6 +77,8 @@
 		return s.takeStatusCall(ctx, from, body)
 	case transport.MethodSnapshot:
 		return serve(body, s.snapshotPart)
+	case transport.MethodDocument:
+		return s.takeDocumentCall(ctx)
 	}
 	if h := s.others[m]; h != nil {
 		return h.Serve(ctx, from, m, body)
--- a/control/view.go
+++ b/control/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"damaskbridge.example/damaskbridge/catalog"
+
 	"damaskbridge.example/damaskbridge/raft"
 )
 
@@ -18,6 +20,8 @@
 	snapshot uint64
 	match    map[raft.ReplicaID]uint64
 	settings SettingsView
+	// document is the published catalog document in force, nil if none.
+	document *catalog.Document
 	// proof is the start of the newest round in which a majority confirmed
 	// this leader; zero on others. At that time no settings version newer
 	// than settings' was accepted anywhere.
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/directory"
+	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/transport"
+)
+
+// Options configure a Gateway.
+type Options struct {
+	// Self is this VM's address for other VMs.
+	Self   string
+	Places placement.Places
+	Budget BudgetOptions
+	// DrainTime is how long a leaving runner may still get requests.
+	DrainTime time.Duration
+	Upstreams Upstreams
+	Caller    transport.Caller
+	Logger    *log.Logger
+}
+
+// Gateway serves callers. It is safe for concurrent use.
+type Gateway struct {
+	opts     Options
+	log      *log.Logger
+	state    atomic.Pointer[directory.State]
+	runners  *runners
+	budgets  *budgets
+	pieces   *pieceServer
+	count    *counters
+	stopping atomic.Bool
+}
+
+// New makes a gateway; Run starts what it does by itself.
+func New(o Options) *Gateway {
+	g := &Gateway{
+		opts: o, log: o.Logger,
+		// Half of the time is kept for the way of the list and of the request.
+		runners: newRunners(o.Places, o.DrainTime/2),
+		budgets: newBudgets(o.Budget),
+		count:   newCounters(),
+	}
+	g.pieces = newPieceServer(g)
+	g.state.Store(&directory.State{})
+	return g
+}
+
+// Run assembles stage calls until ctx ends.
+func (g *Gateway) Run(ctx context.Context) { g.pieces.run(ctx) }
+
+// Update takes what the directory says. It is called on one goroutine.
+func (g *Gateway) Update(s *directory.State) {
+	old := g.state.Swap(s)
+	if s.List != nil && s.List != old.List {
+		g.runners.take(time.Now(), s.List)
+	}
+	if len(s.Entries) != len(old.Entries) {
+		g.budgets.share(len(s.Entries))
+	}
+	g.pieces.refresh()
+}
+
+// Ready says whether this VM can serve: it knows the routes and the runners
+// and is not stopping.
+func (g *Gateway) Ready() bool {
+	s := g.state.Load()
+	return s.Table != nil && s.List != nil && !g.stopping.Load()
+}
+
+// Stop has requests that cannot end in time refused. Requests under way go on.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Table gives the catalog in force, nil before the first.
+func (g *Gateway) Table() *catalog.Table { return g.state.Load().Table }
+
+// ServePeer answers transport.MethodPieces and transport.MethodFreePieces of
+// other entry VMs.
+func (g *Gateway) ServePeer(ctx context.Context, m transport.Method, body []byte) ([]byte, error) {
+	return g.pieces.serve(ctx, m, body)
+}
--- /dev/null
+++ b/gateway/stages.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"damaskbridge.example/damaskbridge/batch"
+	"damaskbridge.example/damaskbridge/catalog"
+)
+
+// stageRun is the work of a request's stages.
+type stageRun struct {
+	final []int
+	// results are those of each stage; done says which stages have ended.
+	results [][]batch.Result
+	done    []bool
+	freed   []bool
+}
+
+func newStageRun(route *catalog.Route) *stageRun {
+	n := len(route.Stages)
+	return &stageRun{final: route.FinalStages(), results: make([][]batch.Result, n), done: make([]bool, n), freed: make([]bool, n)}
+}
+
+// inputs gives the results that the request itself needs.
+func (s *stageRun) inputs() []string { return s.handles(s.final) }
+
+func (s *stageRun) handles(stages []int) []string {
+	var list []string
+	for _, i := range stages {
+		for _, r := range s.results[i] {
+			list = append(list, r.Handle)
+		}
+	}
+	return list
+}
+
+// stageEnd is the end of one stage.
+type stageEnd struct {
+	stage   int
+	results []batch.Result
+	err     error
+}
+
+// runStages has the stages of the route run, each as soon as those that it
+// follows have ended.
+func (r *request) runStages(ctx context.Context) *Refusal {
+	if len(r.route.Stages) == 0 {
+		return nil
+	}
+	r.stages = newStageRun(r.route)
+	ctx, cancel := context.WithCancel(ctx)
+	var under sync.WaitGroup
+	ends := make(chan stageEnd, len(r.route.Stages))
+	started := make([]bool, len(r.route.Stages))
+	running := 0
+	var refusal *Refusal
+	for {
+		if refusal == nil {
+			running += r.startStages(ctx, started, ends, &under)
+		}
+		if running == 0 {
+			break
+		}
+		end := <-ends
+		running--
+		r.stages.results[end.stage] = end.results
+		r.stages.done[end.stage] = true
+		if reason := failure(end); reason != "" && refusal == nil {
+			refusal = r.stageRefusal(ctx, end, reason)
+			cancel()
+		}
+		r.freeFollowed()
+	}
+	cancel()
+	r.stagedAt = time.Now()
+	r.g.count.stages.UpdateDuration(r.call.Received)
+	if refusal != nil {
+		r.freeAll()
+	}
+	return refusal
+}
+
+// stageAgain runs all stages again after a result was lost.
+func (r *request) stageAgain(ctx context.Context) *Refusal {
+	r.freeAll()
+	return r.runStages(ctx)
+}
+
+// startStages starts the stages whose turn it is and gives their number.
+func (r *request) startStages(ctx context.Context, started []bool, ends chan<- stageEnd, under *sync.WaitGroup) int {
+	n := 0
+	for i, stage := range r.route.Stages {
+		if started[i] || slices.ContainsFunc(stage.After, func(a int) bool { return !r.stages.done[a] }) {
+			continue
+		}
+		started[i] = true
+		n++
+		call := r.stageCall(i)
+		if len(call.Items) == 0 {
+			ends <- stageEnd{stage: i}
+			continue
+		}
+		under.Go(func() {
+			results, err := r.g.pieces.order(ctx, call)
+			ends <- stageEnd{stage: i, results: results, err: err}
+		})
+	}
+	return n
+}
+
+// stageCall gives the pieces of a stage.
+func (r *request) stageCall(i int) *piecesCall {
+	stage := &r.route.Stages[i]
+	now := time.Now()
+	call := &piecesCall{
+		Service: stage.Service, Request: r.call.ID, Stage: i, ResultBytes: stage.ResultBytes,
+		DueMS:  r.due.Add(-r.restTime(i)).Sub(now).Milliseconds(),
+		LeftMS: r.deadline.Sub(now).Milliseconds(),
+	}
+	if len(stage.After) == 0 {
+		call.Key = r.call.PieceKey
+	} else {
+		call.Inputs = r.stages.handles(stage.After)
+	}
+	pieces := 0
+	if i < len(r.call.Pieces) {
+		pieces = r.call.Pieces[i]
+	}
+	for p := range pieces {
+		call.Items = append(call.Items, p)
+	}
+	return call
+}
+
+// restTime is the least time of the stages that follow stage i.
+func (r *request) restTime(i int) time.Duration {
+	var longest time.Duration
+	for j := i + 1; j < len(r.route.Stages); j++ {
+		if !slices.Contains(r.route.Stages[j].After, i) {
+			continue
+		}
+		rest := r.restTime(j)
+		if s := r.table.Service(r.route.Stages[j].Service); s != nil && s.Pieces != nil && j < len(r.call.Pieces) {
+			rest += s.Pieces.Estimate(r.call.Pieces[j])
+		}
+		longest = max(longest, rest)
+	}
+	return longest
+}
+
+func failure(end stageEnd) batch.Reason {
+	if end.err != nil {
+		return batch.Failed
+	}
+	for _, result := range end.results {
+		if result.Reason != "" {
+			return result.Reason
+		}
+	}
+	return ""
+}
+
+func (r *request) stageRefusal(ctx context.Context, end stageEnd, reason batch.Reason) *Refusal {
+	if ctx.Err() != nil {
+		return r.ended(ctx)
+	}
+	detail := string(reason) + " at " + r.route.Stages[end.stage].Service
+	if end.err != nil {
+		detail = end.err.Error()
+	}
+	kind := StagesFailed
+	if reason == batch.Late {
+		kind = StagesLate
+	}
+	return &Refusal{Reason: kind, RetryAfter: shortRetry(), Detail: detail}
+}
+
+// freeFollowed frees the results that only ended stages needed.
+func (r *request) freeFollowed() {
+	for i := range r.route.Stages {
+		if !r.stages.done[i] || r.stages.freed[i] || slices.Contains(r.stages.final, i) {
+			continue
+		}
+		needed := false
+		for j, stage := range r.route.Stages {
+			if slices.Contains(stage.After, i) && !r.stages.done[j] {
+				needed = true
+			}
+		}
+		if !needed {
+			r.freeStage(i)
+		}
+	}
+}
+
+// freeInputs frees the results that the request itself has used.
+func (r *request) freeInputs() {
+	if r.stages == nil {
+		return
+	}
+	for _, i := range r.stages.final {
+		r.freeStage(i)
+	}
+}
+
+func (r *request) freeAll() {
+	if r.stages == nil {
+		return
+	}
+	for i := range r.route.Stages {
+		r.freeStage(i)
+	}
+}
+
+func (r *request) freeStage(i int) {
+	if r.stages.freed[i] || !r.stages.done[i] {
+		return
+	}
+	r.stages.freed[i] = true
+	r.g.pieces.free(r.route.Stages[i].Service, r.stages.results[i])
+}
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"damaskbridge.example/damaskbridge/catalog"
+
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/fence"
 	"damaskbridge.example/damaskbridge/ids"
@@ -27,6 +29,7 @@
 	ledger   *ledger.Ledger
 	fences   *fence.Table
 	weights  *fence.Budget
+	catalog  catalog.Held
 }
 
 // New gives the empty state.
@@ -69,6 +72,7 @@
 		c.OpenSession != nil, c.ExpireSession != nil, c.Reserve != nil, c.Claim != nil,
 		c.Record != nil, c.Release != nil, c.Lookup != nil, c.Retire != nil, c.Change != nil,
 		c.Acquire != nil, c.Drop != nil, c.DrawWeights != nil, c.CloseSession != nil,
+		c.Publish != nil,
 	} {
 		if set {
 			n++
@@ -103,6 +107,9 @@
 		return m.acquire(c.Acquire)
 	case c.Drop != nil:
 		return m.fences.Drop(c.Drop)
+	case c.Publish != nil:
+		m.catalog.Publish(c.Publish)
+		return command.Result{Code: command.OK}
 	}
 	return m.drawWeights(c.DrawWeights)
 }
--- a/machine/snapshot.go
+++ b/machine/snapshot.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 
+	"damaskbridge.example/damaskbridge/catalog"
+
 	"damaskbridge.example/damaskbridge/fence"
 	"damaskbridge.example/damaskbridge/ledger"
 	"damaskbridge.example/damaskbridge/session"
@@ -24,6 +26,8 @@
 	Ledger   []byte           `cbor:"6,keyasint"`
 	Fences   fence.TableFile  `cbor:"7,keyasint"`
 	Weights  fence.BudgetFile `cbor:"8,keyasint"`
+	// Document is nil before the first one was published.
+	Document *catalog.Document `cbor:"9,keyasint,omitempty"`
 }
 
 var (
@@ -64,6 +68,7 @@
 		head: file{
 			Format: snapshotFormat, Applied: m.applied, Now: m.now,
 			Sessions: m.sessions.File(), Fences: m.fences.File(), Weights: m.weights.File(),
+			Document: m.catalog.Document(),
 		},
 		tree:   m.tree,
 		ledger: m.ledger.Freeze(),
@@ -134,6 +139,9 @@
 	if m.fences, err = fence.TableFromFile(f.Fences); err != nil {
 		return err
 	}
+	if f.Document != nil {
+		m.catalog.Publish(f.Document)
+	}
 	m.weights, err = fence.BudgetFromFile(f.Weights)
 	return err
 }
--- a/machine/view.go
+++ b/machine/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"damaskbridge.example/damaskbridge/catalog"
+
 	"damaskbridge.example/damaskbridge/fence"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/ledger"
@@ -13,6 +15,10 @@
 // Tree gives the present settings.
 func (m *Machine) Tree() *settings.Tree { return m.tree }
 
+// Document gives the catalog document in force, nil before the first. It is
+// immutable.
+func (m *Machine) Document() *catalog.Document { return m.catalog.Document() }
+
 // OpenSessions gives all open sessions, by VM.
 func (m *Machine) OpenSessions() []session.Info { return m.sessions.OpenSessions() }
 
--- a/raft/status.go
+++ b/raft/status.go
@@ -44,5 +44,15 @@
 // Now gives the number of ticks since the start of the node.
 func (n *Node) Now() uint64 { return n.now }
 
+// Silence gives, on a leader, the ticks since the sending of the newest message
+// that a member has acknowledged in this term, or since the term began.
+func (n *Node) Silence(id ReplicaID) uint64 {
+	since := n.leaderSince
+	if p := n.peers[id]; p != nil {
+		since = max(since, p.ackRound)
+	}
+	return n.now - since
+}
+
 // CaughtUp says, on a leader, whether a learner has synced the committed log.
 func (n *Node) CaughtUp(id ReplicaID) bool { return n.role == Leader && n.caughtUp(id) }
--- a/transport/method.go
+++ b/transport/method.go
@@ -17,6 +17,11 @@
 	MethodSnapshot:    "snapshot",
 	MethodAdmin:       "admin",
 	MethodLocate:      "locate",
+	MethodDocument:    "document",
+	MethodWatch:       "watch",
+	MethodRoster:      "roster",
+	MethodPieces:      "pieces",
+	MethodFreePieces:  "free_pieces",
 }
 
 // String gives the method's name as used in metrics and logs.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -22,6 +22,11 @@
 	MethodSnapshot
 	MethodAdmin
 	MethodLocate
+	MethodDocument
+	MethodWatch
+	MethodRoster
+	MethodPieces
+	MethodFreePieces
 )
 
 // Peer is the authenticated other end of a call, as its certificate names it.
