--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -90,14 +90,14 @@
 }
 
 // Next gives the calls to send now and the items that have ended without one.
-// The items that are due first go first; a call takes what fits into a batch
-// and into the runner's memory.
+// A call takes what fits into a batch and into the runner's memory, in the
+// order of the queue.
 func (a *Assembler) Next(now time.Time) (calls []Call, ended []End) {
 	ended = a.dropLate(now)
 	if len(a.queue) == 0 {
 		return nil, ended
 	}
-	sort.SliceStable(a.queue, func(i, j int) bool { return a.queue[i].Due.Before(a.queue[j].Due) })
+	sort.SliceStable(a.queue, func(i, j int) bool { return a.before(now, &a.queue[i], &a.queue[j]) })
 	for len(a.queue) > 0 {
 		w := a.pick(now)
 		if w == nil {
@@ -107,13 +107,69 @@
 		if len(items) == 0 {
 			break
 		}
+		took := a.spec.Estimate(len(items))
 		w.calls++
-		w.lastUsed = now
-		calls = append(calls, Call{Runner: w.Addr, RunnerID: w.ID, Items: items, Took: a.spec.Estimate(len(items))})
+		w.lastUsed, w.freeAt = now, now.Add(took)
+		calls = append(calls, Call{Runner: w.Addr, RunnerID: w.ID, Items: items, Took: took})
 	}
 	return calls, ended
 }
 
+// priorityStep is the time by which a rank moves an item in the queue. Over
+// it, urgent requests overtake others within their time; a strict order would
+// starve the last rank.
+const priorityStep = 600 * time.Millisecond
+
+// before orders the queue by the time that items are due and their rank. Items
+// that begin a request and can't be in time wait for a gap, so that one late
+// item doesn't make the next one late. Work that was begun goes on: its inputs
+// take up memory and are dropped after a while.
+func (a *Assembler) before(now time.Time, x, y *Item) bool {
+	soonest := now.Add(a.spec.Estimate(1))
+	xLate := len(x.Inputs) == 0 && soonest.After(x.Due)
+	yLate := len(y.Inputs) == 0 && soonest.After(y.Due)
+	if xLate != yLate {
+		return yLate
+	}
+	return x.rank().Before(y.rank())
+}
+
+func (i *Item) rank() time.Time {
+	return i.Due.Add(time.Duration(i.Priority) * priorityStep)
+}
+
+// NoWorkerDelay is the delay that is told while no runner is usable.
+const NoWorkerDelay = 2 * time.Second
+
+// Delay gives the time until n items like this one would have their results.
+func (a *Assembler) Delay(now time.Time, item *Item, n int) time.Duration {
+	var free []time.Duration
+	for _, w := range a.workers {
+		if w.Draining || now.Before(w.avoidUntil) {
+			continue
+		}
+		left := time.Duration(0)
+		if w.calls >= max(a.spec.Slots, 1) {
+			left = max(w.freeAt.Sub(now), 0)
+		}
+		free = append(free, left)
+	}
+	if len(free) == 0 {
+		return NoWorkerDelay
+	}
+	slices.Sort(free)
+	ahead := 0
+	for i := range a.queue {
+		if !a.before(now, item, &a.queue[i]) {
+			ahead++
+		}
+	}
+	size := max(a.spec.Batch, 1)
+	call := (ahead + n - 1) / size
+	start := free[call%len(free)] + time.Duration(call/len(free))*a.spec.Estimate(size)
+	return start + a.spec.Estimate(min(ahead%size+n, size))
+}
+
 // dropLate ends the items that are of no use any more.
 func (a *Assembler) dropLate(now time.Time) []End {
 	var ended []End
@@ -203,13 +259,17 @@
 	switch {
 	case r.Lost:
 		w.failed(now)
-	case r.Refused:
+	case r.Refused || hasNoRoom(r.Results):
 		w.avoidUntil = now.Add(fullAvoid)
 	default:
 		w.failures = 0
 	}
 }
 
+func hasNoRoom(results []Result) bool {
+	return slices.ContainsFunc(results, func(r Result) bool { return r.Reason == NoRoom })
+}
+
 func (a *Assembler) again(now time.Time, item Item, r Result) bool {
 	if r.Handle != "" || r.Reason == Late || r.Reason == InputGone {
 		return false
--- a/batch/item.go
+++ b/batch/item.go
@@ -19,6 +19,8 @@
 	// Due is when the result is wanted, Deadline when it is of no use any more.
 	Due      time.Time
 	Deadline time.Time
+	// Priority ranks the request, 0 first.
+	Priority int
 	// tries counts the calls that held the item.
 	tries int
 }
@@ -48,7 +50,10 @@
 	Handle string
 	// Runner is the address of the maker.
 	Runner string
-	Reason Reason
+	// Assembler is the address of the VM that accounts the maker's memory;
+	// empty within that VM.
+	Assembler string
+	Reason    Reason
 }
 
 // Call is what to send to a runner.
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -14,6 +14,8 @@
 type worker struct {
 	Worker
 	calls int
+	// freeAt is when the newest call is expected to end.
+	freeAt time.Time
 	// room is the memory that results and calls under way take.
 	room    int64
 	results map[string]result
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	runners  *runners
 	budgets  *budgets
 	pieces   *pieceServer
+	patience *patienceBook
 	count    *counters
 	stopping atomic.Bool
 }
@@ -46,6 +47,8 @@
 		runners: newRunners(o.Places, o.DrainTime/2),
 		budgets: newBudgets(o.Budget),
 		count:   newCounters(),
+
+		patience: newPatienceBook(),
 	}
 	g.pieces = newPieceServer(g)
 	g.state.Store(&directory.State{})
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,8 @@
 	stages    *metrics.Histogram
 	callFill  *metrics.Histogram
 	resumed   *metrics.Counter
+	// forwarded counts stage orders that went on to another zone.
+	forwarded *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -27,6 +29,7 @@
 		stages:    set.NewHistogram("damask_gateway_stages_seconds"),
 		callFill:  set.NewHistogram("damask_gateway_stage_call_pieces"),
 		resumed:   set.NewCounter("damask_gateway_streams_resumed_total"),
+		forwarded: set.NewCounter("damask_gateway_stage_orders_forwarded_total"),
 	}
 }
 
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -28,17 +28,27 @@
 	// they are of no use, in ms.
 	DueMS  int64 `cbor:"8,keyasint"`
 	LeftMS int64 `cbor:"9,keyasint"`
+	// Priority ranks the request, 0 first.
+	Priority int `cbor:"10,keyasint,omitempty"`
+	// Forwarded says that another zone's assembler has passed the call on.
+	Forwarded bool `cbor:"11,keyasint,omitempty"`
+	// MayRefuse says that a call that would be late may be refused at once.
+	MayRefuse bool `cbor:"12,keyasint,omitempty"`
 }
 
 // piecesReply has the results in the order of the items.
 type piecesReply struct {
 	Results []pieceResult `cbor:"1,keyasint"`
+	// DelayMS is the time that pieces take at this VM now, in ms.
+	DelayMS int64 `cbor:"2,keyasint"`
 }
 
 type pieceResult struct {
 	Handle string       `cbor:"1,keyasint,omitempty"`
 	Runner string       `cbor:"2,keyasint,omitempty"`
 	Reason batch.Reason `cbor:"3,keyasint,omitempty"`
+	// Assembler is set if another VM than the answering one had it made.
+	Assembler string `cbor:"4,keyasint,omitempty"`
 }
 
 // freeCall says that results are of no more use.
@@ -46,6 +56,8 @@
 	Service string   `cbor:"1,keyasint"`
 	Runner  string   `cbor:"2,keyasint"`
 	Handles []string `cbor:"3,keyasint"`
+
+	assembler string
 }
 
 const (
@@ -72,6 +84,8 @@
 
 	mu      sync.Mutex
 	avoided map[string]time.Time
+	// peers are the assemblers of other zones, by service and address.
+	peers map[peerKey]*peerDelay
 }
 
 // pieceWaiter waits for the results of one piecesCall.
@@ -81,14 +95,18 @@
 	left    int
 	// cancelled waiters have their results freed.
 	cancelled bool
-	done      chan struct{}
+	// forwardTo is the assembler to ask instead, empty for this one.
+	forwardTo string
+	// delay is what a refused call would have taken.
+	delay time.Duration
+	done  chan struct{}
 }
 
 func newPieceServer(g *Gateway) *pieceServer {
 	return &pieceServer{
 		g: g, tasks: make(chan func(time.Time), 64), ended: make(chan struct{}),
 		assemblers: map[string]*batch.Assembler{}, zones: map[string]string{},
-		waiters: map[uint64]*pieceWaiter{}, avoided: map[string]time.Time{},
+		waiters: map[uint64]*pieceWaiter{}, avoided: map[string]time.Time{}, peers: map[peerKey]*peerDelay{},
 	}
 }
 
@@ -163,8 +181,7 @@
 		w.results[e.Item.Ref-w.first] = e.Result
 		w.left--
 		if w.cancelled && e.Result.Handle != "" {
-			p.assemblers[service].Free(e.Result.Runner, []string{e.Result.Handle})
-			p.freeAt(e.Result.Runner, []string{e.Result.Handle})
+			p.freeHere(&freeCall{Service: service, Runner: e.Result.Runner, Handles: []string{e.Result.Handle}})
 		}
 		if w.left == 0 {
 			close(w.done)
@@ -228,6 +245,9 @@
 	}
 	select {
 	case <-w.done:
+		if w.forwardTo != "" {
+			return p.forward(ctx, w.forwardTo, c)
+		}
 		return w.results, nil
 	case <-ctx.Done():
 		p.post(func(now time.Time) { p.cancel(c.Service, w) })
@@ -246,19 +266,43 @@
 		close(w.done)
 		return
 	}
+	item := batch.Item{
+		Request: c.Request, Stage: c.Stage, Key: c.Key, Inputs: c.Inputs, ResultBytes: c.ResultBytes, Priority: c.Priority,
+		Due:      began.Add(time.Duration(c.DueMS) * time.Millisecond),
+		Deadline: began.Add(time.Duration(c.LeftMS) * time.Millisecond),
+	}
+	delay := a.Delay(now, &item, len(c.Items))
+	if !c.Forwarded {
+		if peer := p.quicker(now, c, delay); peer != "" {
+			w.forwardTo = peer
+			close(w.done)
+			return
+		}
+	}
+	if tooLate(now, &item, delay, c.MayRefuse) {
+		for i := range w.results {
+			w.results[i] = batch.Result{Reason: batch.Late}
+		}
+		close(w.done)
+		return
+	}
 	w.first = p.nextRef
 	for _, piece := range c.Items {
 		p.waiters[p.nextRef] = w
-		a.Add(batch.Item{
-			Ref: p.nextRef, Request: c.Request, Stage: c.Stage, Piece: piece,
-			Key: c.Key, Inputs: c.Inputs, ResultBytes: c.ResultBytes,
-			Due:      began.Add(time.Duration(c.DueMS) * time.Millisecond),
-			Deadline: began.Add(time.Duration(c.LeftMS) * time.Millisecond),
-		})
+		item.Ref, item.Piece = p.nextRef, piece
+		a.Add(item)
 		p.nextRef++
 	}
 }
 
+// tooLate says whether pieces that take delay are refused at once: they are of
+// no use, or they would be late and the caller may come back when there is
+// room.
+func tooLate(now time.Time, item *batch.Item, delay time.Duration, mayRefuse bool) bool {
+	end := now.Add(delay)
+	return end.After(item.Deadline) || mayRefuse && end.After(item.Due)
+}
+
 // cancel drops what waits for a request that has ended; results under way are
 // freed when they come.
 func (p *pieceServer) cancel(service string, w *pieceWaiter) {
@@ -281,7 +325,9 @@
 			done = append(done, r)
 		}
 	}
-	p.freeOwned(service, done)
+	for _, c := range freeCalls(service, done) {
+		p.freeHere(c)
+	}
 }
 
 // order has the pieces made by the VM that assembles for the service's zone.
@@ -292,7 +338,8 @@
 		return p.assemble(ctx, c)
 	}
 	results, err := p.orderAt(ctx, at, c)
-	if err == nil || ctx.Err() != nil {
+	var remote *transport.RemoteError
+	if err == nil || ctx.Err() != nil || errors.As(err, &remote) {
 		return results, err
 	}
 	p.g.log.Warn().Err(err).Str("id", c.Request).Str("vm", at).Str("service", c.Service).Msg("gateway: the assembling VM did not answer")
@@ -313,9 +360,14 @@
 	if err := wire.Decode(b, &reply); err != nil {
 		return nil, err
 	}
+	p.noteDelay(peerKey{c.Service, at}, time.Duration(reply.DelayMS)*time.Millisecond)
 	results := make([]batch.Result, 0, len(reply.Results))
 	for _, r := range reply.Results {
-		results = append(results, batch.Result{Handle: r.Handle, Runner: r.Runner, Reason: r.Reason})
+		result := batch.Result{Handle: r.Handle, Runner: r.Runner, Reason: r.Reason, Assembler: r.Assembler}
+		if result.Assembler == "" {
+			result.Assembler = at
+		}
+		results = append(results, result)
 	}
 	if len(results) != len(c.Items) {
 		return nil, errors.New("gateway: the assembling VM gave another number of results; check that all entry VMs run the same release")
@@ -348,18 +400,14 @@
 	p.avoided[vm] = time.Now().Add(assemblerAvoid)
 }
 
-// free says that results are of no more use, to the VM that accounts their
-// makers' memory and by it to the makers.
+// free says that results are of no more use, to the VMs that account their
+// makers' memory and by them to the makers.
 func (p *pieceServer) free(service string, results []batch.Result) {
-	if len(results) == 0 {
-		return
-	}
-	at := p.assemblerVM(service)
-	if at == p.g.opts.Self {
-		p.post(func(time.Time) { p.freeOwned(service, results) })
-		return
-	}
 	for _, c := range freeCalls(service, results) {
+		if c.assembler == "" || c.assembler == p.g.opts.Self {
+			p.freeHere(c)
+			continue
+		}
 		body, err := wire.Encode(c)
 		if err != nil {
 			continue
@@ -367,7 +415,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 			defer cancel()
-			if _, err := p.g.opts.Caller.Call(ctx, at, transport.MethodFreePieces, body); err != nil {
+			if _, err := p.g.opts.Caller.Call(ctx, c.assembler, transport.MethodFreePieces, body); err != nil {
 				p.freeAt(c.Runner, c.Handles)
 			}
 		}()
@@ -381,35 +429,36 @@
 		if r.Handle == "" {
 			continue
 		}
-		i := slices.IndexFunc(calls, func(c *freeCall) bool { return c.Runner == r.Runner })
+		i := slices.IndexFunc(calls, func(c *freeCall) bool { return c.Runner == r.Runner && c.assembler == r.Assembler })
 		if i < 0 {
 			i = len(calls)
-			calls = append(calls, &freeCall{Service: service, Runner: r.Runner})
+			calls = append(calls, &freeCall{Service: service, Runner: r.Runner, assembler: r.Assembler})
 		}
 		calls[i].Handles = append(calls[i].Handles, r.Handle)
 	}
 	return calls
 }
 
-// freeOwned runs on the owner's goroutine.
-func (p *pieceServer) freeOwned(service string, results []batch.Result) {
-	for _, c := range freeCalls(service, results) {
-		if a := p.assemblers[service]; a != nil {
-			a.Free(c.Runner, c.Handles)
-		}
+// freeHere frees results whose maker's memory is accounted here.
+func (p *pieceServer) freeHere(c *freeCall) {
+	go func() {
 		p.freeAt(c.Runner, c.Handles)
-	}
+		// The memory is free only once the maker knows.
+		p.post(func(time.Time) {
+			if a := p.assemblers[c.Service]; a != nil {
+				a.Free(c.Runner, c.Handles)
+			}
+		})
+	}()
 }
 
-// freeAt tells the maker of results, without waiting.
+// freeAt tells the maker of results and waits for its answer.
 func (p *pieceServer) freeAt(runner string, handles []string) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		defer cancel()
-		if err := p.g.opts.Upstreams.FreePieces(ctx, runner, handles); err != nil {
-			p.g.log.Info().Err(err).Str("addr", runner).Int("results", len(handles)).Msg("gateway: results not freed; the runner drops them by itself")
-		}
-	}()
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := p.g.opts.Upstreams.FreePieces(ctx, runner, handles); err != nil {
+		p.g.log.Info().Err(err).Str("addr", runner).Int("results", len(handles)).Msg("gateway: results not freed; the runner drops them by itself")
+	}
 }
 
 // serve answers the calls of other entry VMs.
@@ -419,25 +468,23 @@
 		if err := wire.Decode(body, &c); err != nil {
 			return nil, err
 		}
-		p.post(func(time.Time) {
-			if a := p.assemblers[c.Service]; a != nil {
-				a.Free(c.Runner, c.Handles)
-			}
-			p.freeAt(c.Runner, c.Handles)
-		})
+		p.freeHere(&c)
 		return nil, nil
 	}
 	var c piecesCall
 	if err := wire.Decode(body, &c); err != nil {
 		return nil, err
 	}
-	results, err := p.assemble(ctx, &c)
-	if err != nil {
-		return nil, err
+	var results []batch.Result
+	if len(c.Items) > 0 {
+		var err error
+		if results, err = p.assemble(ctx, &c); err != nil {
+			return nil, err
+		}
 	}
-	reply := &piecesReply{}
+	reply := &piecesReply{DelayMS: p.ownDelay(ctx, c.Service).Milliseconds()}
 	for _, r := range results {
-		reply.Results = append(reply.Results, pieceResult{Handle: r.Handle, Runner: r.Runner, Reason: r.Reason})
+		reply.Results = append(reply.Results, pieceResult{Handle: r.Handle, Runner: r.Runner, Reason: r.Reason, Assembler: r.Assembler})
 	}
 	return wire.Encode(reply)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,6 +33,9 @@
 	// deadline is when an answer is of no use any more, due when it is late.
 	deadline time.Time
 	due      time.Time
+	// waited is the time that the caller has probably spent on earlier
+	// attempts.
+	waited time.Duration
 
 	stages *stageRun
 	tried  []*placement.Entry
@@ -92,10 +95,33 @@
 		patience = min(patience, c.Patience)
 	}
 	r.deadline = c.Received.Add(min(patience, defaultPatience))
-	r.due = c.Received.Add(r.route.Objective)
+	r.waited = r.g.patience.waited(r.route.Name, c.Patience)
+	r.due = c.Received.Add(r.route.Objective - r.waited)
 	return nil
 }
 
+// isFirst says that this is probably the caller's first attempt.
+func (r *request) isFirst() bool { return r.waited == 0 }
+
+// Callers abandon a stream that gives no event for the longest of these times.
+const (
+	leastGap        = 2 * time.Second
+	gapPerObjective = 4
+	gapPerPause     = 8
+)
+
+// firstBy is when the caller of a stream without an event leaves.
+func (r *request) firstBy() time.Time {
+	if !r.route.Streaming {
+		return r.deadline
+	}
+	gap := max(leastGap, gapPerObjective*r.route.Objective, gapPerPause*r.route.MaxEventGap)
+	if by := r.call.Received.Add(gap); by.Before(r.deadline) {
+		return by
+	}
+	return r.deadline
+}
+
 func (r *request) run(ctx context.Context) *Refusal {
 	if refusal := r.runStages(ctx); refusal != nil {
 		return refusal
@@ -239,6 +265,17 @@
 	return shortRetryLeast + rand.N(shortRetrySpread)
 }
 
+const (
+	lateRetryLeast  = 700 * time.Millisecond
+	lateRetrySpread = 800 * time.Millisecond
+)
+
+// lateRetry spreads the callers of an overloaded stage over the time in which
+// it has caught up with a short peak.
+func lateRetry() time.Duration {
+	return lateRetryLeast + rand.N(lateRetrySpread)
+}
+
 func (r *request) log(refusal *Refusal) {
 	now := time.Now()
 	event := r.g.log.Info()
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -92,10 +92,14 @@
 // startStages starts the stages whose turn it is and gives their number.
 func (r *request) startStages(ctx context.Context, started []bool, ends chan<- stageEnd, under *sync.WaitGroup) int {
 	n := 0
+	now := time.Now()
 	for i, stage := range r.route.Stages {
 		if started[i] || slices.ContainsFunc(stage.After, func(a int) bool { return !r.stages.done[a] }) {
 			continue
 		}
+		if r.isEarly(i) {
+			continue
+		}
 		started[i] = true
 		n++
 		call := r.stageCall(i)
@@ -105,20 +109,49 @@
 		}
 		under.Go(func() {
 			results, err := r.g.pieces.order(ctx, call)
-			ends <- stageEnd{stage: i, results: results, err: err}
+			end := stageEnd{stage: i, results: results, err: err}
+			r.logStage(call, &end, now)
+			ends <- end
 		})
 	}
 	return n
 }
 
+// earlyShare is the part of the longest other chain of stages from which a
+// stage is started beside it.
+const earlyShare = 0.8
+
+// isEarly says that a stage would be done long before the others: its results
+// would only take up their maker's memory meanwhile, and might be dropped.
+func (r *request) isEarly(i int) bool {
+	var others time.Duration
+	for j := range r.route.Stages {
+		if j != i && !r.stages.done[j] {
+			others = max(others, r.ownTime(j)+r.restTime(j))
+		}
+	}
+	return float64(r.ownTime(i)+r.restTime(i)) < earlyShare*float64(others)
+}
+
+// ownTime is the least time of a stage.
+func (r *request) ownTime(i int) time.Duration {
+	s := r.table.Service(r.route.Stages[i].Service)
+	if s == nil || s.Pieces == nil || i >= len(r.call.Pieces) || r.call.Pieces[i] == 0 {
+		return 0
+	}
+	return s.Pieces.Estimate(r.call.Pieces[i])
+}
+
 // stageCall gives the pieces of a stage.
 func (r *request) stageCall(i int) *piecesCall {
 	stage := &r.route.Stages[i]
 	now := time.Now()
 	call := &piecesCall{
 		Service: stage.Service, Request: r.call.ID, Stage: i, ResultBytes: stage.ResultBytes,
-		DueMS:  r.due.Add(-r.restTime(i)).Sub(now).Milliseconds(),
-		LeftMS: r.deadline.Sub(now).Milliseconds(),
+		DueMS:     r.due.Add(-r.restTime(i)).Sub(now).Milliseconds(),
+		LeftMS:    (r.firstBy().Sub(now) - r.restTime(i)).Milliseconds(),
+		Priority:  r.priority(),
+		MayRefuse: len(stage.After) == 0 && r.isFirst(),
 	}
 	if len(stage.After) == 0 {
 		call.Key = r.call.PieceKey
@@ -142,11 +175,7 @@
 		if !slices.Contains(r.route.Stages[j].After, i) {
 			continue
 		}
-		rest := r.restTime(j)
-		if s := r.table.Service(r.route.Stages[j].Service); s != nil && s.Pieces != nil && j < len(r.call.Pieces) {
-			rest += s.Pieces.Estimate(r.call.Pieces[j])
-		}
-		longest = max(longest, rest)
+		longest = max(longest, r.restTime(j)+r.ownTime(j))
 	}
 	return longest
 }
@@ -171,11 +200,10 @@
 	if end.err != nil {
 		detail = end.err.Error()
 	}
-	kind := StagesFailed
 	if reason == batch.Late {
-		kind = StagesLate
+		return &Refusal{Reason: StagesLate, RetryAfter: lateRetry(), Detail: detail}
 	}
-	return &Refusal{Reason: kind, RetryAfter: shortRetry(), Detail: detail}
+	return &Refusal{Reason: StagesFailed, RetryAfter: shortRetry(), Detail: detail}
 }
 
 // freeFollowed frees the results that only ended stages needed.
@@ -222,3 +250,9 @@
 	r.stages.freed[i] = true
 	r.g.pieces.free(r.route.Stages[i].Service, r.stages.results[i])
 }
+
+func (r *request) logStage(call *piecesCall, end *stageEnd, began time.Time) {
+	r.g.log.Info().Str("id", r.call.ID).Int("stage", end.stage).Str("service", call.Service).Int("pieces", len(call.Items)).
+		Int64("due_ms", call.DueMS).Int64("left_ms", call.LeftMS).Bool("may_refuse", call.MayRefuse).
+		Str("reason", string(failure(*end))).Err(end.err).Int64("ms", time.Since(began).Milliseconds()).Msg("gateway: stage ended")
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -49,7 +49,7 @@
 	regionCost = 9000
 	// affinityGain prefers the runner to which all VMs send the requests that
 	// share a prompt, before one that merely is as free.
-	affinityGain = 3000
+	affinityGain = 1500
 	// loadFresh is how long a told load counts.
 	loadFresh = 2 * time.Second
 )
@@ -59,8 +59,14 @@
 // requests count beside it. Runners to avoid are used only if no other is left.
 func PickEngine(now time.Time, list []*Entry, p *Prompt, places *Places) *Entry {
 	home := preferred(list, p.Affinity(), places)
+	shared := p.shared()
 	return least(now, list, func(e *Entry) float64 {
-		cost := float64(e.Prefilling + max(p.Tokens-e.Cached(now, p), 0))
+		cached := e.Cached(now, p)
+		if e == home {
+			// Other VMs send these requests there too.
+			cached = max(cached, shared)
+		}
+		cost := float64(e.Prefilling + max(p.Tokens-cached, 0))
 		running, waiting := e.Active, 0
 		if now.Sub(e.Load.At) < loadFresh {
 			running, waiting = max(running, e.Load.Running), e.Load.Waiting
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -51,6 +51,15 @@
 	return list[len(list)-2].hash
 }
 
+// shared gives the leading tokens that other requests share.
+func (p *Prompt) shared() int {
+	list := p.chains()
+	if len(list) < 2 {
+		return 0
+	}
+	return list[len(list)-2].tokens
+}
+
 // keptFor is how long a part is taken to stay in a runner's memory after its
 // last use.
 const keptFor = 30 * time.Second
