Requests that would be late are refused at once, from the delays of all their stages

Ruled out: engines (no preemption, few waiting). Assemblers tell their delay with each answer; a request whose stages and engine cannot make its objective is refused before it begins, with a Retry-After of the excess. Started work goes first. Runners' memory for results is learnt.

--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -42,7 +42,7 @@
 			old.Worker = w
 			continue
 		}
-		a.workers[w.Addr] = &worker{Worker: w, results: map[string]result{}}
+		a.workers[w.Addr] = &worker{Worker: w, results: map[string]result{}, roomShare: fullRoomShare}
 	}
 	for addr := range a.workers {
 		if !seen[addr] {
@@ -203,7 +203,7 @@
 func (a *Assembler) take(w *worker) []Item {
 	var items []Item
 	kept := a.queue[:0]
-	free := a.spec.RoomBytes - w.room
+	free := int64(w.roomShare*float64(a.spec.RoomBytes)) - w.room
 	for _, i := range a.queue {
 		// A result larger than all of the memory is tried at an empty runner.
 		fits := a.spec.RoomBytes == 0 || i.ResultBytes <= free || w.room == 0
@@ -259,10 +259,14 @@
 	switch {
 	case r.Lost:
 		w.failed(now)
-	case r.Refused || hasNoRoom(r.Results):
+	case r.Refused:
 		w.avoidUntil = now.Add(fullAvoid)
+	case hasNoRoom(r.Results):
+		w.avoidUntil = now.Add(fullAvoid)
+		w.hadNoRoom()
 	default:
 		w.failures = 0
+		w.hadRoom()
 	}
 }
 
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -24,6 +24,9 @@
 	avoidUntil time.Time
 	failures   int
 	lastUsed   time.Time
+	// roomShare is the part of the memory that results are put into. Their
+	// sizes are approximate, so it shrinks when the runner had no room.
+	roomShare float64
 }
 
 // result is a kept result of a worker.
@@ -41,6 +44,19 @@
 	fullAvoid = 100 * time.Millisecond
 )
 
+const (
+	fullRoomShare  = 0.95
+	leastRoomShare = 0.5
+	// Each refusal for want of room takes a tenth; each good call gives a
+	// hundredth back.
+	roomShrink = 0.9
+	roomGrow   = 1.01
+)
+
+func (w *worker) hadRoom() { w.roomShare = min(w.roomShare*roomGrow, fullRoomShare) }
+
+func (w *worker) hadNoRoom() { w.roomShare = max(w.roomShare*roomShrink, leastRoomShare) }
+
 func (w *worker) usable(now time.Time, slots int) bool {
 	return !w.Draining && w.calls < slots && !now.Before(w.avoidUntil)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	budgets  *budgets
 	pieces   *pieceServer
 	patience *patienceBook
+	engines  *engineTimes
 	count    *counters
 	stopping atomic.Bool
 }
@@ -49,6 +50,7 @@
 		count:   newCounters(),
 
 		patience: newPatienceBook(),
+		engines:  newEngineTimes(),
 	}
 	g.pieces = newPieceServer(g)
 	g.state.Store(&directory.State{})
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -32,8 +32,6 @@
 	Priority int `cbor:"10,keyasint,omitempty"`
 	// Forwarded says that another zone's assembler has passed the call on.
 	Forwarded bool `cbor:"11,keyasint,omitempty"`
-	// MayRefuse says that a call that would be late may be refused at once.
-	MayRefuse bool `cbor:"12,keyasint,omitempty"`
 }
 
 // piecesReply has the results in the order of the items.
@@ -279,7 +277,8 @@
 			return
 		}
 	}
-	if tooLate(now, &item, delay, c.MayRefuse) {
+	if now.Add(delay).After(item.Deadline) {
+		// No use to anyone, so it is said at once.
 		for i := range w.results {
 			w.results[i] = batch.Result{Reason: batch.Late}
 		}
@@ -295,14 +294,6 @@
 	}
 }
 
-// tooLate says whether pieces that take delay are refused at once: they are of
-// no use, or they would be late and the caller may come back when there is
-// room.
-func tooLate(now time.Time, item *batch.Item, delay time.Duration, mayRefuse bool) bool {
-	end := now.Add(delay)
-	return end.After(item.Deadline) || mayRefuse && end.After(item.Due)
-}
-
 // cancel drops what waits for a request that has ended; results under way are
 // freed when they come.
 func (p *pieceServer) cancel(service string, w *pieceWaiter) {
@@ -335,7 +326,9 @@
 func (p *pieceServer) order(ctx context.Context, c *piecesCall) ([]batch.Result, error) {
 	at := p.assemblerVM(c.Service)
 	if at == p.g.opts.Self {
-		return p.assemble(ctx, c)
+		results, err := p.assemble(ctx, c)
+		p.noteDelay(peerKey{c.Service, at}, p.ownDelay(ctx, c.Service))
+		return results, err
 	}
 	results, err := p.orderAt(ctx, at, c)
 	var remote *transport.RemoteError
@@ -360,7 +353,8 @@
 	if err := wire.Decode(b, &reply); err != nil {
 		return nil, err
 	}
-	p.noteDelay(peerKey{c.Service, at}, time.Duration(reply.DelayMS)*time.Millisecond)
+	told := time.Duration(reply.DelayMS) * time.Millisecond
+	p.noteDelay(peerKey{c.Service, at}, told)
 	results := make([]batch.Result, 0, len(reply.Results))
 	for _, r := range reply.Results {
 		result := batch.Result{Handle: r.Handle, Runner: r.Runner, Reason: r.Reason, Assembler: r.Assembler}
--- a/gateway/spread.go
+++ b/gateway/spread.go
@@ -116,6 +116,19 @@
 	d.delay, d.at = delay, time.Now()
 }
 
+// knownDelay gives the time that pieces of a service take now in this zone, 0
+// if nothing was told lately.
+func (p *pieceServer) knownDelay(now time.Time, service string) time.Duration {
+	at := p.assemblerVM(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.peers[peerKey{service, at}]
+	if d == nil || now.Sub(d.at) > delayFresh {
+		return 0
+	}
+	return d.delay
+}
+
 // addDelay counts what was passed on until the assembler tells again.
 func (p *pieceServer) addDelay(key peerKey, more time.Duration) {
 	p.mu.Lock()
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -50,6 +50,9 @@
 	if len(r.route.Stages) == 0 {
 		return nil
 	}
+	if refusal := r.refuseLate(time.Now()); refusal != nil {
+		return refusal
+	}
 	r.stages = newStageRun(r.route)
 	ctx, cancel := context.WithCancel(ctx)
 	var under sync.WaitGroup
@@ -148,15 +151,15 @@
 	now := time.Now()
 	call := &piecesCall{
 		Service: stage.Service, Request: r.call.ID, Stage: i, ResultBytes: stage.ResultBytes,
-		DueMS:     r.due.Add(-r.restTime(i)).Sub(now).Milliseconds(),
-		LeftMS:    (r.firstBy().Sub(now) - r.restTime(i)).Milliseconds(),
-		Priority:  r.priority(),
-		MayRefuse: len(stage.After) == 0 && r.isFirst(),
+		DueMS:    r.due.Add(-r.restTime(i)).Sub(now).Milliseconds(),
+		LeftMS:   (r.firstBy().Sub(now) - r.restTime(i)).Milliseconds(),
+		Priority: r.priority(),
 	}
 	if len(stage.After) == 0 {
 		call.Key = r.call.PieceKey
 	} else {
 		call.Inputs = r.stages.handles(stage.After)
+		call.LeftMS = min(call.LeftMS, r.keptFor(stage.After).Milliseconds())
 	}
 	pieces := 0
 	if i < len(r.call.Pieces) {
@@ -168,6 +171,21 @@
 	return call
 }
 
+// keepMargin is kept of the time for which results are kept, for the call that
+// made them and the way to the next stage.
+const keepMargin = 400 * time.Millisecond
+
+// keptFor is how long the results of stages can be used from now on.
+func (r *request) keptFor(stages []int) time.Duration {
+	kept := time.Hour
+	for _, i := range stages {
+		if s := r.table.Service(r.route.Stages[i].Service); s != nil && s.Pieces != nil {
+			kept = min(kept, s.Pieces.Retention-keepMargin)
+		}
+	}
+	return kept
+}
+
 // restTime is the least time of the stages that follow stage i.
 func (r *request) restTime(i int) time.Duration {
 	var longest time.Duration
@@ -253,6 +271,6 @@
 
 func (r *request) logStage(call *piecesCall, end *stageEnd, began time.Time) {
 	r.g.log.Info().Str("id", r.call.ID).Int("stage", end.stage).Str("service", call.Service).Int("pieces", len(call.Items)).
-		Int64("due_ms", call.DueMS).Int64("left_ms", call.LeftMS).Bool("may_refuse", call.MayRefuse).
+		Int64("due_ms", call.DueMS).Int64("left_ms", call.LeftMS).
 		Str("reason", string(failure(*end))).Err(end.err).Int64("ms", time.Since(began).Milliseconds()).Msg("gateway: stage ended")
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -185,6 +185,9 @@
 func (r *request) writeEvents(answer *Answer, s *streaming, events []byte) error {
 	if s.writer == nil {
 		r.firstAt = time.Now()
+		if !r.stagedAt.IsZero() {
+			r.g.engines.note(r.route.Name, r.firstAt.Sub(r.stagedAt))
+		}
 		r.status = answer.Status
 		r.g.count.answered(answer.Status)
 		r.g.count.began(r.call.Received)
