Late work waits behind work in time; admission keeps a margin; results of lost calls are accounted

Cause: begun work that was late had the earliest due time and went before all that could still be in time; requests were let in up to the exact objective, so under load all came just too late. Results of calls that timed out stayed at their runner without being accounted (no_room).

--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
@@ -52,7 +53,12 @@
 }
 
 // Add queues items.
-func (a *Assembler) Add(items ...Item) { a.queue = append(a.queue, items...) }
+func (a *Assembler) Add(now time.Time, items ...Item) {
+	for _, i := range items {
+		a.setRank(now, &i)
+		a.queue = append(a.queue, i)
+	}
+}
 
 // Cancel drops the waiting items with these refs and gives the refs that it
 // found.
@@ -97,7 +103,7 @@
 	if len(a.queue) == 0 {
 		return nil, ended
 	}
-	sort.SliceStable(a.queue, func(i, j int) bool { return a.before(now, &a.queue[i], &a.queue[j]) })
+	sort.SliceStable(a.queue, func(i, j int) bool { return a.before(&a.queue[i], &a.queue[j]) })
 	for len(a.queue) > 0 {
 		w := a.pick(now)
 		if w == nil {
@@ -115,27 +121,33 @@
 	return calls, ended
 }
 
-// priorityStep is the time by which a rank moves an item in the queue. Over
-// it, urgent requests overtake others within their time; a strict order would
-// starve the last rank.
-const priorityStep = 600 * time.Millisecond
+const (
+	// priorityStep is the time by which a rank moves an item in the queue. Over
+	// it, urgent requests overtake others within their time; a strict order
+	// would starve the last rank.
+	priorityStep = 600 * time.Millisecond
+	// An item that can't be in time waits at most this long behind those that
+	// can, so that one late item doesn't make the next one late. Work that was
+	// begun waits less: its inputs take up memory and are dropped after a while.
+	lateStartWait = 2500 * time.Millisecond
+	lateNextWait  = 900 * time.Millisecond
+)
 
-// before orders the queue by the time that items are due and their rank. Items
-// that begin a request and can't be in time wait for a gap, so that one late
-// item doesn't make the next one late. Work that was begun goes on: its inputs
-// take up memory and are dropped after a while.
-func (a *Assembler) before(now time.Time, x, y *Item) bool {
-	soonest := now.Add(a.spec.Estimate(1))
-	xLate := len(x.Inputs) == 0 && soonest.After(x.Due)
-	yLate := len(y.Inputs) == 0 && soonest.After(y.Due)
-	if xLate != yLate {
-		return yLate
-	}
-	return x.rank().Before(y.rank())
-}
+// before orders the queue.
+func (a *Assembler) before(x, y *Item) bool { return x.rank.Before(y.rank) }
 
-func (i *Item) rank() time.Time {
-	return i.Due.Add(time.Duration(i.Priority) * priorityStep)
+// setRank ranks an item when it is queued, by the time that it is due and its
+// request's priority.
+func (a *Assembler) setRank(now time.Time, i *Item) {
+	i.rank = i.Due
+	if now.Add(a.spec.Estimate(1)).After(i.Due) {
+		wait := lateStartWait
+		if len(i.Inputs) > 0 {
+			wait = lateNextWait
+		}
+		i.rank = now.Add(wait)
+	}
+	i.rank = i.rank.Add(time.Duration(i.Priority) * priorityStep)
 }
 
 // NoWorkerDelay is the delay that is told while no runner is usable.
@@ -158,9 +170,11 @@
 		return NoWorkerDelay
 	}
 	slices.Sort(free)
+	ranked := *item
+	a.setRank(now, &ranked)
 	ahead := 0
 	for i := range a.queue {
-		if !a.before(now, item, &a.queue[i]) {
+		if !a.before(&ranked, &a.queue[i]) {
 			ahead++
 		}
 	}
@@ -220,6 +234,14 @@
 	return items
 }
 
+// Room gives the memory that a runner's results are taken to use, in bytes.
+func (a *Assembler) Room(runner string) int64 {
+	if w := a.workers[runner]; w != nil {
+		return w.room
+	}
+	return 0
+}
+
 // Done takes the end of a call. Items without a result are queued again while
 // that may help; the others have ended.
 func (a *Assembler) Done(now time.Time, c Call, r CallResult) []End {
@@ -250,6 +272,12 @@
 func (a *Assembler) settle(now time.Time, w *worker, c Call, r CallResult) {
 	w.calls--
 	for n, item := range c.Items {
+		if r.Lost {
+			// The runner may finish the call and keep results that nobody can
+			// name. The item's ref names them here.
+			w.results[lostResult(item.Ref)] = result{bytes: item.ResultBytes, expires: now.Add(c.Took + a.spec.Retention)}
+			continue
+		}
 		w.room -= item.ResultBytes
 		if n < len(r.Results) && r.Results[n].Handle != "" {
 			w.room += item.ResultBytes
@@ -270,6 +298,8 @@
 	}
 }
 
+func lostResult(ref uint64) string { return "lost " + strconv.FormatUint(ref, 10) }
+
 func hasNoRoom(results []Result) bool {
 	return slices.ContainsFunc(results, func(r Result) bool { return r.Reason == NoRoom })
 }
--- a/batch/item.go
+++ b/batch/item.go
@@ -21,6 +21,8 @@
 	Deadline time.Time
 	// Priority ranks the request, 0 first.
 	Priority int
+	// rank is the item's place in the queue.
+	rank time.Time
 	// tries counts the calls that held the item.
 	tries int
 }
--- a/directory/client.go
+++ b/directory/client.go
@@ -19,7 +19,7 @@
 	watchWait    = time.Second
 	watchTimeout = 1800 * time.Millisecond
 	// retryPause separates two rounds over control VMs that do not answer.
-	retryPause = 200 * time.Millisecond
+	retryPause = 100 * time.Millisecond
 	// maxAge is how old a control VM's knowledge may be before another one is
 	// asked. Its report to the leader is due several times within it.
 	maxAge = 2 * time.Second
@@ -210,7 +210,10 @@
 	if len(reply.Controls) > 0 {
 		c.controls = reply.Controls
 	}
-	if d := reply.Document; d != nil && d.Version > c.version() {
+	// After a start, an old document would bring back what was replaced
+	// meanwhile; only a control VM in touch with a leader rules that out.
+	known := old.Table != nil || inTouch(reply)
+	if d := reply.Document; d != nil && known && d.Version > c.version() {
 		decoded, err := c.opts.Decode(d.Body)
 		if err != nil {
 			c.opts.Logger.Error().Err(err).Uint64("version", d.Version).Msg("directory: document not readable; the release of this VM may be too old")
--- a/gateway/foresee.go
+++ b/gateway/foresee.go
@@ -56,6 +56,10 @@
 	return last + r.g.engines.of(r.route.Name)
 }
 
+// foreseeMargin is kept for queues that grow after the request was let in:
+// without it, all that are let in under load come just too late.
+const foreseeMargin = 1.25
+
 // refuseLate refuses a request whose first event would come too late. A caller
 // that has not been refused before is asked to come back once the queues have
 // become shorter; one that has is served late rather than refused again.
@@ -65,7 +69,7 @@
 	if r.isFirst() {
 		limit = r.due
 	}
-	excess := now.Add(foreseen).Sub(limit)
+	excess := now.Add(time.Duration(foreseeMargin * float64(foreseen))).Sub(limit)
 	if excess <= 0 {
 		return nil
 	}
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -161,13 +161,30 @@
 				Bool("lost", result.Lost).Bool("refused", result.Refused).Int64("ms", time.Since(began).Milliseconds()).Msg("gateway: stage call failed")
 		}
 		p.post(func(now time.Time) {
-			if a := p.assemblers[service]; a != nil {
-				p.deliver(service, a.Done(now, call, result))
+			a := p.assemblers[service]
+			if a == nil {
+				return
 			}
+			p.logNoRoom(service, &call, &result, a.Room(call.Runner))
+			p.deliver(service, a.Done(now, call, result))
 		})
 	}()
 }
 
+// logNoRoom says that a runner had less memory than was accounted.
+func (p *pieceServer) logNoRoom(service string, call *batch.Call, result *batch.CallResult, accounted int64) {
+	refused := 0
+	for _, r := range result.Results {
+		if r.Reason == batch.NoRoom {
+			refused++
+		}
+	}
+	if refused > 0 {
+		p.g.log.Info().Str("service", service).Str("runner", call.RunnerID).Int("pieces", len(call.Items)).Int("refused", refused).
+			Int64("accounted_bytes", accounted).Int64("result_bytes", call.Items[0].ResultBytes).Msg("gateway: stage runner had no room")
+	}
+}
+
 // deliver gives ended items to their waiters.
 func (p *pieceServer) deliver(service string, ended []batch.End) {
 	for _, e := range ended {
@@ -289,7 +306,7 @@
 	for _, piece := range c.Items {
 		p.waiters[p.nextRef] = w
 		item.Ref, item.Piece = p.nextRef, piece
-		a.Add(item)
+		a.Add(now, item)
 		p.nextRef++
 	}
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -49,7 +49,7 @@
 	regionCost = 9000
 	// affinityGain prefers the runner to which all VMs send the requests that
 	// share a prompt, before one that merely is as free.
-	affinityGain = 1500
+	affinityGain = 6000
 	// loadFresh is how long a told load counts.
 	loadFresh = 2 * time.Second
 )
