--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -122,10 +122,6 @@
 }
 
 const (
-	// priorityStep is the time by which a rank moves an item in the queue. Over
-	// it, urgent requests overtake others within their time; a strict order
-	// would starve the last rank.
-	priorityStep = 600 * time.Millisecond
 	// An item that can't be in time waits at most this long behind those that
 	// can, so that one late item doesn't make the next one late. Work that was
 	// begun waits less: its inputs take up memory and are dropped after a while.
@@ -136,8 +132,8 @@
 // before orders the queue.
 func (a *Assembler) before(x, y *Item) bool { return x.rank.Before(y.rank) }
 
-// setRank ranks an item when it is queued, by the time that it is due and its
-// request's priority.
+// setRank ranks an item when it is queued, by the time that it is due and how
+// long it gives way.
 func (a *Assembler) setRank(now time.Time, i *Item) {
 	i.rank = i.Due
 	if now.Add(a.spec.Estimate(1)).After(i.Due) {
@@ -147,7 +143,7 @@
 		}
 		i.rank = now.Add(wait)
 	}
-	i.rank = i.rank.Add(time.Duration(i.Priority) * priorityStep)
+	i.rank = i.rank.Add(i.Yield)
 }
 
 // NoWorkerDelay is the delay that is told while no runner is usable.
--- a/batch/item.go
+++ b/batch/item.go
@@ -19,8 +19,8 @@
 	// Due is when the result is wanted, Deadline when it is of no use any more.
 	Due      time.Time
 	Deadline time.Time
-	// Priority ranks the request, 0 first.
-	Priority int
+	// Yield is how long the item gives way to others that are due.
+	Yield time.Duration
 	// rank is the item's place in the queue.
 	rank time.Time
 	// tries counts the calls that held the item.
--- a/gateway/foresee.go
+++ b/gateway/foresee.go
@@ -56,9 +56,18 @@
 	return last + r.g.engines.of(r.route.Name)
 }
 
-// foreseeMargin is kept for queues that grow after the request was let in:
-// without it, all that are let in under load come just too late.
-const foreseeMargin = 1.25
+const (
+	// leastMargin is kept for queues that grow after the request was let in:
+	// without it, all that are let in under load come just too late.
+	leastMargin = 1.15
+	// rankMargin is kept for each rank, so that less urgent requests are
+	// refused first.
+	rankMargin = 0.08
+)
+
+func (r *request) margin() float64 {
+	return leastMargin + rankMargin*float64(r.route.Priority)
+}
 
 // refuseLate refuses a request whose first event would come too late. A caller
 // that has not been refused before is asked to come back once the queues have
@@ -69,7 +78,7 @@
 	if r.isFirst() {
 		limit = r.due
 	}
-	excess := now.Add(time.Duration(foreseeMargin * float64(foreseen))).Sub(limit)
+	excess := now.Add(time.Duration(r.margin() * float64(foreseen))).Sub(limit)
 	if excess <= 0 {
 		return nil
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,9 @@
 	engines  *engineTimes
 	count    *counters
 	stopping atomic.Bool
+	// known is closed once this VM knows the routes and the runners.
+	known     chan struct{}
+	knownOnce sync.Once
 }
 
 // New makes a gateway; Run starts what it does by itself.
@@ -48,6 +52,7 @@
 		runners: newRunners(o.Places, o.DrainTime/2),
 		budgets: newBudgets(o.Budget),
 		count:   newCounters(),
+		known:   make(chan struct{}),
 
 		patience: newPatienceBook(),
 		engines:  newEngineTimes(),
@@ -70,6 +75,33 @@
 		g.budgets.share(len(s.Entries))
 	}
 	g.pieces.refresh()
+	if s.Table != nil && s.List != nil {
+		g.knownOnce.Do(func() { close(g.known) })
+	}
+}
+
+const (
+	// awaitShare is the part of a caller's patience for which a request waits
+	// at a VM that has just started: it mostly knows the routes within a
+	// second, and a refused caller comes back once only.
+	awaitShare = 0.15
+	mostAwait  = time.Second
+)
+
+// awaitKnown waits for the first catalog and list of runners.
+func (g *Gateway) awaitKnown(ctx context.Context, patience time.Duration) {
+	select {
+	case <-g.known:
+		return
+	default:
+	}
+	timer := time.NewTimer(min(time.Duration(awaitShare*float64(patience)), mostAwait))
+	defer timer.Stop()
+	select {
+	case <-g.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // Ready says whether this VM can serve: it knows the routes and the runners
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -28,8 +28,8 @@
 	// they are of no use, in ms.
 	DueMS  int64 `cbor:"8,keyasint"`
 	LeftMS int64 `cbor:"9,keyasint"`
-	// Priority ranks the request, 0 first.
-	Priority int `cbor:"10,keyasint,omitempty"`
+	// YieldMS is how long the pieces give way to others that are due, in ms.
+	YieldMS int64 `cbor:"10,keyasint,omitempty"`
 	// Forwarded says that another zone's assembler has passed the call on.
 	Forwarded bool `cbor:"11,keyasint,omitempty"`
 }
@@ -282,7 +282,7 @@
 		return
 	}
 	item := batch.Item{
-		Request: c.Request, Stage: c.Stage, Key: c.Key, Inputs: c.Inputs, ResultBytes: c.ResultBytes, Priority: c.Priority,
+		Request: c.Request, Stage: c.Stage, Key: c.Key, Inputs: c.Inputs, ResultBytes: c.ResultBytes, Yield: time.Duration(c.YieldMS) * time.Millisecond,
 		Due:      began.Add(time.Duration(c.DueMS) * time.Millisecond),
 		Deadline: began.Add(time.Duration(c.LeftMS) * time.Millisecond),
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,7 +38,9 @@
 	waited time.Duration
 
 	stages *stageRun
-	tried  []*placement.Entry
+	// fetchFrom is a runner that may keep shared parts of the prompt.
+	fetchFrom string
+	tried     []*placement.Entry
 	// sends counts the runners tried, executions those that may have run it.
 	sends      int
 	executions int
@@ -56,6 +58,7 @@
 // Serve answers one call.
 func (g *Gateway) Serve(ctx context.Context, c *Call, out Responder) {
 	r := &request{g: g, call: c, out: out}
+	g.awaitKnown(ctx, c.Patience)
 	refusal := r.admit()
 	if refusal == nil {
 		var cancel context.CancelFunc
@@ -163,7 +166,9 @@
 
 func (r *request) pick(now time.Time) *placement.Entry {
 	if r.service.Engine != nil {
-		return r.g.runners.pickEngine(now, r.service.Name, &r.call.Prompt, r.tried)
+		var entry *placement.Entry
+		entry, r.fetchFrom = r.g.runners.pickEngine(now, r.service.Name, &r.call.Prompt, r.tried)
+		return entry
 	}
 	return r.g.runners.pickPlain(now, r.service.Name, r.tried)
 }
@@ -239,6 +244,7 @@
 	if r.service.Engine != nil {
 		d.HasPriority = true
 		d.Priority = r.priority()
+		d.FetchFrom = r.fetchFrom
 	}
 	if r.stages != nil {
 		d.HasInputs = true
@@ -255,6 +261,23 @@
 	return r.route.Priority
 }
 
+// Ranks move a request's stages back in the queues by some time each. Urgent
+// requests overtake others within their time; a strict order would starve the
+// last rank.
+const (
+	yieldPerRank = 600 * time.Millisecond
+	// yieldPerRouteRank tells the kinds of requests of one workspace apart.
+	yieldPerRouteRank = 200 * time.Millisecond
+)
+
+// yields is how long the request's stages give way to others that are due.
+func (r *request) yields() time.Duration {
+	if r.workspace != nil && r.workspace.HasPriority {
+		return time.Duration(r.workspace.Priority)*yieldPerRank + time.Duration(r.route.Priority)*yieldPerRouteRank
+	}
+	return time.Duration(r.route.Priority) * yieldPerRank
+}
+
 const (
 	shortRetryLeast  = 200 * time.Millisecond
 	shortRetrySpread = 400 * time.Millisecond
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -82,16 +82,23 @@
 }
 
 // pickEngine chooses a runner for a prompt and counts the request there.
-func (r *runners) pickEngine(now time.Time, service string, p *placement.Prompt, tried []*placement.Entry) *placement.Entry {
+// It also gives the address of another runner that may keep shared parts of the
+// prompt, "" if there is none.
+func (r *runners) pickEngine(now time.Time, service string, p *placement.Prompt, tried []*placement.Entry) (e *placement.Entry, fetchFrom string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := placement.PickEngine(now, r.ready(now, service, tried), p, &r.places)
-	if e != nil {
-		e.Active++
-		e.Prefilling += p.Tokens
-		e.Keep(now, p)
+	list := r.ready(now, service, tried)
+	e = placement.PickEngine(now, list, p, &r.places)
+	if e == nil {
+		return nil, ""
 	}
-	return e
+	if source := placement.FetchFrom(now, list, e, p); source != nil {
+		fetchFrom = source.Addr
+	}
+	e.Active++
+	e.Prefilling += p.Tokens
+	e.Keep(now, p)
+	return e, fetchFrom
 }
 
 // pickPlain chooses a runner for a plain call and counts the request there.
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -151,9 +151,9 @@
 	now := time.Now()
 	call := &piecesCall{
 		Service: stage.Service, Request: r.call.ID, Stage: i, ResultBytes: stage.ResultBytes,
-		DueMS:    r.due.Add(-r.restTime(i)).Sub(now).Milliseconds(),
-		LeftMS:   (r.firstBy().Sub(now) - r.restTime(i)).Milliseconds(),
-		Priority: r.priority(),
+		DueMS:   r.due.Add(-r.restTime(i)).Sub(now).Milliseconds(),
+		LeftMS:  (r.firstBy().Sub(now) - r.restTime(i)).Milliseconds(),
+		YieldMS: r.yields().Milliseconds(),
 	}
 	if len(stage.After) == 0 {
 		call.Key = r.call.PieceKey
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -29,6 +29,9 @@
 	HasInputs bool
 	// ResumeAfter has the stream go on after the event with this id.
 	ResumeAfter string
+	// FetchFrom is the address of a runner from which parts of the prompt can
+	// be fetched instead of being read again, "" for none.
+	FetchFrom string
 	// Fresh asks for a new connection.
 	Fresh bool
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -80,6 +80,36 @@
 	})
 }
 
+// leastFetch is the number of tokens from which it is worth fetching what
+// another runner keeps of a prompt.
+const leastFetch = 1000
+
+// FetchFrom gives the runner that probably keeps the shared parts of a prompt
+// which chosen does not, nil if there is none of use: the one to which this VM
+// has sent them, or the one that all VMs of all zones prefer for them.
+func FetchFrom(now time.Time, list []*Entry, chosen *Entry, p *Prompt) *Entry {
+	shared := p.shared()
+	missing := shared - chosen.Cached(now, p)
+	if missing < leastFetch {
+		return nil
+	}
+	var best *Entry
+	kept := shared - missing
+	for _, e := range list {
+		if c := min(e.Cached(now, p), shared); e != chosen && !e.Avoided(now) && c > kept {
+			best, kept = e, c
+		}
+	}
+	if best != nil {
+		return best
+	}
+	central := preferred(list, p.Affinity(), &Places{})
+	if central == nil || central == chosen || central.Avoided(now) {
+		return nil
+	}
+	return central
+}
+
 // Costs of a plain call, in slots.
 const (
 	plainZoneCost   = 0.3
