Tests of the new packages; memory of items that were lost twice at one runner is accounted

Found by the property of package batch: an item lost twice at the same runner was accounted under one name, and the memory of the first loss was never given back.

--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -99,6 +99,9 @@
 // A call takes what fits into a batch and into the runner's memory, in the
 // order of the queue.
 func (a *Assembler) Next(now time.Time) (calls []Call, ended []End) {
+	for _, w := range a.workers {
+		w.release(now)
+	}
 	ended = a.dropLate(now)
 	if len(a.queue) == 0 {
 		return nil, ended
@@ -198,7 +201,6 @@
 func (a *Assembler) pick(now time.Time) *worker {
 	var best *worker
 	for _, w := range a.workers {
-		w.release(now)
 		if !w.usable(now, max(a.spec.Slots, 1)) {
 			continue
 		}
@@ -270,8 +272,8 @@
 	for n, item := range c.Items {
 		if r.Lost {
 			// The runner may finish the call and keep results that nobody can
-			// name. The item's ref names them here.
-			w.results[lostResult(item.Ref)] = result{bytes: item.ResultBytes, expires: now.Add(c.Took + a.spec.Retention)}
+			// name.
+			w.results[lostResult(item.Ref, item.tries)] = result{bytes: item.ResultBytes, expires: now.Add(c.Took + a.spec.Retention)}
 			continue
 		}
 		w.room -= item.ResultBytes
@@ -294,7 +296,11 @@
 	}
 }
 
-func lostResult(ref uint64) string { return "lost " + strconv.FormatUint(ref, 10) }
+// lostResult names a result that may exist at a runner, by the item and the
+// try.
+func lostResult(ref uint64, try int) string {
+	return "lost " + strconv.FormatUint(ref, 10) + "/" + strconv.Itoa(try)
+}
 
 func hasNoRoom(results []Result) bool {
 	return slices.ContainsFunc(results, func(r Result) bool { return r.Reason == NoRoom })
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,145 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func prompt(shared string) *Prompt {
+	return &Prompt{Parts: []Part{{"base", 2000}, {shared, 3000}, {"own", 1000}}, Tokens: 6000}
+}
+
+func engines(zones ...string) []*Entry {
+	b := NewBook()
+	var list []*Entry
+	for i, z := range zones {
+		list = append(list, b.Entry(fmt.Sprint("e", i), fmt.Sprint("10.0.0.", i, ":80"), z))
+	}
+	return list
+}
+
+var places = &Places{Zone: "z1", Regions: map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"}}
+
+var _ = ginkgo.Describe("choosing an engine", func() {
+	ginkgo.It("sends the same shared parts to the same runner at every VM of a zone", func() {
+		first := PickEngine(now, engines("z1", "z1", "z1", "z1"), prompt("s"), places)
+		second := PickEngine(now, engines("z1", "z1", "z1", "z1"), prompt("s"), places)
+		Expect(first.ID).To(Equal(second.ID))
+		chosen := map[string]bool{}
+		for i := range 40 {
+			chosen[PickEngine(now, engines("z1", "z1", "z1", "z1"), prompt(fmt.Sprint(i)), places).ID] = true
+		}
+		Expect(chosen).To(HaveLen(4))
+	})
+
+	ginkgo.It("leaves that runner when it has much work ahead", func() {
+		list := engines("z1", "z1")
+		home := PickEngine(now, list, prompt("s"), places)
+		home.Prefilling = 40_000
+		Expect(PickEngine(now, list, prompt("s"), places)).NotTo(Equal(home))
+	})
+
+	ginkgo.It("stays in its zone while that is not overloaded", func() {
+		list := engines("z3", "z2", "z1")
+		Expect(PickEngine(now, list, prompt("s"), places).Zone).To(Equal("z1"))
+		list[2].Load = Load{Running: 60, Waiting: 20, At: now}
+		Expect(PickEngine(now, list, prompt("s"), places).Zone).To(Equal("z2"))
+	})
+
+	ginkgo.It("does not count a load that was told long ago", func() {
+		list := engines("z2", "z1")
+		list[1].Load = Load{Running: 60, Waiting: 20, At: now.Add(-time.Minute)}
+		Expect(PickEngine(now, list, prompt("s"), places).Zone).To(Equal("z1"))
+	})
+
+	ginkgo.It("avoids a runner after failures, longer each time, and uses it if no other is left", func() {
+		list := engines("z1", "z1")
+		list[0].Failed(now)
+		Expect(PickEngine(now, list, prompt("s"), places)).To(Equal(list[1]))
+		Expect(list[0].Avoided(now.Add(firstAvoid))).To(BeFalse())
+		list[0].Failed(now)
+		Expect(list[0].Avoided(now.Add(firstAvoid))).To(BeTrue())
+		list[0].Worked()
+		list[0].Failed(now.Add(time.Hour))
+		Expect(list[0].Avoided(now.Add(time.Hour + firstAvoid))).To(BeFalse())
+		Expect(PickEngine(now, list[:1], prompt("s"), places)).To(Equal(list[0]))
+		Expect(PickEngine(now, nil, prompt("s"), places)).To(BeNil())
+	})
+})
+
+var _ = ginkgo.Describe("what a runner keeps", func() {
+	ginkgo.It("counts the leading parts that it has read, for a while", func() {
+		e := engines("z1")[0]
+		e.Keep(now, prompt("s"))
+		Expect(e.Cached(now, prompt("s"))).To(Equal(6000))
+		Expect(e.Cached(now, prompt("t"))).To(Equal(2000))
+		Expect(e.Cached(now.Add(keptFor+time.Second), prompt("s"))).To(BeZero())
+	})
+
+	ginkgo.It("does not count a part whose leading parts differ", func() {
+		e := engines("z1")[0]
+		e.Keep(now, prompt("s"))
+		other := &Prompt{Parts: []Part{{"another", 2000}, {"s", 3000}, {"own", 1000}}}
+		Expect(e.Cached(now, other)).To(BeZero())
+	})
+
+	ginkgo.It("is nothing after a restart under the same ID", func() {
+		e := engines("z1")[0]
+		e.Keep(now, prompt("s"))
+		e.Restarted()
+		Expect(e.Cached(now, prompt("s"))).To(BeZero())
+	})
+
+	ginkgo.It("is fetched from a runner that has it, not from one to avoid", func() {
+		list := engines("z1", "z2", "z3")
+		list[1].Keep(now, prompt("s"))
+		Expect(FetchFrom(now, list, list[0], prompt("s"))).To(Equal(list[1]))
+		list[1].Failed(now)
+		Expect(FetchFrom(now, list, list[0], prompt("s"))).NotTo(Equal(list[1]))
+		list[0].Keep(now, prompt("s"))
+		Expect(FetchFrom(now, list, list[0], prompt("s"))).To(BeNil())
+	})
+
+	ginkgo.It("is not fetched for a prompt without shared parts", func() {
+		list := engines("z1", "z2")
+		Expect(FetchFrom(now, list, list[0], &Prompt{Parts: []Part{{"own", 9000}}, Tokens: 9000})).To(BeNil())
+	})
+})
+
+var _ = ginkgo.Describe("choosing a plain runner", func() {
+	slots := func(*Entry) int { return 6 }
+
+	ginkgo.It("takes the one with the fewest requests, near ones first", func() {
+		list := engines("z3", "z1", "z1")
+		list[1].Active = 2
+		Expect(PickPlain(now, list, slots, places)).To(Equal(list[2]))
+		list[2].Active = 6
+		list[1].Active = 6
+		Expect(PickPlain(now, list, slots, places).Zone).To(Equal("z1"))
+		list[1].Load = Load{Running: 6, Waiting: 12, At: now}
+		list[2].Load = Load{Running: 6, Waiting: 12, At: now}
+		Expect(PickPlain(now, list, slots, places).Zone).To(Equal("z3"))
+	})
+})
+
+// A name that leaves may move only its own keys.
+func TestRendezvousMovesOnlyTheKeysOfANameThatLeaves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,8}`), 2, 8, rapid.ID[string]).Draw(t, "names")
+		key := rapid.String().Draw(t, "key")
+		before := Highest(key, names)
+		gone := rapid.IntRange(0, len(names)-1).Draw(t, "gone")
+		rest := append(append([]string{}, names[:gone]...), names[gone+1:]...)
+		after := Highest(key, rest)
+		if names[gone] != before && after != before {
+			t.Fatalf("key moved from %q to %q although %q left", before, after, names[gone])
+		}
+	})
+}
--- /dev/null
+++ b/transport/tcp_test.go
@@ -0,0 +1,170 @@
+package transport_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/transport"
+)
+
+var _ = ginkgo.Describe("plain TCP links", func() {
+	self := transport.Peer{VM: "10.0.0.1:7", Role: transport.RoleEntry}
+
+	listen := func(h transport.HandlerFunc) *transport.TCPServer {
+		s, err := transport.ListenTCP("127.0.0.1:0", h, transport.Options{})
+		Expect(err).NotTo(HaveOccurred())
+		ginkgo.DeferCleanup(s.Close)
+		return s
+	}
+	dial := func(o transport.Options) *transport.TCPClient {
+		c := transport.NewTCPClient(self, o)
+		ginkgo.DeferCleanup(c.Close)
+		return c
+	}
+
+	ginkgo.It("carry many calls at a time and name the caller", func() {
+		s := listen(func(_ context.Context, p transport.Peer, m transport.Method, body []byte) ([]byte, error) {
+			return append([]byte(string(p.VM)+" "+p.Role+" "+m.String()+" "), body...), nil
+		})
+		c := dial(transport.Options{})
+		answers := make(chan string, 50)
+		for range 50 {
+			go func() {
+				b, err := c.Call(context.Background(), s.Addr(), transport.MethodStatus, []byte("x"))
+				if err != nil {
+					answers <- err.Error()
+					return
+				}
+				answers <- string(b)
+			}()
+		}
+		for range 50 {
+			Expect(<-answers).To(Equal("10.0.0.1:7 entry status x"))
+		}
+	})
+
+	ginkgo.It("carry large bodies and a handler's error", func() {
+		large := make([]byte, 3<<20)
+		s := listen(func(_ context.Context, _ transport.Peer, _ transport.Method, body []byte) ([]byte, error) {
+			if len(body) == 0 {
+				return nil, errors.New("nothing sent")
+			}
+			return body, nil
+		})
+		c := dial(transport.Options{})
+		b, err := c.Call(context.Background(), s.Addr(), transport.MethodStatus, large)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b).To(HaveLen(len(large)))
+		_, err = c.Call(context.Background(), s.Addr(), transport.MethodStatus, nil)
+		var remote *transport.RemoteError
+		Expect(errors.As(err, &remote)).To(BeTrue())
+		Expect(remote.Message).To(Equal("nothing sent"))
+	})
+
+	ginkgo.It("say that nothing was sent when nobody listens", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		_, err = dial(transport.Options{}).Call(context.Background(), l.Addr().String(), transport.MethodStatus, nil)
+		var notSent *transport.NotSentError
+		Expect(errors.As(err, &notSent)).To(BeTrue(), "%v", err)
+	})
+
+	// A caller that has left must not keep work going at the other end.
+	ginkgo.It("end the handler's context when the caller gives up", func() {
+		began, ended := make(chan struct{}), make(chan struct{})
+		s := listen(func(ctx context.Context, _ transport.Peer, _ transport.Method, _ []byte) ([]byte, error) {
+			close(began)
+			<-ctx.Done()
+			close(ended)
+			return nil, ctx.Err()
+		})
+		c := dial(transport.Options{})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-began
+			cancel()
+		}()
+		_, err := c.Call(ctx, s.Addr(), transport.MethodStatus, nil)
+		var lost *transport.LostError
+		Expect(errors.As(err, &lost)).To(BeTrue())
+		Eventually(ended).WithTimeout(10 * time.Second).Should(BeClosed())
+	})
+
+	// A connection that something in between has lost track of never answers;
+	// the next call must open a new one.
+	ginkgo.It("give a silent connection up and open a new one", func() {
+		s := listen(func(_ context.Context, _ transport.Peer, _ transport.Method, body []byte) ([]byte, error) {
+			return body, nil
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ginkgo.DeferCleanup(l.Close)
+		go forwardAllButFirst(l, s.Addr())
+		c := dial(transport.Options{ProgressTimeout: 100 * time.Millisecond})
+		_, err = c.Call(context.Background(), l.Addr().String(), transport.MethodStatus, nil)
+		Expect(errors.Is(err, transport.ErrSilent)).To(BeTrue(), "%v", err)
+		b, err := c.Call(context.Background(), l.Addr().String(), transport.MethodStatus, []byte("again"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(b)).To(Equal("again"))
+	})
+
+	ginkgo.It("keep a connection whose handler takes longer than the progress timeout", func() {
+		s := listen(func(_ context.Context, _ transport.Peer, _ transport.Method, body []byte) ([]byte, error) {
+			time.Sleep(500 * time.Millisecond)
+			return body, nil
+		})
+		c := dial(transport.Options{ProgressTimeout: 200 * time.Millisecond})
+		b, err := c.Call(context.Background(), s.Addr(), transport.MethodStatus, []byte("slow"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(b)).To(Equal("slow"))
+	})
+
+	ginkgo.It("refuse a body over the limit", func() {
+		s := listen(func(_ context.Context, _ transport.Peer, _ transport.Method, body []byte) ([]byte, error) {
+			return body, nil
+		})
+		c := dial(transport.Options{MaxBody: 100})
+		_, err := c.Call(context.Background(), s.Addr(), transport.MethodStatus, make([]byte, 1000))
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+// forwardAllButFirst keeps the first connection open in silence and forwards
+// the others to addr.
+func forwardAllButFirst(l net.Listener, addr string) {
+	for n := 0; ; n++ {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if n == 0 {
+			continue
+		}
+		up, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		go pipe(up, c)
+		go pipe(c, up)
+	}
+}
+
+func pipe(to, from net.Conn) {
+	defer to.Close()
+	b := make([]byte, 1<<10)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+	}
+}
