--- /dev/null
+++ b/gateway/fakes_test.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"damaskbridge.example/damaskbridge/batch"
+	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/directory"
+	"damaskbridge.example/damaskbridge/exchange"
+	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/transport"
+)
+
+// reply is what a fake runner does with one request.
+type reply struct {
+	status      int
+	body        string
+	notExecuted bool
+	misdirected bool
+	// notSent and lost are failures of the exchange.
+	notSent bool
+	lost    bool
+	// cut ends the body with an error after its bytes.
+	cut bool
+	// hang keeps the request until its context ends.
+	hang bool
+}
+
+// fakeRunners are all runners. Each request takes the next reply of its
+// runner, or the last one again.
+type fakeRunners struct {
+	mu      sync.Mutex
+	replies map[string][]reply
+	// any is used for runners without replies of their own.
+	any     []reply
+	sent    []Dispatch
+	calls   []batch.Call
+	freed   []string
+	pieces  func(c *batch.Call) batch.CallResult
+	release chan struct{}
+}
+
+func (f *fakeRunners) next(runner string) reply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list, own := f.replies[runner]
+	if !own {
+		list = f.any
+	}
+	r := list[0]
+	if len(list) > 1 {
+		if own {
+			f.replies[runner] = list[1:]
+		} else {
+			f.any = list[1:]
+		}
+	}
+	return r
+}
+
+func (f *fakeRunners) Send(ctx context.Context, d *Dispatch) (*Answer, error) {
+	r := f.next(d.RunnerID)
+	if r.notSent {
+		return nil, &exchange.Error{Addr: d.Addr, Err: errors.New("refused")}
+	}
+	f.mu.Lock()
+	f.sent = append(f.sent, *d)
+	f.mu.Unlock()
+	if r.hang {
+		<-ctx.Done()
+		return nil, &exchange.Error{Addr: d.Addr, Sent: true, Err: ctx.Err()}
+	}
+	if r.lost {
+		return nil, &exchange.Error{Addr: d.Addr, Sent: true, Err: io.ErrUnexpectedEOF}
+	}
+	var body io.Reader = strings.NewReader(r.body)
+	if r.cut {
+		body = io.MultiReader(body, &failingReader{})
+	}
+	return &Answer{
+		Status: r.status, Header: http.Header{"X-From": {d.RunnerID}}, Body: io.NopCloser(body),
+		NotExecuted: r.notExecuted, Misdirected: r.misdirected,
+	}, nil
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func (f *fakeRunners) RunPieces(_ context.Context, c *batch.Call) batch.CallResult {
+	f.mu.Lock()
+	f.calls = append(f.calls, *c)
+	pieces := f.pieces
+	f.mu.Unlock()
+	if f.release != nil {
+		<-f.release
+	}
+	if pieces != nil {
+		return pieces(c)
+	}
+	var r batch.CallResult
+	for _, i := range c.Items {
+		r.Results = append(r.Results, batch.Result{Handle: fmt.Sprintf("%s/%s-%d-%d", c.Runner, i.Request, i.Stage, i.Piece), Runner: c.Runner})
+	}
+	return r
+}
+
+func (f *fakeRunners) FreePieces(_ context.Context, _ string, handles []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, handles...)
+	return nil
+}
+
+func (f *fakeRunners) sends() []Dispatch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Dispatch(nil), f.sent...)
+}
+
+func (f *fakeRunners) freedCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.freed)
+}
+
+// fakeCaller notes the answer that one caller gets.
+type fakeCaller struct {
+	status  int
+	body    string
+	from    string
+	refusal *Refusal
+	aborted bool
+	answers int
+}
+
+func (f *fakeCaller) Pass(status int, h http.Header, body []byte) error {
+	f.answers++
+	f.status, f.body, f.from = status, string(body), h.Get("X-From")
+	return nil
+}
+
+func (f *fakeCaller) Stream(status int, h http.Header) (EventWriter, error) {
+	f.answers++
+	f.status, f.from = status, h.Get("X-From")
+	return f, nil
+}
+
+func (f *fakeCaller) Refuse(r *Refusal) {
+	f.answers++
+	f.refusal = r
+}
+
+func (f *fakeCaller) Write(events []byte) error {
+	f.body += string(events)
+	return nil
+}
+
+func (f *fakeCaller) Abort() { f.aborted = true }
+
+// nobody is a network without other VMs.
+type nobody struct{}
+
+func (nobody) Call(context.Context, string, transport.Method, []byte) ([]byte, error) {
+	return nil, &transport.NotSentError{Err: errors.New("nobody is there")}
+}
+
+func testCatalog() *catalog.Catalog {
+	plain := func(name string, repeat catalog.Repeat) catalog.Route {
+		return catalog.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Repeat: repeat, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond,
+			MaxRunners: 2, Targets: []catalog.Target{{Service: "ledger", Weight: 1}},
+		}
+	}
+	stream := func(name string, repeat catalog.Repeat) catalog.Route {
+		r := plain(name, repeat)
+		r.Streaming, r.PromptAffinity, r.MaxEventGap = true, true, time.Second
+		r.Objective = 2 * time.Second
+		r.Targets[0].Service = "engines"
+		return r
+	}
+	staged := stream("staged", catalog.RepeatNever)
+	staged.Stages = []catalog.Stage{
+		{Service: "encode", ResultBytes: 10}, {Service: "search", After: []int{0}, ResultBytes: 10}, {Service: "encode", ResultBytes: 10},
+	}
+	return &catalog.Catalog{
+		Version: 1,
+		Services: []catalog.Service{
+			{Name: "ledger"},
+			{Name: "engines", Engine: &catalog.Engine{Slots: 64}},
+			{Name: "encode", Pieces: &catalog.Pieces{Slots: 1, Batch: 8, CallTime: 10 * time.Millisecond, PieceTime: time.Millisecond, RoomBytes: 1000, Retention: 4 * time.Second}},
+			{Name: "search", Pieces: &catalog.Pieces{Slots: 1, Batch: 8, CallTime: 10 * time.Millisecond, PieceTime: time.Millisecond, RoomBytes: 1000, Retention: 4 * time.Second}},
+		},
+		Routes: []catalog.Route{
+			plain("once", catalog.RepeatNever), plain("again", catalog.RepeatAlways),
+			stream("stream", catalog.RepeatNever), stream("resume", catalog.RepeatFromEvent), staged,
+		},
+		Workspaces: []catalog.Workspace{{Name: "w", Keys: []string{"key"}}},
+	}
+}
+
+func testRunners() []directory.Runner {
+	var list []directory.Runner
+	for _, service := range []string{"ledger", "engines", "encode", "search"} {
+		for n := 1; n <= 3; n++ {
+			id := fmt.Sprint(service, n)
+			list = append(list, directory.Runner{ID: id, Service: service, Addr: id + ":80", Zone: "z", Slots: 6})
+		}
+	}
+	return list
+}
+
+// newTestGateway gives a gateway in front of fake runners that knows the test
+// catalog.
+func newTestGateway() (*Gateway, *fakeRunners) {
+	f := &fakeRunners{replies: map[string][]reply{}, any: []reply{{status: 200, body: "ok"}}}
+	g := New(Options{
+		Self: "self", Places: placement.Places{Zone: "z", Regions: map[string]string{"z": "r"}},
+		Budget:    BudgetOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		DrainTime: 4 * time.Second, Upstreams: f, Caller: nobody{}, Logger: &log.Logger{Level: log.PanicLevel},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
+	go g.Run(ctx)
+	g.Update(&directory.State{Table: catalog.NewTable(testCatalog()), List: &directory.RunnerList{Seq: 1, Runners: testRunners()}})
+	return g, f
+}
+
+func call(route string) *Call {
+	return &Call{
+		ID: "id-1", Method: "POST", Target: "/" + route + "/x", Path: "/" + route + "/x", Host: "h", Header: http.Header{},
+		Key: "key", Received: time.Now(), Patience: 5 * time.Second,
+	}
+}
+
+// serve has a call served and gives what its caller got.
+func serve(g *Gateway, c *Call) *fakeCaller {
+	out := &fakeCaller{}
+	g.Serve(context.Background(), c, out)
+	Expect(out.answers).To(Equal(1), "a caller gets exactly one answer")
+	return out
+}
