--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,7 +38,7 @@
 	limit := time.Duration(hangFactor * float64(r.route.Objective))
 	hung := false
 	timer := time.AfterFunc(limit, func() {
-		if r.deadline.Sub(time.Now()) > minLeft && r.g.budgets.of(r.service.Name).Spend(time.Now()) {
+		if time.Until(r.deadline) > minLeft && r.g.budgets.of(r.service.Name).Spend(time.Now()) {
 			hung = true
 			cancel()
 		}
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -95,9 +95,7 @@
 	cancelled bool
 	// forwardTo is the assembler to ask instead, empty for this one.
 	forwardTo string
-	// delay is what a refused call would have taken.
-	delay time.Duration
-	done  chan struct{}
+	done      chan struct{}
 }
 
 func newPieceServer(g *Gateway) *pieceServer {
@@ -380,12 +378,19 @@
 		}
 		results = append(results, result)
 	}
+	if slices.ContainsFunc(results, func(r batch.Result) bool { return r.Reason == batch.NoRunner }) {
+		return nil, errNoAssembler
+	}
 	if len(results) != len(c.Items) {
 		return nil, errors.New("gateway: the assembling VM gave another number of results; check that all entry VMs run the same release")
 	}
 	return results, nil
 }
 
+// errNoAssembler says that a VM does not know the service, as when it has just
+// started.
+var errNoAssembler = errors.New("gateway: the assembling VM does not know the service yet; another one is asked")
+
 // assemblerVM gives the VM that assembles for a service, the same at all VMs
 // that use the same zone's runners.
 func (p *pieceServer) assemblerVM(service string) string {
