Memory that a stage runner did not have counts as taken for a second

Cause: the learnt share of a runner's memory shrank with each refusal and came back over tens of calls, so a VM's restart, whose successor does not know the results in use, halved the throughput of stages for long.

--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -43,7 +43,7 @@
 			old.Worker = w
 			continue
 		}
-		a.workers[w.Addr] = &worker{Worker: w, results: map[string]result{}, roomShare: fullRoomShare}
+		a.workers[w.Addr] = &worker{Worker: w, results: map[string]result{}}
 	}
 	for addr := range a.workers {
 		if !seen[addr] {
@@ -215,7 +215,7 @@
 func (a *Assembler) take(w *worker) []Item {
 	var items []Item
 	kept := a.queue[:0]
-	free := int64(w.roomShare*float64(a.spec.RoomBytes)) - w.room
+	free := int64(roomShare*float64(a.spec.RoomBytes)) - w.room
 	for _, i := range a.queue {
 		// A result larger than all of the memory is tried at an empty runner.
 		fits := a.spec.RoomBytes == 0 || i.ResultBytes <= free || w.room == 0
@@ -277,22 +277,24 @@
 			continue
 		}
 		w.room -= item.ResultBytes
-		if n < len(r.Results) && r.Results[n].Handle != "" {
+		if n >= len(r.Results) {
+			continue
+		}
+		if r.Results[n].Handle != "" {
 			w.room += item.ResultBytes
 			w.results[r.Results[n].Handle] = result{bytes: item.ResultBytes, expires: now.Add(a.spec.Retention)}
 		}
+		if r.Results[n].Reason == NoRoom {
+			w.hadNoRoom(now, item.ResultBytes)
+		}
 	}
 	switch {
 	case r.Lost:
 		w.failed(now)
 	case r.Refused:
 		w.avoidUntil = now.Add(fullAvoid)
-	case hasNoRoom(r.Results):
-		w.avoidUntil = now.Add(fullAvoid)
-		w.hadNoRoom()
 	default:
 		w.failures = 0
-		w.hadRoom()
 	}
 }
 
@@ -302,10 +304,6 @@
 	return "lost " + strconv.FormatUint(ref, 10) + "/" + strconv.Itoa(try)
 }
 
-func hasNoRoom(results []Result) bool {
-	return slices.ContainsFunc(results, func(r Result) bool { return r.Reason == NoRoom })
-}
-
 func (a *Assembler) again(now time.Time, item Item, r Result) bool {
 	if r.Handle != "" || r.Reason == Late || r.Reason == InputGone {
 		return false
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Worker is a runner of the service.
 type Worker struct {
@@ -24,9 +27,8 @@
 	avoidUntil time.Time
 	failures   int
 	lastUsed   time.Time
-	// roomShare is the part of the memory that results are put into. Their
-	// sizes are approximate, so it shrinks when the runner had no room.
-	roomShare float64
+	// unknown counts the refusals for want of room.
+	unknown int
 }
 
 // result is a kept result of a worker.
@@ -45,17 +47,20 @@
 )
 
 const (
-	fullRoomShare  = 0.95
-	leastRoomShare = 0.5
-	// Each refusal for want of room takes a tenth; each good call gives a
-	// hundredth back.
-	roomShrink = 0.9
-	roomGrow   = 1.01
+	// roomShare is the part of the memory that results are put into, because
+	// their sizes are approximate.
+	roomShare = 0.95
+	// unknownFor is how long memory counts as taken that a runner did not have,
+	// for instance because of results that a VM which has ended had made.
+	unknownFor = time.Second
 )
 
-func (w *worker) hadRoom() { w.roomShare = min(w.roomShare*roomGrow, fullRoomShare) }
-
-func (w *worker) hadNoRoom() { w.roomShare = max(w.roomShare*roomShrink, leastRoomShare) }
+// hadNoRoom counts memory as taken that the runner did not have.
+func (w *worker) hadNoRoom(now time.Time, bytes int64) {
+	w.unknown++
+	w.room += bytes
+	w.results["unknown "+strconv.Itoa(w.unknown)] = result{bytes: bytes, expires: now.Add(unknownFor)}
+}
 
 func (w *worker) usable(now time.Time, slots int) bool {
 	return !w.Draining && w.calls < slots && !now.Before(w.avoidUntil)
