--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -53,13 +53,22 @@
 	if refusal := r.refuseLate(time.Now()); refusal != nil {
 		return refusal
 	}
+	refusal, again := r.runStagesOnce(ctx)
+	if again && r.refuseLate(time.Now()) == nil {
+		refusal, _ = r.runStagesOnce(ctx)
+	}
+	return refusal
+}
+
+// runStagesOnce runs all stages. Again says that it may help to run them
+// another time, since a result was gone before the next stage could use it.
+func (r *request) runStagesOnce(ctx context.Context) (refusal *Refusal, again bool) {
 	r.stages = newStageRun(r.route)
 	ctx, cancel := context.WithCancel(ctx)
 	var under sync.WaitGroup
 	ends := make(chan stageEnd, len(r.route.Stages))
 	started := make([]bool, len(r.route.Stages))
 	running := 0
-	var refusal *Refusal
 	for {
 		if refusal == nil {
 			running += r.startStages(ctx, started, ends, &under)
@@ -73,6 +82,7 @@
 		r.stages.done[end.stage] = true
 		if reason := failure(end); reason != "" && refusal == nil {
 			refusal = r.stageRefusal(ctx, end, reason)
+			again = reason == batch.InputGone && ctx.Err() == nil
 			cancel()
 		}
 		r.freeFollowed()
@@ -83,7 +93,7 @@
 	if refusal != nil {
 		r.freeAll()
 	}
-	return refusal
+	return refusal, again
 }
 
 // stageAgain runs all stages again after a result was lost.
