--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -22,11 +22,26 @@
 	spec    catalog.Pieces
 	workers map[string]*worker
 	queue   []Item
+	// open are the calls under way.
+	open []*openCall
+	// instances counts, for each item that has not ended, the places where it
+	// stands: the queue and the open calls. An item of an overdue call stands
+	// in the queue too.
+	instances map[uint64]int
+}
+
+// openCall is a call under way.
+type openCall struct {
+	Call
+	// overdueAt is when its items are also tried elsewhere; overdue says that
+	// they are.
+	overdueAt time.Time
+	overdue   bool
 }
 
 // NewAssembler makes an assembler for runners as spec describes.
 func NewAssembler(spec catalog.Pieces) *Assembler {
-	return &Assembler{spec: spec, workers: map[string]*worker{}}
+	return &Assembler{spec: spec, workers: map[string]*worker{}, instances: map[uint64]int{}}
 }
 
 // SetSpec takes a changed description of the runners.
@@ -56,15 +71,36 @@
 func (a *Assembler) Add(now time.Time, items ...Item) {
 	for _, i := range items {
 		a.setRank(now, &i)
-		a.queue = append(a.queue, i)
+		a.enqueue(i)
+	}
+}
+
+func (a *Assembler) enqueue(i Item) {
+	a.queue = append(a.queue, i)
+	a.instances[i.Ref]++
+}
+
+// leave takes an item off one place and says whether it stands nowhere else.
+func (a *Assembler) leave(ref uint64) (last bool) {
+	a.instances[ref]--
+	if a.instances[ref] > 0 {
+		return false
 	}
+	delete(a.instances, ref)
+	return true
+}
+
+// end takes an item off all places.
+func (a *Assembler) end(ref uint64) {
+	delete(a.instances, ref)
+	a.queue = slices.DeleteFunc(a.queue, func(i Item) bool { return i.Ref == ref })
 }
 
-// Cancel drops the waiting items with these refs and gives the refs that it
-// found.
+// Cancel drops the waiting items with these refs and gives those that are in
+// no call either.
 func (a *Assembler) Cancel(refs map[uint64]bool) (dropped []uint64) {
 	a.queue = slices.DeleteFunc(a.queue, func(i Item) bool {
-		if refs[i.Ref] {
+		if refs[i.Ref] && a.leave(i.Ref) {
 			dropped = append(dropped, i.Ref)
 		}
 		return refs[i.Ref]
@@ -102,6 +138,7 @@
 	for _, w := range a.workers {
 		w.release(now)
 	}
+	a.repeatOverdue(now)
 	ended = a.dropLate(now)
 	if len(a.queue) == 0 {
 		return nil, ended
@@ -119,7 +156,9 @@
 		took := a.spec.Estimate(len(items))
 		w.calls++
 		w.lastUsed, w.freeAt = now, now.Add(took)
-		calls = append(calls, Call{Runner: w.Addr, RunnerID: w.ID, Items: items, Took: took})
+		call := Call{Runner: w.Addr, RunnerID: w.ID, Items: items, Took: took}
+		a.open = append(a.open, &openCall{Call: call, overdueAt: now.Add(time.Duration(overdueFactor*float64(took)) + overdueGrace)})
+		calls = append(calls, call)
 	}
 	return calls, ended
 }
@@ -161,7 +200,8 @@
 		}
 		left := time.Duration(0)
 		if w.calls >= max(a.spec.Slots, 1) {
-			left = max(w.freeAt.Sub(now), 0)
+			// A call that is overdue is expected to take as long again.
+			left = max(w.freeAt.Sub(now), now.Sub(w.freeAt))
 		}
 		free = append(free, left)
 	}
@@ -190,12 +230,48 @@
 		if now.Add(minLeft).Before(i.Deadline) {
 			return false
 		}
-		ended = append(ended, End{Item: i, Result: Result{Reason: Late}})
+		if a.leave(i.Ref) {
+			ended = append(ended, End{Item: i, Result: Result{Reason: Late}})
+		}
 		return true
 	})
 	return ended
 }
 
+const (
+	// A call that takes overdueFactor times its expected time and overdueGrace
+	// is at a runner that is slow, or silent.
+	overdueFactor = 1.7
+	overdueGrace  = 150 * time.Millisecond
+)
+
+// repeatOverdue queues the items of overdue calls again. Whichever result comes
+// first is used: pieces may be made again, and a silent runner would hold its
+// items until the call is given up.
+func (a *Assembler) repeatOverdue(now time.Time) {
+	for _, o := range a.open {
+		if o.overdue || now.Before(o.overdueAt) {
+			continue
+		}
+		o.overdue = true
+		if w := a.workers[o.Runner]; w != nil && w.ID == o.RunnerID {
+			w.avoidUntil = later(w.avoidUntil, now.Add(firstAvoid))
+		}
+		for _, i := range o.Items {
+			if a.instances[i.Ref] == 1 && i.tries < maxTries {
+				a.enqueue(i)
+			}
+		}
+	}
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
 // pick gives the usable runner with the most free memory, the longest unused
 // one among equals.
 func (a *Assembler) pick(now time.Time) *worker {
@@ -214,12 +290,17 @@
 // take removes the next batch for w from the queue.
 func (a *Assembler) take(w *worker) []Item {
 	var items []Item
+	size := max(a.spec.Batch, 1)
+	if w.failures > 0 {
+		// A runner that was silent is tried with one item.
+		size = 1
+	}
 	kept := a.queue[:0]
 	free := int64(roomShare*float64(a.spec.RoomBytes)) - w.room
 	for _, i := range a.queue {
 		// A result larger than all of the memory is tried at an empty runner.
 		fits := a.spec.RoomBytes == 0 || i.ResultBytes <= free || w.room == 0
-		if len(items) >= max(a.spec.Batch, 1) || !fits {
+		if len(items) >= size || !fits {
 			kept = append(kept, i)
 			continue
 		}
@@ -241,13 +322,15 @@
 }
 
 // Done takes the end of a call. Items without a result are queued again while
-// that may help; the others have ended.
-func (a *Assembler) Done(now time.Time, c Call, r CallResult) []End {
-	w := a.workers[c.Runner]
-	if w != nil && w.ID == c.RunnerID {
+// that may help; the others have ended. Surplus are results of items that have
+// ended before; nobody needs them.
+func (a *Assembler) Done(now time.Time, c Call, r CallResult) (ended []End, surplus []Result) {
+	a.open = slices.DeleteFunc(a.open, func(o *openCall) bool {
+		return o.Runner == c.Runner && o.RunnerID == c.RunnerID && len(o.Items) > 0 && o.Items[0].Ref == c.Items[0].Ref && o.Items[0].tries == c.Items[0].tries
+	})
+	if w := a.workers[c.Runner]; w != nil && w.ID == c.RunnerID {
 		a.settle(now, w, c, r)
 	}
-	var ended []End
 	for n, item := range c.Items {
 		result := Result{Reason: Failed}
 		if n < len(r.Results) {
@@ -256,14 +339,29 @@
 			// A refusal does not count against the item.
 			item.tries--
 		}
+		result.Runner = c.Runner
+		if a.instances[item.Ref] == 0 {
+			if result.Handle != "" {
+				surplus = append(surplus, result)
+			}
+			continue
+		}
+		if result.Handle != "" {
+			a.end(item.Ref)
+			ended = append(ended, End{Item: item, Result: result})
+			continue
+		}
+		if !a.leave(item.Ref) {
+			// It is still tried elsewhere.
+			continue
+		}
 		if a.again(now, item, result) {
-			a.queue = append(a.queue, item)
+			a.enqueue(item)
 			continue
 		}
-		result.Runner = c.Runner
 		ended = append(ended, End{Item: item, Result: result})
 	}
-	return ended
+	return ended, surplus
 }
 
 // settle accounts the end of a call at its runner.
@@ -314,7 +412,7 @@
 // Wake is when Next should be asked again without any other event, zero if
 // nothing waits.
 func (a *Assembler) Wake(now time.Time) time.Time {
-	if len(a.queue) == 0 {
+	if len(a.queue) == 0 && len(a.open) == 0 {
 		return time.Time{}
 	}
 	wake := now.Add(wakeEvery)
--- a/batch/assembler_test.go
+++ b/batch/assembler_test.go
@@ -39,6 +39,13 @@
 	return r
 }
 
+// done ends a call whose items stand nowhere else.
+func done(a *Assembler, now time.Time, c Call, r CallResult) []End {
+	ended, surplus := a.Done(now, c, r)
+	Expect(surplus).To(BeEmpty())
+	return ended
+}
+
 var _ = ginkgo.Describe("an assembler", func() {
 	var a *Assembler
 	ginkgo.BeforeEach(func() {
@@ -54,7 +61,7 @@
 		Expect(refs(calls[0])).To(Equal([]uint64{2, 3, 1, 4}))
 		again, _ := a.Next(start)
 		Expect(again).To(BeEmpty(), "the runner works on one call at a time")
-		Expect(a.Done(start, calls[0], made(calls[0]))).To(HaveLen(4))
+		Expect(done(a, start, calls[0], made(calls[0]))).To(HaveLen(4))
 		next, _ := a.Next(start)
 		Expect(refs(next[0])).To(Equal([]uint64{5}))
 	})
@@ -133,11 +140,28 @@
 		a.SetWorkers([]Worker{{ID: "r1", Addr: "a1"}, {ID: "r2", Addr: "a2"}})
 		a.Add(start, item(1, time.Second))
 		calls, _ := a.Next(start)
-		Expect(a.Done(start, calls[0], CallResult{Lost: true})).To(BeEmpty())
+		Expect(done(a, start, calls[0], CallResult{Lost: true})).To(BeEmpty())
 		next, _ := a.Next(start)
 		Expect(next[0].Runner).NotTo(Equal(calls[0].Runner))
 	})
 
+	ginkgo.It("tries a runner that was silent with one item first", func() {
+		a.Add(start, item(1, time.Second), item(2, time.Second))
+		calls, _ := a.Next(start)
+		Expect(calls[0].Items).To(HaveLen(2))
+		a.Done(start, calls[0], CallResult{Lost: true})
+		now := start.Add(firstAvoid)
+		probe, _ := a.Next(now)
+		Expect(probe[0].Items).To(HaveLen(1))
+		a.Done(now, probe[0], made(probe[0]))
+		next, _ := a.Next(now)
+		Expect(next).To(HaveLen(1))
+		a.Done(now, next[0], made(next[0]))
+		a.Add(now, item(3, time.Second), item(4, time.Second))
+		whole, _ := a.Next(now)
+		Expect(whole[0].Items).To(HaveLen(2))
+	})
+
 	ginkgo.It("gives an item up after several lost calls", func() {
 		a.Add(start, item(1, time.Second))
 		now := start
@@ -148,7 +172,7 @@
 				continue
 			}
 			n++
-			if ended := a.Done(now, calls[0], CallResult{Lost: true}); len(ended) > 0 {
+			if ended := done(a, now, calls[0], CallResult{Lost: true}); len(ended) > 0 {
 				Expect(n).To(Equal(maxTries))
 				Expect(ended[0].Result.Reason).To(Equal(Failed))
 				break
@@ -200,6 +224,54 @@
 		Expect(a.Delay(start, &Item{}, 1)).To(Equal(NoWorkerDelay))
 	})
 
+	// A silent runner held its pieces until the call was given up, 2 s and
+	// more, while other runners were free.
+	ginkgo.It("tries the items of an overdue call elsewhere and uses the first result", func() {
+		a.SetWorkers([]Worker{{ID: "r1", Addr: "a1"}, {ID: "r2", Addr: "a2"}})
+		a.Add(start, item(1, time.Second))
+		first, _ := a.Next(start)
+		early, _ := a.Next(start.Add(300 * time.Millisecond))
+		Expect(early).To(BeEmpty())
+		now := start.Add(700 * time.Millisecond)
+		second, _ := a.Next(now)
+		Expect(refs(second[0])).To(Equal([]uint64{1}))
+		Expect(second[0].Runner).NotTo(Equal(first[0].Runner))
+		ended, surplus := a.Done(now, second[0], made(second[0]))
+		Expect(ended).To(HaveLen(1))
+		Expect(surplus).To(BeEmpty())
+		ended, surplus = a.Done(now, first[0], made(first[0]))
+		Expect(ended).To(BeEmpty())
+		Expect(surplus).To(Equal([]Result{{Handle: "h1", Runner: first[0].Runner}}))
+	})
+
+	ginkgo.It("does not end an item whose other call is still under way", func() {
+		a.SetWorkers([]Worker{{ID: "r1", Addr: "a1"}, {ID: "r2", Addr: "a2"}})
+		a.Add(start, item(1, time.Second))
+		first, _ := a.Next(start)
+		now := start.Add(700 * time.Millisecond)
+		second, _ := a.Next(now)
+		Expect(done(a, now, first[0], CallResult{Lost: true})).To(BeEmpty())
+		Expect(a.Waiting()).To(BeZero())
+		Expect(done(a, now, second[0], made(second[0]))).To(HaveLen(1))
+	})
+
+	ginkgo.It("takes an overdue item off the queue when its first call ends after all", func() {
+		a.Add(start, item(1, time.Second))
+		first, _ := a.Next(start)
+		none, _ := a.Next(start.Add(700 * time.Millisecond))
+		Expect(none).To(BeEmpty())
+		Expect(a.Waiting()).To(Equal(1))
+		Expect(done(a, start.Add(time.Second), first[0], made(first[0]))).To(HaveLen(1))
+		Expect(a.Waiting()).To(BeZero())
+	})
+
+	ginkgo.It("expects an overdue call to take as long again", func() {
+		a.Add(start, item(1, time.Second))
+		calls, _ := a.Next(start)
+		later := start.Add(calls[0].Took + 400*time.Millisecond)
+		Expect(a.Delay(later, &Item{Due: start.Add(time.Hour)}, 1)).To(BeNumerically(">=", 400*time.Millisecond))
+	})
+
 	ginkgo.It("cancels waiting items and says which", func() {
 		a.Add(start, item(1, time.Second), item(2, time.Second))
 		Expect(a.Cancel(map[uint64]bool{2: true, 7: true})).To(Equal([]uint64{2}))
@@ -243,7 +315,11 @@
 		finish := func(result func(Call) CallResult) {
 			c := open[0]
 			open = open[1:]
-			count(a.Done(now, c, result(c)))
+			list, surplus := a.Done(now, c, result(c))
+			for _, r := range surplus {
+				a.Free(r.Runner, []string{r.Handle})
+			}
+			count(list)
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"add": func(t *rapid.T) {
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -164,7 +164,9 @@
 				return
 			}
 			p.logNoRoom(service, &call, &result, a.Room(call.Runner))
-			p.deliver(service, a.Done(now, call, result))
+			ended, surplus := a.Done(now, call, result)
+			p.free(service, surplus)
+			p.deliver(service, ended)
 		})
 	}()
 }
