--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -10,8 +10,9 @@
 
 // exchange is one request on one connection.
 type exchange struct {
-	pool *Pool
-	conn *conn
+	pool    *Pool
+	conn    *conn
+	maxIdle int
 	// stop ends the watch of the caller's context.
 	stop   func() bool
 	before int64
@@ -76,7 +77,7 @@
 			return
 		}
 		e.conn.keepUntil(time.Now(), resp.Header)
-		e.pool.put(e.conn)
+		e.pool.put(e.conn, e.maxIdle)
 	})
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -98,6 +98,28 @@
 		Expect(p.accepted.Load()).To(Equal(int64(2)))
 	})
 
+	// A runner takes a limited number of connections from all VMs together and
+	// resets those beyond it.
+	ginkgo.It("keeps no more idle connections than it may", func() {
+		p := newPeer(func(c net.Conn, r *bufio.Reader) {
+			for {
+				req, _ := readRequest(r)
+				if req == nil {
+					return
+				}
+				fmt.Fprint(c, answer(req.Header.Get("X-Id"), "x"))
+			}
+		})
+		pool := NewPool()
+		for i := range 3 {
+			r := request(fmt.Sprint(i))
+			r.MaxIdle = -1
+			Expect(send(pool, p.addr(), r)).To(Equal("x"))
+		}
+		Expect(p.accepted.Load()).To(Equal(int64(3)))
+		Expect(pool.idle[p.addr()]).To(BeEmpty())
+	})
+
 	// A late second answer to an earlier request must not reach the next one.
 	ginkgo.It("passes over responses that belong to another request", func() {
 		p := newPeer(func(c net.Conn, r *bufio.Reader) {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -58,7 +58,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	e := &exchange{pool: p, conn: c, stop: stop, before: c.got}
+	e := &exchange{pool: p, conn: c, stop: stop, before: c.got, maxIdle: r.MaxIdle}
 	if ctx.Err() != nil {
 		e.abandon()
 		return nil, &Error{Addr: addr, Err: ctx.Err()}
@@ -127,11 +127,14 @@
 	return c
 }
 
-func (p *Pool) put(c *conn) {
+func (p *Pool) put(c *conn, most int) {
 	now := time.Now()
+	if most == 0 {
+		most = maxIdlePerAddr
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.addr]) >= maxIdlePerAddr {
+	if len(p.idle[c.addr]) >= most {
 		_ = c.Close()
 		return
 	}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -17,6 +17,9 @@
 	Body   []byte
 	// Fresh asks for a new connection.
 	Fresh bool
+	// MaxIdle bounds the idle connections to the address that are kept
+	// afterwards; 0 means the pool's default, a negative number none.
+	MaxIdle int
 	// Match says whether a response belongs to this request; nil accepts any.
 	// Responses that do not are read and dropped.
 	Match func(*http.Response) bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// idleShareOf is the part of a runner's connections that all entry VMs together
+// may keep idle; the rest is for requests under way.
+const idleShareOf = 0.5
+
+// idleShare gives the idle connections that this VM may keep to one runner of a
+// service, negative for none: a runner resets the connections over its limit.
+func (g *Gateway) idleShare(s *catalog.Service) int {
+	if s.MaxConns <= 0 {
+		return 0
+	}
+	vms := max(len(g.state.Load().Entries), 1)
+	share := int(idleShareOf * float64(s.MaxConns) / float64(vms))
+	if share == 0 {
+		return -1
+	}
+	return share
+}
+
 // Ready says whether this VM can serve: it knows the routes and the runners
 // and is not stopping.
 func (g *Gateway) Ready() bool {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -123,6 +123,16 @@
 		Expect(len(f.sends())).To(BeNumerically("<=", maxSends))
 	})
 
+	ginkgo.It("keeps its share of a runner's connections idle and no more", func() {
+		g, _ := newTestGateway()
+		s := &catalog.Service{MaxConns: 99}
+		g.Update(&directory.State{Entries: make([]directory.EntryVM, 9)})
+		Expect(g.idleShare(s)).To(Equal(5))
+		g.Update(&directory.State{Entries: make([]directory.EntryVM, 58)})
+		Expect(g.idleShare(s)).To(BeNumerically("<", 0))
+		Expect(g.idleShare(&catalog.Service{})).To(BeZero())
+	})
+
 	ginkgo.It("uses a new connection", func() {
 		g, f := newTestGateway()
 		serve(g, call("once"))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -236,6 +236,7 @@
 		Call: r.call, RunnerID: entry.ID, Addr: entry.Addr,
 		Left:        r.deadline.Sub(now),
 		ResumeAfter: r.call.ResumeAfter,
+		MaxIdle:     r.g.idleShare(r.service),
 		Fresh:       r.route.Repeat == catalog.RepeatNever && !r.route.Streaming,
 	}
 	if r.workspace != nil {
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -34,6 +34,9 @@
 	FetchFrom string
 	// Fresh asks for a new connection.
 	Fresh bool
+	// MaxIdle bounds the idle connections to the runner that are kept; a
+	// negative number means none.
+	MaxIdle int
 }
 
 // Answer is a runner's answer.
