--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -67,47 +67,6 @@
 	}
 }
 
-// Add queues items.
-func (a *Assembler) Add(now time.Time, items ...Item) {
-	for _, i := range items {
-		a.setRank(now, &i)
-		a.enqueue(i)
-	}
-}
-
-func (a *Assembler) enqueue(i Item) {
-	a.queue = append(a.queue, i)
-	a.instances[i.Ref]++
-}
-
-// leave takes an item off one place and says whether it stands nowhere else.
-func (a *Assembler) leave(ref uint64) (last bool) {
-	a.instances[ref]--
-	if a.instances[ref] > 0 {
-		return false
-	}
-	delete(a.instances, ref)
-	return true
-}
-
-// end takes an item off all places.
-func (a *Assembler) end(ref uint64) {
-	delete(a.instances, ref)
-	a.queue = slices.DeleteFunc(a.queue, func(i Item) bool { return i.Ref == ref })
-}
-
-// Cancel drops the waiting items with these refs and gives those that are in
-// no call either.
-func (a *Assembler) Cancel(refs map[uint64]bool) (dropped []uint64) {
-	a.queue = slices.DeleteFunc(a.queue, func(i Item) bool {
-		if refs[i.Ref] && a.leave(i.Ref) {
-			dropped = append(dropped, i.Ref)
-		}
-		return refs[i.Ref]
-	})
-	return dropped
-}
-
 // Free forgets results that nobody needs.
 func (a *Assembler) Free(runner string, handles []string) {
 	w := a.workers[runner]
@@ -119,9 +78,6 @@
 	}
 }
 
-// Waiting is the number of queued items, Busy that of calls under way.
-func (a *Assembler) Waiting() int { return len(a.queue) }
-
 // Busy is the number of calls under way.
 func (a *Assembler) Busy() int {
 	n := 0
@@ -163,115 +119,6 @@
 	return calls, ended
 }
 
-const (
-	// An item that can't be in time waits at most this long behind those that
-	// can, so that one late item doesn't make the next one late. Work that was
-	// begun waits less: its inputs take up memory and are dropped after a while.
-	lateStartWait = 2500 * time.Millisecond
-	lateNextWait  = 900 * time.Millisecond
-)
-
-// before orders the queue.
-func (a *Assembler) before(x, y *Item) bool { return x.rank.Before(y.rank) }
-
-// setRank ranks an item when it is queued, by the time that it is due and how
-// long it gives way.
-func (a *Assembler) setRank(now time.Time, i *Item) {
-	i.rank = i.Due
-	if now.Add(a.spec.Estimate(1)).After(i.Due) {
-		wait := lateStartWait
-		if len(i.Inputs) > 0 {
-			wait = lateNextWait
-		}
-		i.rank = now.Add(wait)
-	}
-	i.rank = i.rank.Add(i.Yield)
-}
-
-// NoWorkerDelay is the delay that is told while no runner is usable.
-const NoWorkerDelay = 2 * time.Second
-
-// Delay gives the time until n items like this one would have their results.
-func (a *Assembler) Delay(now time.Time, item *Item, n int) time.Duration {
-	var free []time.Duration
-	for _, w := range a.workers {
-		if w.Draining || now.Before(w.avoidUntil) {
-			continue
-		}
-		left := time.Duration(0)
-		if w.calls >= max(a.spec.Slots, 1) {
-			// A call that is overdue is expected to take as long again.
-			left = max(w.freeAt.Sub(now), now.Sub(w.freeAt))
-		}
-		free = append(free, left)
-	}
-	if len(free) == 0 {
-		return NoWorkerDelay
-	}
-	slices.Sort(free)
-	ranked := *item
-	a.setRank(now, &ranked)
-	ahead := 0
-	for i := range a.queue {
-		if !a.before(&ranked, &a.queue[i]) {
-			ahead++
-		}
-	}
-	size := max(a.spec.Batch, 1)
-	call := (ahead + n - 1) / size
-	start := free[call%len(free)] + time.Duration(call/len(free))*a.spec.Estimate(size)
-	return start + a.spec.Estimate(min(ahead%size+n, size))
-}
-
-// dropLate ends the items that are of no use any more.
-func (a *Assembler) dropLate(now time.Time) []End {
-	var ended []End
-	a.queue = slices.DeleteFunc(a.queue, func(i Item) bool {
-		if now.Add(minLeft).Before(i.Deadline) {
-			return false
-		}
-		if a.leave(i.Ref) {
-			ended = append(ended, End{Item: i, Result: Result{Reason: Late}})
-		}
-		return true
-	})
-	return ended
-}
-
-const (
-	// A call that takes overdueFactor times its expected time and overdueGrace
-	// is at a runner that is slow, or silent.
-	overdueFactor = 1.7
-	overdueGrace  = 150 * time.Millisecond
-)
-
-// repeatOverdue queues the items of overdue calls again. Whichever result comes
-// first is used: pieces may be made again, and a silent runner would hold its
-// items until the call is given up.
-func (a *Assembler) repeatOverdue(now time.Time) {
-	for _, o := range a.open {
-		if o.overdue || now.Before(o.overdueAt) {
-			continue
-		}
-		o.overdue = true
-		if w := a.workers[o.Runner]; w != nil && w.ID == o.RunnerID {
-			w.avoidUntil = later(w.avoidUntil, now.Add(firstAvoid))
-		}
-		for _, i := range o.Items {
-			if a.instances[i.Ref] == 1 && i.tries < maxTries {
-				a.enqueue(i)
-			}
-		}
-	}
-}
-
-func later(x, y time.Time) time.Time {
-	if x.After(y) {
-		return x
-	}
-	return y
-}
-
 // pick gives the usable runner with the most free memory, the longest unused
 // one among equals.
 func (a *Assembler) pick(now time.Time) *worker {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/sockopt"
 )
 
 // conn is one connection to an address. One request uses it at a time.
@@ -36,8 +38,6 @@
 	// idleMargin is kept before the time that the other end names, for the
 	// way there.
 	idleMargin = 500 * time.Millisecond
-	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
-	tcpUserTimeout = 18
 	// unacknowledgedLimit is how long sent bytes may stay unacknowledged.
 	unacknowledgedLimit = 2 * time.Second
 )
@@ -47,14 +47,7 @@
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 func boundUnacknowledged(_, _ string, c syscall.RawConn) error {
-	var err error
-	ctlErr := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedLimit.Milliseconds()))
-	})
-	if ctlErr != nil {
-		return ctlErr
-	}
-	return err
+	return sockopt.SetUserTimeout(c, unacknowledgedLimit)
 }
 
 // isQuiet says whether the idle connection is open and nothing has come on it.
--- a/transport/tcp_frame.go
+++ b/transport/tcp_frame.go
@@ -6,8 +6,9 @@
 	"encoding/binary"
 	"io"
 	"net"
-	"syscall"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/sockopt"
 )
 
 // A plain TCP link carries frames: the length of the rest as a varint, the
@@ -91,9 +92,6 @@
 	return s, rest, err
 }
 
-// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
-const tcpUserTimeout = 18
-
 // boundUnacknowledged has the kernel end a connection whose bytes stay
 // unacknowledged for the given time, as on a silent cut.
 func boundUnacknowledged(c net.Conn, limit time.Duration) {
@@ -106,7 +104,5 @@
 		return
 	}
 	// A kernel without the option leaves the progress timeout in charge.
-	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
-	})
+	_ = sockopt.SetUserTimeout(raw, limit)
 }
