--- a/batch/assembler_test.go
+++ b/batch/assembler_test.go
@@ -195,7 +195,7 @@
 		Expect(a.Room("a1")).To(BeZero())
 	})
 
-	ginkgo.It("uses less of a runner's memory after it had no room", func() {
+	ginkgo.It("counts memory as taken for a while that a runner did not have", func() {
 		s := spec()
 		s.RoomBytes = 100
 		a.SetSpec(s)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -175,6 +175,15 @@
 		Consistently(s.version).WithTimeout(500 * time.Millisecond).Should(Equal(uint64(7)))
 	})
 
+	ginkgo.It("does not take an older document, whoever sends it", func() {
+		s := newSystem(ctx, "c1")
+		for _, version := range []uint64{5, 3, 5, 6} {
+			s.client.take(&watchReply{Document: &catalog.Document{Version: version, Body: []byte(strconv.FormatUint(version, 10))}})
+			Expect(s.version()).To(BeNumerically(">=", 5))
+		}
+		Expect(s.version()).To(Equal(uint64(6)))
+	})
+
 	ginkgo.It("finds another control VM when the seed is gone", func() {
 		s := newSystem(ctx, "c1", "c2")
 		for _, c := range s.controls {
