Parallel stages start beside the last of the longest chain; stages run again for a stream that goes on elsewhere; refusals after a run promise nothing

Found by reading: a short stage waited for the end of a longer parallel one; a resumed stream was sent with results that had been freed; a refusal of stages that were run again after an attempt said that nothing had run; a flag of the hang timer was shared without synchronisation.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
@@ -36,15 +37,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	limit := time.Duration(hangFactor * float64(r.route.Objective))
-	hung := false
+	var hung atomic.Bool
 	timer := time.AfterFunc(limit, func() {
 		if time.Until(r.deadline) > minLeft && r.g.budgets.of(r.service.Name).Spend(time.Now()) {
-			hung = true
+			hung.Store(true)
 			cancel()
 		}
 	})
 	v := r.attemptPlain(ctx, entry)
-	if timer.Stop() || !hung {
+	if timer.Stop() || !hung.Load() {
 		return v
 	}
 	if !v.done {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,6 +67,8 @@
 		refusal = r.run(ctx)
 	}
 	if refusal != nil {
+		// A promise that nothing ran holds for all attempts together.
+		refusal.Executed = refusal.Executed || r.executions > 0
 		g.count.refused(refusal.Reason)
 		out.Refuse(refusal)
 	}
@@ -308,7 +310,10 @@
 		event.Uint64("version", r.table.Version)
 	}
 	if r.route != nil {
-		event.Str("route", r.route.Name).Int64("deadline_ms", r.deadline.Sub(r.call.Received).Milliseconds())
+		event.Str("route", r.route.Name)
+	}
+	if !r.deadline.IsZero() {
+		event.Int64("deadline_ms", r.deadline.Sub(r.call.Received).Milliseconds())
 	}
 	if r.service != nil {
 		event.Str("service", r.service.Name)
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"damaskbridge.example/damaskbridge/batch"
@@ -65,13 +64,12 @@
 func (r *request) runStagesOnce(ctx context.Context) (refusal *Refusal, again bool) {
 	r.stages = newStageRun(r.route)
 	ctx, cancel := context.WithCancel(ctx)
-	var under sync.WaitGroup
 	ends := make(chan stageEnd, len(r.route.Stages))
 	started := make([]bool, len(r.route.Stages))
 	running := 0
 	for {
 		if refusal == nil {
-			running += r.startStages(ctx, started, ends, &under)
+			running += r.startStages(ctx, started, ends)
 		}
 		if running == 0 {
 			break
@@ -103,14 +101,14 @@
 }
 
 // startStages starts the stages whose turn it is and gives their number.
-func (r *request) startStages(ctx context.Context, started []bool, ends chan<- stageEnd, under *sync.WaitGroup) int {
+func (r *request) startStages(ctx context.Context, started []bool, ends chan<- stageEnd) int {
 	n := 0
 	now := time.Now()
 	for i, stage := range r.route.Stages {
 		if started[i] || slices.ContainsFunc(stage.After, func(a int) bool { return !r.stages.done[a] }) {
 			continue
 		}
-		if r.isEarly(i) {
+		if r.isEarly(i, started) {
 			continue
 		}
 		started[i] = true
@@ -120,26 +118,26 @@
 			ends <- stageEnd{stage: i}
 			continue
 		}
-		under.Go(func() {
+		go func() {
 			results, err := r.g.pieces.order(ctx, call)
 			end := stageEnd{stage: i, results: results, err: err}
 			r.logStage(call, &end, now)
 			ends <- end
-		})
+		}()
 	}
 	return n
 }
 
-// earlyShare is the part of the longest other chain of stages from which a
-// stage is started beside it.
+// earlyShare is the part of the longest chain of stages still to be started from
+// which a stage is started beside it.
 const earlyShare = 0.8
 
 // isEarly says that a stage would be done long before the others: its results
 // would only take up their maker's memory meanwhile, and might be dropped.
-func (r *request) isEarly(i int) bool {
+func (r *request) isEarly(i int, started []bool) bool {
 	var others time.Duration
 	for j := range r.route.Stages {
-		if j != i && !r.stages.done[j] {
+		if j != i && !started[j] {
 			others = max(others, r.ownTime(j)+r.restTime(j))
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -75,6 +75,13 @@
 	if !r.g.budgets.of(r.service.Name).Spend(now) {
 		return nil
 	}
+	if r.stages != nil {
+		// The results were freed with the first event, so that they don't take
+		// up memory for the whole stream.
+		if refusal := r.stageAgain(ctx); refusal != nil {
+			return nil
+		}
+	}
 	r.sends++
 	return r.pick(now)
 }
