--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -79,6 +79,12 @@
 	return f.runners, f.err
 }
 
+func (f *fakeLister) set(runners []Runner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners = runners
+}
+
 func decode(body []byte) (*catalog.Catalog, error) {
 	version, err := strconv.ParseUint(string(body), 10, 64)
 	return &catalog.Catalog{Version: version}, err
@@ -136,7 +142,7 @@
 	ginkgo.It("brings a new document and a changed list to an entry VM", func() {
 		s := newSystem(ctx, "c1")
 		s.controls["c1"].publish(1)
-		s.lister.runners = []Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1"}}
+		s.lister.set([]Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1"}})
 		go s.client.Run(ctx)
 		Eventually(s.version).WithTimeout(patience).Should(Equal(uint64(1)))
 		Eventually(func() bool { return s.client.State().List != nil }).WithTimeout(patience).Should(BeTrue())
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -376,6 +376,24 @@
 		Expect(serve(g, back).body).To(Equal(events(1, 1)))
 	})
 
+	ginkgo.It("of other branches are started beside the last stage of the longest chain", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1)}}
+		c := stagedCall()
+		c.Pieces[1] = 30
+		serve(g, c)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		first := map[int]int{}
+		for n, call := range f.calls {
+			if _, seen := first[call.Items[0].Stage]; !seen {
+				first[call.Items[0].Stage] = n
+			}
+		}
+		Expect(first[0]).To(BeZero())
+		Expect(first[2]).To(BeNumerically(">", 0))
+	})
+
 	ginkgo.It("of other branches wait until the longest chain is as far", func() {
 		g, _ := newTestGateway()
 		r := &request{g: g, table: g.Table(), call: stagedCall()}
