--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -158,16 +158,16 @@
 	})
 
 	ginkgo.It("takes a body without a length as complete when the connection ends, and not when it is reset", func() {
-		reset := false
+		var reset atomic.Bool
 		p := newPeer(func(c net.Conn, r *bufio.Reader) {
 			readRequest(r)
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nwhole")
-			if reset {
+			if reset.Load() {
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
 		})
 		Expect(send(NewPool(), p.addr(), request("a"))).To(Equal("whole"))
-		reset = true
+		reset.Store(true)
 		_, err := send(NewPool(), p.addr(), request("a"))
 		Expect(err).To(HaveOccurred())
 	})
