--- /dev/null
+++ b/config/deployed_test.go
@@ -0,0 +1,36 @@
+package config
+
+import (
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("settings of a deployed process", func() {
+	ginkgo.It("load from the example and give the addresses of other VMs", func() {
+		d := DefaultDeployed()
+		Expect(Read("../examples/platform.yaml", d)).To(Succeed())
+		Expect(d.InterVM()).To(Equal("10.1.0.20:7740"))
+		Expect(d.InterVMSeeds()).To(Equal([]string{"10.1.0.36:7740", "10.2.0.14:7740", "10.3.0.17:7740"}))
+		Expect(d.Memory).To(Equal(Bytes(256 << 20)))
+		Expect(d.DrainTime.D()).To(Equal(4 * time.Second))
+		Expect(d.Repeats.Slack).To(Equal(54.0))
+	})
+
+	ginkgo.DescribeTable("are rejected with the remedy for",
+		func(old, changed, words string) {
+			text := example("platform.yaml")
+			Expect(text).To(ContainSubstring(old))
+			err := parse("s.yaml", []byte(strings.Replace(text, old, changed, 1)), DefaultDeployed())
+			Expect(err).To(MatchError(ContainSubstring(words)))
+		},
+		ginkgo.Entry("an unknown key", "drain_time:", "drain_tiem:", "remove it or correct its name"),
+		ginkgo.Entry("an address without a port", "callers: 10.1.0.20:8625", "callers: 10.1.0.20", "ip:port"),
+		ginkgo.Entry("a seed that is a name", `"10.2.0.14:8628"`, `"control-2:8628"`, "ip:port"),
+		ginkgo.Entry("a VM without its own address", "ip: 10.1.0.20", "ip: here", "no IP address"),
+		ginkgo.Entry("a port that cannot be", "inter_vm_port: 7740", "inter_vm_port: 77400", "out of bounds"),
+		ginkgo.Entry("too little memory", "memory: 256MiB", "memory: 1MiB", "out of bounds"),
+	)
+})
