--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -39,6 +39,13 @@
 		Expect(chosen).To(HaveLen(4))
 	})
 
+	ginkgo.It("stays with that runner while reading the shared parts elsewhere would take longer", func() {
+		list := engines("z1", "z1")
+		home := PickEngine(now, list, prompt("s"), places)
+		home.Prefilling = 4000
+		Expect(PickEngine(now, list, prompt("s"), places)).To(Equal(home))
+	})
+
 	ginkgo.It("leaves that runner when it has much work ahead", func() {
 		list := engines("z1", "z1")
 		home := PickEngine(now, list, prompt("s"), places)
@@ -61,6 +68,10 @@
 
 	ginkgo.It("avoids a runner after failures, longer each time, and uses it if no other is left", func() {
 		list := engines("z1", "z1")
+		home := PickEngine(now, list, prompt("s"), places)
+		if home != list[0] {
+			list[0], list[1] = list[1], list[0]
+		}
 		list[0].Failed(now)
 		Expect(PickEngine(now, list, prompt("s"), places)).To(Equal(list[1]))
 		Expect(list[0].Avoided(now.Add(firstAvoid))).To(BeFalse())
