--- /dev/null
+++ b/gateway/stages_test.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"damaskbridge.example/damaskbridge/batch"
+	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/directory"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("stages", func() {
+	stagedCall := func() *Call {
+		c := call("staged")
+		c.Pieces, c.PieceKey = []int{2, 3, 1}, "pk"
+		return c
+	}
+
+	ginkgo.It("get the key or all results of the stages before, and the engine all final results", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1)}}
+		Expect(serve(g, stagedCall()).body).To(Equal(events(1, 1)))
+		var final []string
+		for _, c := range f.calls {
+			for _, i := range c.Items {
+				if i.Stage == 1 {
+					Expect(i.Key).To(BeEmpty())
+					Expect(i.Inputs).To(HaveLen(2))
+				} else {
+					Expect(i.Key).To(Equal("pk"))
+					Expect(i.Inputs).To(BeEmpty())
+				}
+				if i.Stage != 0 {
+					final = append(final, c.Runner)
+				}
+			}
+		}
+		Expect(final).To(HaveLen(4))
+		sent := f.sends()[0]
+		Expect(sent.HasInputs).To(BeTrue())
+		Expect(sent.Inputs).To(HaveLen(4))
+	})
+
+	ginkgo.It("have their results freed, whether the request succeeds or not", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1)}, {lost: true}}
+		serve(g, stagedCall())
+		Eventually(f.freedCount).WithTimeout(5 * time.Second).Should(Equal(6))
+		serve(g, stagedCall())
+		Eventually(f.freedCount).WithTimeout(5 * time.Second).Should(Equal(12))
+	})
+
+	// The results are freed with the first event.
+	ginkgo.It("run again when a stream goes on at another runner", func() {
+		g, f := newTestGateway()
+		c := testCatalog()
+		c.Version = 2
+		c.Routes[4].Repeat = catalog.RepeatFromEvent
+		g.Update(&directory.State{Table: catalog.NewTable(c), List: g.state.Load().List})
+		f.any = []reply{{status: 200, body: events(1, 2), cut: true}, {status: 200, body: events(3, 4)}}
+		out := serve(g, stagedCall())
+		Expect(out.body).To(Equal(events(1, 4)))
+		sent := f.sends()
+		Expect(sent[1].ResumeAfter).To(Equal("2"))
+		Expect(sent[1].Inputs).To(HaveLen(4))
+		for _, input := range sent[1].Inputs {
+			Expect(sent[0].Inputs).NotTo(ContainElement(input))
+		}
+	})
+
+	ginkgo.It("that cannot run again after a run do not promise that nothing ran", func() {
+		g, f := newTestGateway()
+		c := testCatalog()
+		c.Version = 2
+		c.Routes[4].Repeat = catalog.RepeatFromEvent
+		g.Update(&directory.State{Table: catalog.NewTable(c), List: g.state.Load().List})
+		f.any = []reply{{lost: true}, {status: 409, notExecuted: true}}
+		f.pieces = failAfter(3)
+		out := serve(g, stagedCall())
+		Expect(out.refusal.Executed).To(BeTrue())
+	})
+
+	ginkgo.It("that have no pieces are left out", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1)}}
+		c := stagedCall()
+		c.Pieces = []int{0, 0, 1}
+		serve(g, c)
+		Expect(f.sends()[0].Inputs).To(HaveLen(1))
+	})
+
+	ginkgo.It("that fail have the request refused as not run", func() {
+		g, f := newTestGateway()
+		f.pieces = func(c *batch.Call) batch.CallResult {
+			var r batch.CallResult
+			for range c.Items {
+				r.Results = append(r.Results, batch.Result{Reason: batch.Failed})
+			}
+			return r
+		}
+		out := serve(g, stagedCall())
+		Expect(out.refusal.Reason).To(Equal(StagesFailed))
+		Expect(out.refusal.Executed).To(BeFalse())
+		Expect(f.sends()).To(BeEmpty())
+	})
+
+	// Under a peak, queues that hold what will be late make all that follows
+	// late too.
+	ginkgo.It("that are foreseen to be late have a first attempt refused at once, and a later one served", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1)}}
+		serve(g, stagedCall())
+		g.pieces.noteDelay(peerKey{"encode", "self"}, 3*time.Second)
+		out := serve(g, stagedCall())
+		Expect(out.refusal.Reason).To(Equal(StagesLate))
+		Expect(out.refusal.RetryAfter).To(BeNumerically(">=", leastRetry))
+		Expect(f.sends()).To(HaveLen(1))
+		g.pieces.noteDelay(peerKey{"encode", "self"}, 1500*time.Millisecond)
+		back := stagedCall()
+		back.Patience = 4 * time.Second
+		Expect(serve(g, back).body).To(Equal(events(1, 1)))
+	})
+
+	ginkgo.It("of other branches are started beside the last stage of the longest chain", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1)}}
+		c := stagedCall()
+		c.Pieces[1] = 30
+		serve(g, c)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		first := map[int]int{}
+		for n, call := range f.calls {
+			if _, seen := first[call.Items[0].Stage]; !seen {
+				first[call.Items[0].Stage] = n
+			}
+		}
+		Expect(first[0]).To(BeZero())
+		Expect(first[2]).To(BeNumerically(">", 0))
+	})
+
+	ginkgo.It("of other branches wait until the longest chain is as far", func() {
+		g, _ := newTestGateway()
+		r := &request{g: g, table: g.Table(), call: stagedCall()}
+		r.call.Pieces[1] = 30
+		r.route = r.table.Route("h", "/staged/x")
+		Expect(r.isEarly(0, []bool{false, false, false})).To(BeFalse())
+		Expect(r.isEarly(2, []bool{true, false, false})).To(BeTrue())
+		Expect(r.isEarly(2, []bool{true, true, false})).To(BeFalse(), "beside the last stage of the chain, however long that is")
+	})
+})
+
+// failAfter lets this many stage calls succeed and all later ones fail.
+func failAfter(calls int) func(*batch.Call) batch.CallResult {
+	var mu sync.Mutex
+	return func(c *batch.Call) batch.CallResult {
+		mu.Lock()
+		defer mu.Unlock()
+		calls--
+		var r batch.CallResult
+		for _, i := range c.Items {
+			result := batch.Result{Reason: batch.Failed}
+			if calls >= 0 {
+				result = batch.Result{Handle: fmt.Sprint(i.Stage, "-", i.Piece, "-", calls), Runner: c.Runner}
+			}
+			r.Results = append(r.Results, result)
+		}
+		return r
+	}
+}
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		b.WriteString("id: " + string(rune('0'+n)) + "\ndata: x\n\n")
+	}
+	return b.String()
+}
+
+var _ = ginkgo.Describe("a stream", func() {
+	ginkgo.It("is passed on whole with the runner's status", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 4)}}
+		out := serve(g, call("stream"))
+		Expect(out.body).To(Equal(events(1, 4)))
+		Expect(out.aborted).To(BeFalse())
+	})
+
+	// An answer that ends early must not look complete.
+	ginkgo.DescribeTable("that breaks off is aborted without the part of an event",
+		func(r reply) {
+			g, f := newTestGateway()
+			f.any = []reply{r}
+			out := serve(g, call("stream"))
+			Expect(out.body).To(Equal(events(1, 2)))
+			Expect(out.aborted).To(BeTrue())
+			Expect(f.sends()).To(HaveLen(1))
+		},
+		ginkgo.Entry("by a reset", reply{status: 200, body: events(1, 2) + "id: 3\nda", cut: true}),
+		ginkgo.Entry("by a proper end within an event", reply{status: 200, body: events(1, 2) + "id: 3\nda"}),
+	)
+
+	ginkgo.It("goes on at another runner after its last event, where the route allows", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 2) + "id: 3\nda", cut: true}, {status: 200, body: events(2, 4)}}
+		out := serve(g, call("resume"))
+		Expect(out.body).To(Equal(events(1, 4)))
+		Expect(out.aborted).To(BeFalse())
+		Expect(f.sends()[1].ResumeAfter).To(Equal("2"))
+		Expect(out.from).To(Equal(f.sends()[0].RunnerID), "the answer keeps the head of its first runner")
+	})
+
+	ginkgo.It("is sent afresh where it may be resumed and no event has come", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{lost: true}, {status: 200, body: events(1, 2)}}
+		out := serve(g, call("resume"))
+		Expect(out.body).To(Equal(events(1, 2)))
+		Expect(f.sends()[1].ResumeAfter).To(BeEmpty())
+	})
+
+	ginkgo.It("goes on after the event that the caller names", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(2, 4)}}
+		c := call("resume")
+		c.ResumeAfter = "2"
+		Expect(serve(g, c).body).To(Equal(events(3, 4)))
+		Expect(f.sends()[0].ResumeAfter).To(Equal("2"))
+	})
+
+	ginkgo.It("is refused while the VM stops", func() {
+		g, f := newTestGateway()
+		g.Stop()
+		Expect(serve(g, call("stream")).refusal.Reason).To(Equal(Stopping))
+		Expect(g.Ready()).To(BeFalse())
+		Expect(serve(g, call("once")).status).To(Equal(200))
+		Expect(f.sends()).To(HaveLen(1))
+	})
+})
+
+var _ = ginkgo.Describe("events", func() {
+	ginkgo.It("come whole, in any cut of the bytes", func() {
+		whole := events(1, 5)
+		for size := 1; size < len(whole); size++ {
+			s := eventSplitter{}
+			var got []byte
+			for rest := whole; rest != ""; {
+				n := min(size, len(rest))
+				got = append(got, s.push([]byte(rest[:n]))...)
+				rest = rest[n:]
+			}
+			Expect(string(got)).To(Equal(whole))
+			Expect(s.lastID).To(Equal("5"))
+			Expect(s.hasPartial()).To(BeFalse())
+		}
+	})
+
+	ginkgo.It("that were seen before are left out", func() {
+		s := eventSplitter{}
+		s.push([]byte(events(1, 3)))
+		Expect(string(s.push([]byte(events(2, 4))))).To(Equal(events(4, 4)))
+	})
+})
