One accept loop for callers and links; unused parts of the assembler and the directory are gone

Cause: the loop that takes connections stood in callers and transport, and only one of them reported a failed accept; Assembler.Busy and the time of the roster were read by nobody.

--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -78,15 +78,6 @@
 	}
 }
 
-// Busy is the number of calls under way.
-func (a *Assembler) Busy() int {
-	n := 0
-	for _, w := range a.workers {
-		n += w.calls
-	}
-	return n
-}
-
 // Next gives the calls to send now and the items that have ended without one.
 // A call takes what fits into a batch and into the runner's memory, in the
 // order of the queue.
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -46,7 +46,7 @@
 	return dropped
 }
 
-// Waiting is the number of queued items, Busy that of calls under way.
+// Waiting is the number of queued items.
 func (a *Assembler) Waiting() int { return len(a.queue) }
 
 const (
--- a/callers/server.go
+++ b/callers/server.go
@@ -7,9 +7,10 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/phuslu/log"
+
+	"damaskbridge.example/damaskbridge/internal/accept"
 )
 
 // Server serves callers. It is safe for concurrent use.
@@ -41,7 +42,9 @@
 	}
 	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{})}
 	s.SetLimits(Limits{})
-	go s.accept()
+	go accept.Loop(s.listener, s.stopped, s.take, func(err error) {
+		s.log.Warn().Err(err).Msg("callers: accept failed")
+	})
 	return s, nil
 }
 
@@ -69,28 +72,12 @@
 	go func() { _ = g.http.Serve(g.conns) }()
 }
 
-// acceptPause is the wait after a failed accept, for instance for want of
-// descriptors.
-const acceptPause = 50 * time.Millisecond
-
-func (s *Server) accept() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			select {
-			case <-s.stopped:
-				return
-			case <-time.After(acceptPause):
-				s.log.Warn().Err(err).Msg("callers: accept failed")
-				continue
-			}
-		}
-		s.mu.Lock()
-		g := s.current
-		s.mu.Unlock()
-		if !g.conns.give(c) {
-			_ = c.Close()
-		}
+func (s *Server) take(c net.Conn) {
+	s.mu.Lock()
+	g := s.current
+	s.mu.Unlock()
+	if !g.conns.give(c) {
+		_ = c.Close()
 	}
 }
 
--- a/directory/server.go
+++ b/directory/server.go
@@ -47,7 +47,6 @@
 	watching *roster
 	reported *roster
 	all      []EntryVM
-	allAt    time.Time
 }
 
 // NewServer makes the directory of the control VM at the address self.
@@ -157,7 +156,7 @@
 	leader := s.control.Leader()
 	if leader == "" {
 		// The leader itself, or nobody to ask.
-		s.keep(now, s.takeRoster(now, call).Entries)
+		s.keep(s.takeRoster(now, call).Entries)
 		return
 	}
 	body, err := wire.Encode(call)
@@ -173,7 +172,7 @@
 	}
 	var reply rosterReply
 	if wire.Decode(b, &reply) == nil {
-		s.keep(now, reply.Entries)
+		s.keep(reply.Entries)
 	}
 }
 
@@ -186,8 +185,8 @@
 	return &rosterReply{Entries: s.reported.list(now)}
 }
 
-func (s *Server) keep(now time.Time, all []EntryVM) {
+func (s *Server) keep(all []EntryVM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.all, s.allAt = all, now
+	s.all = all
 }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -50,9 +50,13 @@
 	return sockopt.SetUserTimeout(c, unacknowledgedLimit)
 }
 
+// hasUnread says that bytes were read from the connection which belong to no
+// response.
+func (c *conn) hasUnread() bool { return c.reader.Buffered() > 0 }
+
 // isQuiet says whether the idle connection is open and nothing has come on it.
 func (c *conn) isQuiet() bool {
-	if c.reader.Buffered() > 0 {
+	if c.hasUnread() {
 		return false
 	}
 	t, ok := c.Conn.(*net.TCPConn)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -72,7 +72,7 @@
 func (e *exchange) finish(resp *http.Response) {
 	e.once.Do(func() {
 		inTime := e.stop()
-		if !inTime || resp.Close || !e.isWritten() || e.conn.reader.Buffered() > 0 {
+		if !inTime || resp.Close || !e.isWritten() || e.conn.hasUnread() {
 			_ = e.conn.Close()
 			return
 		}
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -19,10 +19,11 @@
 )
 
 var (
-	connsOpened   = metrics.NewCounter(`damask_transport_connections_opened_total`)
-	connsAccepted = metrics.NewCounter(`damask_transport_connections_accepted_total`)
-	connsSilent   = metrics.NewCounter(`damask_transport_connections_closed_silent_total`)
-	connsRejected = metrics.NewCounter(`damask_transport_connections_rejected_total`)
+	connsOpened    = metrics.NewCounter(`damask_transport_connections_opened_total`)
+	connsAccepted  = metrics.NewCounter(`damask_transport_connections_accepted_total`)
+	connsSilent    = metrics.NewCounter(`damask_transport_connections_closed_silent_total`)
+	acceptFailures = metrics.NewCounter(`damask_transport_accepts_failed_total`)
+	connsRejected  = metrics.NewCounter(`damask_transport_connections_rejected_total`)
 )
 
 // methodCounters counts the framed bytes of one method, without the overhead
--- a/transport/tcp_server.go
+++ b/transport/tcp_server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/accept"
 )
 
 // TCPServer answers the calls of TCPClients. The peer that a handler sees is
@@ -38,7 +39,9 @@
 		listener: listener, handler: h, opts: o, ctx: ctx, cancel: cancel,
 		calls: make(chan struct{}, o.MaxCalls), conns: map[net.Conn]struct{}{},
 	}
-	s.group.Go(s.accept)
+	s.group.Go(func() {
+		accept.Loop(listener, ctx.Done(), s.take, func(error) { acceptFailures.Inc() })
+	})
 	return s, nil
 }
 
@@ -58,34 +61,17 @@
 	return err
 }
 
-// acceptPause is the wait after a failed accept, for instance for want of
-// descriptors.
-const acceptPause = 50 * time.Millisecond
-
-func (s *TCPServer) accept() {
-	for {
-		c, err := s.listener.Accept()
-		if s.ctx.Err() != nil {
-			if err == nil {
-				_ = c.Close()
-			}
-			return
-		}
-		if err != nil {
-			time.Sleep(acceptPause)
-			continue
-		}
+func (s *TCPServer) take(c net.Conn) {
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	s.group.Go(func() {
+		s.serve(c)
+		_ = c.Close()
 		s.mu.Lock()
-		s.conns[c] = struct{}{}
+		delete(s.conns, c)
 		s.mu.Unlock()
-		s.group.Go(func() {
-			s.serve(c)
-			_ = c.Close()
-			s.mu.Lock()
-			delete(s.conns, c)
-			s.mu.Unlock()
-		})
-	}
+	})
 }
 
 // tcpAnswers writes the answers of one connection.
