Inputs of a request are freed while its engine reads the prompt

Cause: a stage runner's memory bounds its calls. The engine fetches its inputs when it takes the request in; the answer's head comes only with the first event. Ruled out: full calls for want of waiting pieces (the queue was never empty), slow runners (calls took their stated time). Change: inputs are freed 60 ms (200 ms to another region) after the request was written. A runner that finds them gone gets new ones and doubles the hold of its service; a runner that tells a queue keeps them until the first event.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -30,10 +30,14 @@
 		if _, err := e.conn.Write(encoded); err != nil {
 			return nil, err
 		}
+		r.wasSent()
 	} else {
 		e.written = make(chan error, 1)
 		go func() {
 			_, err := e.conn.Write(encoded)
+			if err == nil {
+				r.wasSent()
+			}
 			e.written <- err
 		}()
 	}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -23,6 +23,14 @@
 	// Match says whether a response belongs to this request; nil accepts any.
 	// Responses that do not are read and dropped.
 	Match func(*http.Response) bool
+	// Sent is called once the whole request is written; nil means nobody.
+	Sent func()
+}
+
+func (r *Request) wasSent() {
+	if r.Sent != nil {
+		r.Sent()
+	}
 }
 
 // encode gives the bytes of the request.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -33,6 +33,8 @@
 	lost    bool
 	// cut ends the body with an error after its bytes.
 	cut bool
+	// after is the time until the runner answers.
+	after time.Duration
 	// hang keeps the request until its context ends.
 	hang bool
 }
@@ -77,6 +79,12 @@
 	f.mu.Lock()
 	f.sent = append(f.sent, *d)
 	f.mu.Unlock()
+	if d.Sent != nil {
+		d.Sent()
+	}
+	if r.after > 0 {
+		time.Sleep(r.after)
+	}
 	if r.hang {
 		<-ctx.Done()
 		return nil, &exchange.Error{Addr: d.Addr, Sent: true, Err: ctx.Err()}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,7 @@
 	pieces   *pieceServer
 	patience *patienceBook
 	engines  *engineTimes
+	holds    *inputHolds
 	count    *counters
 	stopping atomic.Bool
 	// known is closed once this VM knows the routes and the runners.
@@ -56,6 +57,7 @@
 
 		patience: newPatienceBook(),
 		engines:  newEngineTimes(),
+		holds:    newInputHolds(),
 	}
 	g.pieces = newPieceServer(g)
 	g.state.Store(&directory.State{})
--- /dev/null
+++ b/gateway/inputs_test.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/placement"
+)
+
+var _ = ginkgo.Describe("the inputs of a request", func() {
+	stagedCall := func() *Call {
+		c := call("staged")
+		c.Pieces, c.PieceKey = []int{2, 3, 1}, "pk"
+		return c
+	}
+
+	// A stage runner's memory bounds its throughput; results must not take it up
+	// while the engine reads the prompt.
+	ginkgo.It("are freed while the runner is still working", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{hang: true}}
+		c := stagedCall()
+		c.Patience = time.Minute
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			serve(g, c)
+		}()
+		// 2 results of the stage in between are freed with it, 4 final ones early.
+		Eventually(f.freedCount).WithTimeout(10 * time.Second).Should(Equal(6))
+		Expect(ended).NotTo(BeClosed())
+		Expect(f.sends()).To(HaveLen(1))
+	})
+
+	ginkgo.It("are made again when the runner found them gone, and kept longer from then on", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 409, notExecuted: true, after: 10 * nearHold}, {status: 200, body: events(1, 1)}}
+		service := g.Table().Route("h", "/staged/x").Pick(0)
+		before := g.holds.of(service, placement.SameZone)
+		out := serve(g, stagedCall())
+		Expect(out.body).To(Equal(events(1, 1)))
+		sent := f.sends()
+		Expect(sent).To(HaveLen(2))
+		for _, input := range sent[1].Inputs {
+			Expect(sent[0].Inputs).NotTo(ContainElement(input))
+		}
+		Expect(g.holds.of(service, placement.SameZone)).To(BeNumerically(">", before))
+	})
+
+	ginkgo.It("are made again for another runner once they were freed", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 503, notExecuted: true, after: 10 * nearHold}, {status: 200, body: events(1, 1)}}
+		Expect(serve(g, stagedCall()).body).To(Equal(events(1, 1)))
+		sent := f.sends()
+		for _, input := range sent[1].Inputs {
+			Expect(sent[0].Inputs).NotTo(ContainElement(input))
+		}
+	})
+
+	ginkgo.It("are kept for another runner while they were not freed", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 503, notExecuted: true}, {status: 200, body: events(1, 1)}}
+		Expect(serve(g, stagedCall()).body).To(Equal(events(1, 1)))
+		sent := f.sends()
+		Expect(sent[1].Inputs).To(Equal(sent[0].Inputs))
+	})
+
+	// A runner fetches the inputs when it takes a request off its queue.
+	ginkgo.It("are kept until the first event when requests wait at the runner", func() {
+		g, _ := newTestGateway()
+		r := &request{g: g, table: g.Table(), call: stagedCall()}
+		r.route = r.table.Route("h", "/staged/x")
+		r.service = r.table.Service(r.route.Pick(0))
+		r.stages = newStageRun(r.route)
+		now := time.Now()
+		entry := &placement.Entry{Load: placement.Load{Running: 4, Waiting: 1, Slots: 4, At: now}}
+		Expect(r.releaseInputs(entry, now)).To(BeNil())
+		entry.Load.Waiting = 0
+		Expect(r.releaseInputs(entry, now)).NotTo(BeNil())
+	})
+})
+
+var _ = ginkgo.Describe("the hold of inputs", func() {
+	ginkgo.It("is longer to another region, grows when it was too short and shrinks slowly", func() {
+		h := newInputHolds()
+		least := h.of("s", placement.SameZone)
+		Expect(h.of("s", placement.OtherRegion)).To(BeNumerically(">", least))
+		h.wasShort("s")
+		Expect(h.of("s", placement.SameZone)).To(Equal(2 * least))
+		Expect(h.of("t", placement.SameZone)).To(Equal(least))
+		h.wasEnough("s")
+		Expect(h.of("s", placement.SameZone)).To(And(BeNumerically(">", 3*least/2), BeNumerically("<", 2*least)))
+		for range 1000 {
+			h.wasEnough("s")
+		}
+		Expect(h.of("s", placement.SameZone)).To(Equal(least))
+	})
+})
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,8 @@
 	resumed   *metrics.Counter
 	// forwarded counts stage orders that went on to another zone.
 	forwarded *metrics.Counter
+	// inputsFreedEarly counts requests whose runner found freed inputs gone.
+	inputsFreedEarly *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -30,6 +32,8 @@
 		callFill:  set.NewHistogram("damask_gateway_stage_call_pieces"),
 		resumed:   set.NewCounter("damask_gateway_streams_resumed_total"),
 		forwarded: set.NewCounter("damask_gateway_stage_orders_forwarded_total"),
+
+		inputsFreedEarly: set.NewCounter("damask_gateway_inputs_freed_early_total"),
 	}
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -154,14 +154,14 @@
 		if ctx.Err() != nil {
 			return r.ended(ctx)
 		}
+		if !r.mayRepeat(time.Now(), &v) {
+			return r.giveUp(&v)
+		}
 		if v.inputsGone {
 			if refusal := r.stageAgain(ctx); refusal != nil {
 				return refusal
 			}
 		}
-		if !r.mayRepeat(time.Now(), &v) {
-			return r.giveUp(&v)
-		}
 		r.g.count.repeated(v.cause)
 	}
 }
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -143,6 +143,13 @@
 	e.Load = *load
 }
 
+// isQueueing says whether requests wait at a runner, as far as is known.
+func (r *runners) isQueueing(now time.Time, e *placement.Entry) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return e.Queueing(now)
+}
+
 // stageRunners gives the runners of a stage's service in a zone.
 func (r *runners) stageRunners(service, zone string) []directory.Runner {
 	r.mu.Lock()
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"damaskbridge.example/damaskbridge/batch"
@@ -15,7 +16,10 @@
 	// results are those of each stage; done says which stages have ended.
 	results [][]batch.Result
 	done    []bool
-	freed   []bool
+
+	// The inputs of a request are freed beside its attempt.
+	mu    sync.Mutex
+	freed []bool
 }
 
 func newStageRun(route *catalog.Route) *stageRun {
@@ -36,6 +40,17 @@
 	return list
 }
 
+// markFreed says whether a stage has results that were not freed, and marks them.
+func (s *stageRun) markFreed(i int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.freed[i] || !s.done[i] {
+		return false
+	}
+	s.freed[i] = true
+	return true
+}
+
 // stageEnd is the end of one stage.
 type stageEnd struct {
 	stage   int
@@ -232,51 +247,6 @@
 	return &Refusal{Reason: StagesFailed, RetryAfter: shortRetry(), Detail: detail}
 }
 
-// freeFollowed frees the results that only ended stages needed.
-func (r *request) freeFollowed() {
-	for i := range r.route.Stages {
-		if !r.stages.done[i] || r.stages.freed[i] || slices.Contains(r.stages.final, i) {
-			continue
-		}
-		needed := false
-		for j, stage := range r.route.Stages {
-			if slices.Contains(stage.After, i) && !r.stages.done[j] {
-				needed = true
-			}
-		}
-		if !needed {
-			r.freeStage(i)
-		}
-	}
-}
-
-// freeInputs frees the results that the request itself has used.
-func (r *request) freeInputs() {
-	if r.stages == nil {
-		return
-	}
-	for _, i := range r.stages.final {
-		r.freeStage(i)
-	}
-}
-
-func (r *request) freeAll() {
-	if r.stages == nil {
-		return
-	}
-	for i := range r.route.Stages {
-		r.freeStage(i)
-	}
-}
-
-func (r *request) freeStage(i int) {
-	if r.stages.freed[i] || !r.stages.done[i] {
-		return
-	}
-	r.stages.freed[i] = true
-	r.g.pieces.free(r.route.Stages[i].Service, r.stages.results[i])
-}
-
 func (r *request) logStage(call *piecesCall, end *stageEnd, began time.Time) {
 	r.g.log.Info().Str("id", r.call.ID).Int("stage", end.stage).Str("service", call.Service).Int("pieces", len(call.Items)).
 		Int64("due_ms", call.DueMS).Int64("left_ms", call.LeftMS).
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -105,7 +105,13 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	release := r.releaseInputs(entry, time.Now())
+	if release != nil {
+		d.Sent = release.sent
+	}
 	answer, n := r.send(ctx, entry, d)
+	r.endRelease(release, answer != nil, &n)
+	inputsGone := n.inputsGone
 	if answer == nil {
 		r.g.runners.done(entry, n.note)
 		return n.verdict
@@ -137,6 +143,7 @@
 		return verdict{done: true}
 	}
 	n = r.failed(ctx, &exchange.Error{Addr: entry.Addr, Sent: true, Answered: true, Err: err})
+	n.inputsGone = inputsGone
 	r.g.runners.done(entry, n.note)
 	return n.verdict
 }
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -37,6 +37,8 @@
 	// MaxIdle bounds the idle connections to the runner that are kept; a
 	// negative number means none.
 	MaxIdle int
+	// Sent is called once the whole request is written, nil for nobody.
+	Sent func()
 }
 
 // Answer is a runner's answer.
--- a/placement/book.go
+++ b/placement/book.go
@@ -86,6 +86,11 @@
 // Avoided says whether requests go elsewhere for now.
 func (e *Entry) Avoided(now time.Time) bool { return now.Before(e.avoidUntil) }
 
+// Queueing says whether the runner told lately that requests wait there.
+func (e *Entry) Queueing(now time.Time) bool {
+	return now.Sub(e.Load.At) < loadFresh && e.Load.Waiting > 0
+}
+
 // Keep remembers that the runner has read a prompt.
 func (e *Entry) Keep(now time.Time, p *Prompt) {
 	if len(e.parts) > maxParts {
