Control VMs elect sooner after a start; entry VMs ask sooner while they know nothing

The third control VM was up at 36.0 s, the leader was elected at 36.91 s and entry VMs had the document at 37.04 to 37.14 s; all requests until then were refused (2 of 155 in time in that window). A replica that starts kept the whole election time as a promise to a leader that it may have heard before, and an entry VM asked in rounds of 240 ms, its first one as long as the slowest dial. Ruled out: reading the log (the processes were ready at once), the list of runners (known before the document). The default stays the whole election time. A VM that knows nothing takes what the choosing answers hold, waits at most 300 ms for them and asks again after 25 to 100 ms.

--- a/control/options.go
+++ b/control/options.go
@@ -52,6 +52,9 @@
 	Tick           time.Duration
 	ElectionTicks  int
 	HeartbeatTicks int
+	// StartTicks is raft.Config.StartTicks; 0 means ElectionTicks, the only
+	// choice where entry VMs hold settings leases.
+	StartTicks int
 	// LeaseTerm is the term of the settings lease of entry VMs.
 	LeaseTerm time.Duration
 	// SessionExpiry is how long a session lives without a renewal.
--- a/control/replica.go
+++ b/control/replica.go
@@ -143,7 +143,7 @@
 func (r *Replica) startNode(s raft.State) error {
 	cfg := raft.Config{
 		ID: r.id, Group: r.opts.Group,
-		ElectionTicks: r.opts.ElectionTicks, HeartbeatTicks: r.opts.HeartbeatTicks,
+		ElectionTicks: r.opts.ElectionTicks, HeartbeatTicks: r.opts.HeartbeatTicks, StartTicks: r.opts.StartTicks,
 		Seed: uint64(time.Now().UnixNano()),
 	}
 	node, err := raft.New(cfg, s)
--- a/directory/client.go
+++ b/directory/client.go
@@ -20,12 +20,18 @@
 	watchTimeout = 1800 * time.Millisecond
 	// retryPause separates two rounds over control VMs that do not answer.
 	retryPause = 100 * time.Millisecond
+	// A VM that knows no document yet asks more often, because callers wait for
+	// it; the pause doubles with each round in vain up to retryPause.
+	leastStartPause = 25 * time.Millisecond
 	// maxAge is how old a control VM's knowledge may be before another one is
 	// asked. Its report to the leader is due several times within it.
 	maxAge = 2 * time.Second
 	// chooseEvery is how often a nearer control VM is looked for.
 	chooseEvery   = 20 * time.Second
 	chooseTimeout = 700 * time.Millisecond
+	// chooseStartTimeout is that of a VM that knows no document: after a loss of
+	// power, control VMs that are not back yet give no answer at all.
+	chooseStartTimeout = 300 * time.Millisecond
 	// maxAsked bounds how many control VMs are asked who is nearest.
 	maxAsked = 7
 )
@@ -66,6 +72,8 @@
 	controls []string
 	current  string
 	chosenAt time.Time
+	// startPause is the pause before the next round of a VM that knows nothing.
+	startPause time.Duration
 	// rosterTag names the list of entry VMs that the state holds.
 	rosterTag uint64
 }
@@ -91,7 +99,7 @@
 		}
 		addr := c.current
 		if addr == "" {
-			sleep(ctx, retryPause)
+			sleep(ctx, c.nextPause())
 			continue
 		}
 		reply, err := c.watch(ctx, addr, watchWait)
@@ -120,7 +128,11 @@
 func (c *Client) choose(ctx context.Context) {
 	addrs := c.known()
 	answers := make(chan candidate, len(addrs))
-	ctx, cancel := context.WithTimeout(ctx, chooseTimeout)
+	timeout := chooseTimeout
+	if c.State().Table == nil {
+		timeout = chooseStartTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for _, addr := range addrs {
 		go func() {
@@ -133,21 +145,40 @@
 	}
 	before := c.current
 	c.current, c.chosenAt = "", time.Now()
+	var answer *watchReply
 	for range addrs {
 		a := <-answers
 		if a.reply == nil {
 			continue
 		}
-		c.current = a.addr
+		c.current, answer = a.addr, a.reply
 		if inTouch(a.reply) {
 			break
 		}
 	}
+	if c.State().Table == nil && answer != nil {
+		// The answer is of use at once: the document, or the list alone.
+		c.take(answer)
+		if !inTouch(answer) {
+			c.current = ""
+			return
+		}
+		c.startPause = 0
+	}
 	if c.current != before {
 		c.opts.Logger.Info().Str("control", c.current).Str("before", before).Int("asked", len(addrs)).Msg("directory: control VM chosen")
 	}
 }
 
+// nextPause gives the pause before the next round.
+func (c *Client) nextPause() time.Duration {
+	if c.State().Table != nil {
+		return retryPause
+	}
+	c.startPause = min(max(2*c.startPause, leastStartPause), retryPause)
+	return c.startPause
+}
+
 func inTouch(r *watchReply) bool { return r.AgeMS >= 0 && r.AgeMS < maxAge.Milliseconds() }
 
 // known lists some of the control VMs, others each time if there are many.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -181,6 +181,31 @@
 		Consistently(s.version).WithTimeout(500 * time.Millisecond).Should(Equal(uint64(7)))
 	})
 
+	// Callers wait while all VMs come back from a loss of power.
+	ginkgo.It("asks sooner again while it knows no document, and not for ever", func() {
+		s := newSystem(ctx, "c1")
+		Expect(s.client.nextPause()).To(Equal(leastStartPause))
+		Expect(s.client.nextPause()).To(Equal(2 * leastStartPause))
+		for range 10 {
+			Expect(s.client.nextPause()).To(BeNumerically("<=", retryPause))
+		}
+		s.client.take(&watchReply{Document: &catalog.Document{Version: 1, Body: []byte("1")}})
+		Expect(s.client.nextPause()).To(Equal(retryPause))
+	})
+
+	ginkgo.It("takes the first document from the answer by which it chooses a control VM", func() {
+		s := newSystem(ctx, "c1")
+		s.controls["c1"].setAge(-1)
+		s.controls["c1"].publish(3)
+		s.client.choose(ctx)
+		Expect(s.version()).To(BeZero())
+		Expect(s.client.current).To(BeEmpty())
+		s.controls["c1"].setAge(0)
+		s.client.choose(ctx)
+		Expect(s.version()).To(Equal(uint64(3)))
+		Expect(s.client.current).To(Equal("c1"))
+	})
+
 	ginkgo.It("does not take an older document, whoever sends it", func() {
 		s := newSystem(ctx, "c1")
 		for _, version := range []uint64{5, 3, 5, 6} {
--- a/raft/config.go
+++ b/raft/config.go
@@ -16,6 +16,11 @@
 	ElectionTicks int
 	// HeartbeatTicks is the time between two heartbeats.
 	HeartbeatTicks int
+	// StartTicks is the time after its start for which a replica neither votes
+	// nor campaigns. Its default, ElectionTicks, keeps the promise that it may
+	// have given to a leader before: it is not stored. Less is safe only where
+	// nothing is read under a leader's lease.
+	StartTicks int
 	// Seed seeds the random part of the election time.
 	Seed uint64
 	// MaxMessageBytes bounds the entries of one append; 0 takes the default.
@@ -40,6 +45,7 @@
 	setInt(&c.MaxMessageBytes, defaultMaxMessageBytes)
 	setInt(&c.MaxInflight, defaultMaxInflight)
 	setInt(&c.MaxPendingBytes, defaultMaxPendingBytes)
+	setInt(&c.StartTicks, c.ElectionTicks)
 }
 
 func setInt(v *int, value int) {
@@ -58,6 +64,9 @@
 	if c.HeartbeatTicks < 1 || c.HeartbeatTicks*2 > c.ElectionTicks {
 		return fmt.Errorf("raft: heartbeat time of %d ticks does not fit an election time of %d; use at most half", c.HeartbeatTicks, c.ElectionTicks)
 	}
+	if c.StartTicks < 1 || c.StartTicks > c.ElectionTicks {
+		return fmt.Errorf("raft: start time of %d ticks does not fit an election time of %d; use 1 to %d", c.StartTicks, c.ElectionTicks, c.ElectionTicks)
+	}
 	return nil
 }
 
--- a/raft/network_test.go
+++ b/raft/network_test.go
@@ -68,6 +68,8 @@
 	newest     uint64 // highest committed index seen anywhere
 	unrepaired ids.VMID
 	seed       uint64
+	// startTicks is that of the replicas that are started from now on.
+	startTicks int
 }
 
 func newNetwork(t failer, vms ...ids.VMID) *network {
@@ -99,7 +101,7 @@
 
 func (n *network) start(r *replica) {
 	n.seed++
-	cfg := Config{ID: r.id, Group: 1, ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks, Seed: n.seed, MaxMessageBytes: 100, MaxInflight: 4}
+	cfg := Config{ID: r.id, Group: 1, ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks, StartTicks: n.startTicks, Seed: n.seed, MaxMessageBytes: 100, MaxInflight: 4}
 	node, err := New(cfg, State{HardState: r.disk.hard, Snapshot: r.disk.snapshot, Entries: r.disk.entries})
 	if err != nil {
 		n.t.Fatalf("restart of %s: %v", r.id, err)
--- a/raft/node.go
+++ b/raft/node.go
@@ -39,8 +39,8 @@
 	elapsed int
 	timeout int
 	// sinceLeader counts ticks since a leader was heard. Below ElectionTicks
-	// the replica votes for no other. It starts at 0 also after a restart,
-	// because the promise given before is not stored.
+	// the replica votes for no other. After a start StartTicks are missing to
+	// it, because a promise given before is not stored.
 	sinceLeader int
 
 	votes map[ReplicaID]bool
@@ -88,7 +88,8 @@
 		n.term = max(n.term, s.Snapshot.Term)
 	}
 	n.saved = n.hardState()
-	n.resetTimeout()
+	n.sinceLeader = cfg.ElectionTicks - cfg.StartTicks
+	n.timeout = cfg.StartTicks + n.rand.IntN(cfg.StartTicks)
 	return n, nil
 }
 
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -156,6 +156,41 @@
 		Expect(vote("y")).To(BeFalse(), "the restart forgot the vote")
 	})
 
+	// Callers wait while all control VMs come back from a loss of power.
+	ginkgo.It("elects a leader within the start time after a restart of all", func() {
+		n, _ := network3()
+		n.startTicks = 3
+		for _, r := range n.replicas {
+			n.start(r)
+		}
+		n.settle(testElectionTicks - 1)
+		Expect(n.leader()).NotTo(BeNil())
+	})
+
+	ginkgo.It("keeps its promise for the whole election time after a start unless told otherwise", func() {
+		n, l := network3()
+		r := n.other(l)
+		n.start(r)
+		for range testElectionTicks - 1 {
+			r.node.Tick()
+			Expect(r.node.promised()).To(BeTrue())
+		}
+		r.node.Tick()
+		Expect(r.node.promised()).To(BeFalse())
+	})
+
+	ginkgo.It("does not disturb a leader when a replica with a short start time comes back", func() {
+		n, l := network3()
+		term := l.node.term
+		n.startTicks = 1
+		for range 5 {
+			n.start(n.other(l))
+			n.settle(testElectionTicks)
+		}
+		Expect(n.leader()).To(Equal(l))
+		Expect(l.node.term).To(Equal(term))
+	})
+
 	// Guards against a lease that runs from the receipt of a late answer.
 	ginkgo.It("counts the lease from the sending of the heartbeat", func() {
 		n, l := network3()
