--- a/control/hub.go
+++ b/control/hub.go
@@ -64,9 +64,9 @@
 // proofAt gives the time of this VM's newest proof, zero if there is none.
 func (h *hub) proofAt(v *view) time.Time {
 	if !v.proof.IsZero() {
-		h.proofs.add(proof{at: v.proof, version: v.settings.Version()})
+		h.proofs.add(proof{at: v.proof, state: v.state()})
 	}
-	return h.proofs.at(v.settings.Version())
+	return h.proofs.at(v.state())
 }
 
 // report gives the report to the leader.
@@ -82,7 +82,7 @@
 // report was sent, so that a slow reply never makes it look newer.
 func (h *hub) takeReply(now, sent time.Time, rep *report, reply *reportReply) {
 	at := sent.Add(-time.Duration(reply.AgeMS) * time.Millisecond)
-	h.proofs.add(proof{at: at, version: reply.Version})
+	h.proofs.add(proof{at: at, state: applied{settings: reply.Version, document: reply.Document}})
 	h.inEffect = max(h.inEffect, reply.InEffect)
 	h.subscribers.reported(sent, rep.Sessions, reply.Ended)
 	h.signs.add(now, reply.Signs, false)
@@ -95,7 +95,7 @@
 		return &reportReply{}
 	}
 	g := h.registryOf(v)
-	reply := &reportReply{OK: true, AgeMS: ageMS(now, v.proof), Version: v.settings.Version()}
+	reply := &reportReply{OK: true, AgeMS: ageMS(now, v.proof), Version: v.settings.Version(), Document: v.documentVersion()}
 	reply.Ended = g.take(now, rep, open)
 	reply.InEffect = g.effective(now)
 	h.inEffect = max(h.inEffect, reply.InEffect)
--- a/control/messages.go
+++ b/control/messages.go
@@ -80,6 +80,9 @@
 	Ended    []ids.SessionID `cbor:"5,keyasint,omitempty"`
 	Signs    []settings.Sign `cbor:"6,keyasint,omitempty"`
 	Drains   []ids.SessionID `cbor:"7,keyasint,omitempty"`
+	// Document is the newest document version accepted before that round, or a
+	// later one.
+	Document uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // snapshotCall asks for a part of the leader's newest snapshot.
--- a/control/registry.go
+++ b/control/registry.go
@@ -114,19 +114,30 @@
 	return g.inEffect
 }
 
+// applied names the state that a control VM has applied.
+type applied struct {
+	settings uint64
+	document uint64
+}
+
+// covers says that a holds all that b does.
+func (a applied) covers(b applied) bool {
+	return a.settings >= b.settings && a.document >= b.document
+}
+
 // proof is what a control VM knows of the leader's commit index.
 type proof struct {
-	// at is the start of the leader's round. No settings version newer than
-	// version was accepted before it.
-	at      time.Time
-	version uint64
+	// at is the start of the leader's round. No settings or document newer
+	// than state's were accepted before it.
+	at    time.Time
+	state applied
 }
 
 // proofs keeps the newest usable proof of a control VM. It is pure.
 type proofs struct {
 	current proof
 	// ahead is newer than current and waits until this VM has applied its
-	// version.
+	// state.
 	ahead proof
 }
 
@@ -137,9 +148,9 @@
 	}
 }
 
-// at gives the time of the newest proof that covers the given applied version.
-func (p *proofs) at(applied uint64) time.Time {
-	if applied >= p.ahead.version && p.ahead.at.After(p.current.at) {
+// at gives the time of the newest proof that covers the given applied state.
+func (p *proofs) at(own applied) time.Time {
+	if own.covers(p.ahead.state) && p.ahead.at.After(p.current.at) {
 		p.current = p.ahead
 	}
 	return p.current.at
--- a/control/view.go
+++ b/control/view.go
@@ -23,8 +23,8 @@
 	// document is the published catalog document in force, nil if none.
 	document *catalog.Document
 	// proof is the start of the newest round in which a majority confirmed
-	// this leader; zero on others. At that time no settings version newer
-	// than settings' was accepted anywhere.
+	// this leader; zero on others. At that time no settings or document newer
+	// than these were accepted anywhere.
 	proof time.Time
 	// leaderSince is when this replica could first serve as a leader in this
 	// term; zero on others.
@@ -32,3 +32,15 @@
 }
 
 func (v *view) isLeader() bool { return v.role == raft.Leader }
+
+// state names what this view has applied.
+func (v *view) state() applied {
+	return applied{settings: v.settings.Version(), document: v.documentVersion()}
+}
+
+func (v *view) documentVersion() uint64 {
+	if v.document == nil {
+		return 0
+	}
+	return v.document.Version
+}
