Inputs of a stage are freed once fetched where their maker is short of memory

Ruled out: gaps between calls (0.7 to 1.2 ms median), slow runners (319 ms of 305 expected), the assembling VM's processor (0.019 of 0.192 cores at most). Change: the VM that assembles a stage tells the makers' VMs when all pieces of a request are in calls for as long as a fetch takes; they free the results if the maker has no memory for another full call, and otherwise leave them for a retry. Inputs are kept while a piece may be sent again or its runner works on another VM's call first. The queue ranks items again that became late while they waited.

--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"strconv"
 	"time"
 
@@ -67,17 +66,6 @@
 	}
 }
 
-// Free forgets results that nobody needs.
-func (a *Assembler) Free(runner string, handles []string) {
-	w := a.workers[runner]
-	if w == nil {
-		return
-	}
-	for _, h := range handles {
-		w.forget(h)
-	}
-}
-
 // Next gives the calls to send now and the items that have ended without one.
 // A call takes what fits into a batch and into the runner's memory, in the
 // order of the queue.
@@ -90,7 +78,7 @@
 	if len(a.queue) == 0 {
 		return nil, ended
 	}
-	sort.SliceStable(a.queue, func(i, j int) bool { return a.before(&a.queue[i], &a.queue[j]) })
+	a.sortQueue(now)
 	for len(a.queue) > 0 {
 		w := a.pick(now)
 		if w == nil {
@@ -129,6 +117,7 @@
 func (a *Assembler) take(w *worker) []Item {
 	var items []Item
 	size := max(a.spec.Batch, 1)
+	w.resultBytes = 0
 	if w.failures > 0 {
 		// A runner that was silent is tried with one item.
 		size = 1
@@ -144,6 +133,7 @@
 		}
 		free -= i.ResultBytes
 		w.room += i.ResultBytes
+		w.resultBytes = max(w.resultBytes, i.ResultBytes)
 		i.tries++
 		items = append(items, i)
 	}
@@ -151,14 +141,6 @@
 	return items
 }
 
-// Room gives the memory that a runner's results are taken to use, in bytes.
-func (a *Assembler) Room(runner string) int64 {
-	if w := a.workers[runner]; w != nil {
-		return w.room
-	}
-	return 0
-}
-
 // Done takes the end of a call. Items without a result are queued again while
 // that may help; the others have ended. Surplus are results of items that have
 // ended before; nobody needs them.
@@ -205,6 +187,7 @@
 // settle accounts the end of a call at its runner.
 func (a *Assembler) settle(now time.Time, w *worker, c Call, r CallResult) {
 	w.calls--
+	w.notePrompt(now, r)
 	for n, item := range c.Items {
 		if r.Lost {
 			// The runner may finish the call and keep results that nobody can
@@ -247,6 +230,12 @@
 	return item.tries < maxTries && now.Add(a.spec.Estimate(1)).Before(item.Deadline)
 }
 
+// IsPrompt says that a runner works on calls as soon as they arrive.
+func (a *Assembler) IsPrompt(runner string) bool {
+	w := a.workers[runner]
+	return w != nil && w.prompt
+}
+
 // Wake is when Next should be asked again without any other event, zero if
 // nothing waits.
 func (a *Assembler) Wake(now time.Time) time.Time {
--- a/batch/assembler_test.go
+++ b/batch/assembler_test.go
@@ -77,6 +77,22 @@
 		Expect(refs(next[0])[0]).To(Equal(uint64(1)))
 	})
 
+	// Under overload the front of the queue would hold only items that have just
+	// become late while they waited, so that nobody is served in time.
+	ginkgo.It("moves an item back that has become late in the queue", func() {
+		a.Add(start, item(1, time.Second), item(2, time.Second), item(3, time.Second), item(4, time.Second))
+		calls, _ := a.Next(start)
+		a.Add(start, item(5, time.Second))
+		now := start.Add(900 * time.Millisecond)
+		a.Add(now, item(6, 2*time.Second), item(7, 2*time.Second), item(8, 2*time.Second), item(9, 2*time.Second))
+		a.Done(now, calls[0], made(calls[0]))
+		calls, _ = a.Next(now)
+		Expect(refs(calls[0])).To(Equal([]uint64{6, 7, 8, 9}))
+		a.Done(now, calls[0], made(calls[0]))
+		calls, _ = a.Next(now)
+		Expect(refs(calls[0])).To(Equal([]uint64{5}))
+	})
+
 	ginkgo.It("moves an item that yields back", func() {
 		yielding := item(1, time.Second)
 		yielding.Yield = 2 * time.Second
--- a/batch/item.go
+++ b/batch/item.go
@@ -21,8 +21,10 @@
 	Deadline time.Time
 	// Yield is how long the item gives way to others that are due.
 	Yield time.Duration
-	// rank is the item's place in the queue.
+	// rank is the item's place in the queue; late says that it is that of an
+	// item that can't be in time.
 	rank time.Time
+	late bool
 	// tries counts the calls that held the item.
 	tries int
 }
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -63,15 +63,31 @@
 // setRank ranks an item when it is queued, by the time that it is due and how
 // long it gives way.
 func (a *Assembler) setRank(now time.Time, i *Item) {
-	i.rank = i.Due
-	if now.Add(a.spec.Estimate(1)).After(i.Due) {
-		wait := lateStartWait
-		if len(i.Inputs) > 0 {
-			wait = lateNextWait
-		}
-		i.rank = now.Add(wait)
+	i.rank = i.Due.Add(i.Yield)
+	a.moveLate(now, i)
+}
+
+// moveLate moves an item back that can't be in time any more. Without it, the
+// items at the front of a long queue would be those that have just become late,
+// and each would make the next one late.
+func (a *Assembler) moveLate(now time.Time, i *Item) {
+	if i.late || !now.Add(a.spec.Estimate(1)).After(i.Due) {
+		return
+	}
+	wait := lateStartWait
+	if len(i.Inputs) > 0 {
+		wait = lateNextWait
+	}
+	i.late = true
+	i.rank = now.Add(wait + i.Yield)
+}
+
+// sortQueue puts the items in the order of their ranks.
+func (a *Assembler) sortQueue(now time.Time) {
+	for n := range a.queue {
+		a.moveLate(now, &a.queue[n])
 	}
-	i.rank = i.rank.Add(i.Yield)
+	slices.SortStableFunc(a.queue, func(x, y Item) int { return x.rank.Compare(y.rank) })
 }
 
 // dropLate ends the items that are of no use any more.
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -29,12 +29,20 @@
 	lastUsed   time.Time
 	// unknown counts the refusals for want of room.
 	unknown int
+	// prompt says that the newest call ended when it was expected to. A runner
+	// that two VMs use works on a call only after the other VM's.
+	prompt bool
+	// resultBytes is the size of the largest result in the newest call.
+	resultBytes int64
 }
 
 // result is a kept result of a worker.
 type result struct {
 	bytes   int64
 	expires time.Time
+	// freed results take no memory; they are remembered so that they are not
+	// freed again.
+	freed bool
 }
 
 const (
@@ -62,6 +70,14 @@
 	w.results["unknown "+strconv.Itoa(w.unknown)] = result{bytes: bytes, expires: now.Add(unknownFor)}
 }
 
+// promptGrace is how much later than expected the call of a runner may end that
+// worked on it at once.
+const promptGrace = 100 * time.Millisecond
+
+func (w *worker) notePrompt(now time.Time, r CallResult) {
+	w.prompt = !r.Lost && !r.Refused && !now.After(w.freeAt.Add(promptGrace))
+}
+
 func (w *worker) usable(now time.Time, slots int) bool {
 	return !w.Draining && w.calls < slots && !now.Before(w.avoidUntil)
 }
@@ -82,6 +98,14 @@
 	}
 }
 
+// free notes that the runner has dropped a result before its user has ended.
+func (w *worker) free(handle string) {
+	if r, ok := w.results[handle]; ok && !r.freed {
+		w.room -= r.bytes
+		w.results[handle] = result{expires: r.expires, freed: true}
+	}
+}
+
 func (w *worker) failed(now time.Time) {
 	w.failures = min(w.failures+1, 5)
 	avoid := min(firstAvoid<<(w.failures-1), maxAvoid)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -117,6 +117,11 @@
 	if pieces != nil {
 		return pieces(c)
 	}
+	return madeBy(c)
+}
+
+// madeBy has a result for every item of a call.
+func madeBy(c *batch.Call) batch.CallResult {
 	var r batch.CallResult
 	for _, i := range c.Items {
 		r.Results = append(r.Results, batch.Result{Handle: fmt.Sprintf("%s/%s-%d-%d-%d", c.Runner, i.Request, i.Stage, i.Piece, i.Ref), Runner: c.Runner})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,6 +137,16 @@
 // Table gives the catalog in force, nil before the first.
 func (g *Gateway) Table() *catalog.Table { return g.state.Load().Table }
 
+// zoneOf gives the data centre of another entry VM, "" if it is not known.
+func (g *Gateway) zoneOf(addr string) string {
+	for _, e := range g.state.Load().Entries {
+		if e.Addr == addr {
+			return e.Zone
+		}
+	}
+	return ""
+}
+
 // ServePeer answers transport.MethodPieces and transport.MethodFreePieces of
 // other entry VMs.
 func (g *Gateway) ServePeer(ctx context.Context, m transport.Method, body []byte) ([]byte, error) {
--- a/gateway/inputs.go
+++ b/gateway/inputs.go
@@ -16,9 +16,9 @@
 	// An input that was freed too early costs its whole chain of stages, so one
 	// such case lengthens the hold by holdGrowth; each request that has its
 	// inputs shortens it by holdDecay, never below the times above.
-	holdGrowth = 2.0
-	holdDecay  = 0.995
-	mostGrowth = 32.0
+	holdGrowth = 1.5
+	holdDecay  = 0.99
+	mostGrowth = 4.0
 )
 
 // inputHolds learns, for each service, how long its runners need the inputs of
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -47,6 +47,7 @@
 	// forwardTo is the assembler to ask instead, empty for this one.
 	forwardTo string
 	done      chan struct{}
+	inputs    inputUse
 }
 
 func newPieceServer(g *Gateway) *pieceServer {
@@ -102,6 +103,7 @@
 
 func (p *pieceServer) start(ctx context.Context, service string, call batch.Call) {
 	p.g.count.callFill.Update(float64(len(call.Items)))
+	p.noteSent(service, &call)
 	go func() {
 		began := time.Now()
 		result := p.g.opts.Upstreams.RunPieces(ctx, &call)
@@ -118,6 +120,7 @@
 			ended, surplus := a.Done(now, call, result)
 			p.free(service, surplus)
 			p.deliver(service, ended)
+			p.noteBack(&call)
 		})
 	}()
 }
@@ -145,6 +148,7 @@
 		}
 		delete(p.waiters, e.Item.Ref)
 		w.results[e.Item.Ref-w.first] = e.Result
+		p.noteInputs(service, w, e.Result)
 		w.left--
 		if w.cancelled && e.Result.Handle != "" {
 			p.freeHere(&freeCall{Service: service, Runner: e.Result.Runner, Handles: []string{e.Result.Handle}})
@@ -254,6 +258,7 @@
 		return
 	}
 	w.first = p.nextRef
+	w.inputs = newInputUse(c)
 	for _, piece := range c.Items {
 		p.waiters[p.nextRef] = w
 		item.Ref, item.Piece = p.nextRef, piece
--- a/gateway/pieces_free.go
+++ b/gateway/pieces_free.go
@@ -14,24 +14,30 @@
 // makers' memory and by them to the makers.
 func (p *pieceServer) free(service string, results []batch.Result) {
 	for _, c := range freeCalls(service, results) {
-		if c.assembler == "" || c.assembler == p.g.opts.Self {
-			p.freeHere(c)
-			continue
-		}
-		body, err := wire.Encode(c)
-		if err != nil {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-			defer cancel()
-			if _, err := p.g.opts.Caller.Call(ctx, c.assembler, transport.MethodFreePieces, body); err != nil {
-				p.freeAt(c.Runner, c.Handles)
-			}
-		}()
+		p.sendFree(c)
 	}
 }
 
+// sendFree has the VM that accounts the maker's memory free the results. If it
+// does not answer, this VM frees those of no more use.
+func (p *pieceServer) sendFree(c *freeCall) {
+	if c.assembler == "" || c.assembler == p.g.opts.Self {
+		p.freeHere(c)
+		return
+	}
+	body, err := wire.Encode(c)
+	if err != nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		if _, err := p.g.opts.Caller.Call(ctx, c.assembler, transport.MethodFreePieces, body); err != nil && !c.Fetched {
+			p.freeAt(c.Runner, c.Handles)
+		}
+	}()
+}
+
 // freeCalls groups results by their makers.
 func freeCalls(service string, results []batch.Result) []*freeCall {
 	var calls []*freeCall
@@ -51,15 +57,34 @@
 
 // freeHere frees results whose maker's memory is accounted here.
 func (p *pieceServer) freeHere(c *freeCall) {
-	go func() {
-		p.freeAt(c.Runner, c.Handles)
-		// The memory is free only once the maker knows.
-		p.post(func(time.Time) {
-			if a := p.assemblers[c.Service]; a != nil {
-				a.Free(c.Runner, c.Handles)
+	p.post(func(time.Time) {
+		handles := c.Handles
+		a := p.assemblers[c.Service]
+		if a != nil {
+			if c.Fetched && !a.IsShort(c.Runner) {
+				return
 			}
-		})
-	}()
+			handles = a.Kept(c.Runner, handles)
+		}
+		go func() {
+			if len(handles) > 0 {
+				p.freeAt(c.Runner, handles)
+			}
+			// The memory is free only once the maker knows.
+			p.post(func(time.Time) { p.noteFreed(c) })
+		}()
+	})
+}
+
+func (p *pieceServer) noteFreed(c *freeCall) {
+	a := p.assemblers[c.Service]
+	switch {
+	case a == nil:
+	case c.Fetched:
+		a.Freed(c.Runner, c.Handles)
+	default:
+		a.Free(c.Runner, c.Handles)
+	}
 }
 
 // freeAt tells the maker of results and waits for its answer.
--- a/gateway/pieces_messages.go
+++ b/gateway/pieces_messages.go
@@ -23,6 +23,30 @@
 	YieldMS int64 `cbor:"10,keyasint,omitempty"`
 	// Forwarded says that another zone's assembler has passed the call on.
 	Forwarded bool `cbor:"11,keyasint,omitempty"`
+	// Makers say who made the inputs, in their order.
+	Makers []inputMaker `cbor:"12,keyasint,omitempty"`
+}
+
+// inputMaker made some of the inputs of a stage that follow each other.
+type inputMaker struct {
+	Service string `cbor:"1,keyasint"`
+	Runner  string `cbor:"2,keyasint"`
+	// Assembler is the address of the VM that accounts the maker's memory.
+	Assembler string `cbor:"3,keyasint"`
+	Count     int    `cbor:"4,keyasint"`
+}
+
+// addMaker adds the maker of one more input.
+func (c *piecesCall) addMaker(m inputMaker) {
+	m.Count = 1
+	if n := len(c.Makers); n > 0 {
+		last := &c.Makers[n-1]
+		if last.Service == m.Service && last.Runner == m.Runner && last.Assembler == m.Assembler {
+			last.Count++
+			return
+		}
+	}
+	c.Makers = append(c.Makers, m)
 }
 
 // piecesReply has the results in the order of the items.
@@ -45,6 +69,9 @@
 	Service string   `cbor:"1,keyasint"`
 	Runner  string   `cbor:"2,keyasint"`
 	Handles []string `cbor:"3,keyasint"`
+	// Fetched says that the results were fetched by the next stage, which may
+	// still fail: they are freed only if their maker is short of memory.
+	Fetched bool `cbor:"4,keyasint,omitempty"`
 
 	assembler string
 }
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -181,7 +181,7 @@
 	if len(stage.After) == 0 {
 		call.Key = r.call.PieceKey
 	} else {
-		call.Inputs = r.stages.handles(stage.After)
+		r.addInputs(call, stage.After)
 		call.LeftMS = min(call.LeftMS, r.keptFor(stage.After).Milliseconds())
 	}
 	pieces := 0
@@ -194,6 +194,20 @@
 	return call
 }
 
+// addInputs adds the results of stages, with their makers.
+func (r *request) addInputs(call *piecesCall, stages []int) {
+	for _, i := range stages {
+		for _, result := range r.stages.results[i] {
+			call.Inputs = append(call.Inputs, result.Handle)
+			assembler := result.Assembler
+			if assembler == "" {
+				assembler = r.g.opts.Self
+			}
+			call.addMaker(inputMaker{Service: r.route.Stages[i].Service, Runner: result.Runner, Assembler: assembler})
+		}
+	}
+}
+
 // keepMargin is kept of the time for which results are kept, for the call that
 // made them and the way to the next stage.
 const keepMargin = 400 * time.Millisecond
