Relays tell TCP callers apart and reset connections; VMs may listen elsewhere than they are called

For the fault soak: a relay stands at the address where VMs call each other, the VM listens behind it (inter_vm_listen), and the caller is the process that owns the socket, as e2e did for QUIC.

--- a/config/deployed.go
+++ b/config/deployed.go
@@ -17,6 +17,9 @@
 	IP Text `yaml:"ip"`
 	// InterVMPort is where other VMs call, the same on all VMs.
 	InterVMPort int `yaml:"inter_vm_port"`
+	// InterVMListen is where this VM listens for other VMs if that is another
+	// address than the one where they call, as behind a port mapping.
+	InterVMListen Text `yaml:"inter_vm_listen"`
 	// Callers is where the balancer sends callers, Ready where it asks for
 	// readiness, Operators where operators and runners call; empty where the
 	// process does not serve it.
@@ -80,7 +83,7 @@
 		checkRange("memory", d.Memory, minMemory, maxMemory),
 		checkRange("tolerated_losses", d.ToleratedLosses, 0, maxLosses),
 	}
-	for name, address := range map[string]Text{"callers": d.Callers, "ready": d.Ready, "operators": d.Operators, "runner_list": d.RunnerList} {
+	for name, address := range map[string]Text{"callers": d.Callers, "ready": d.Ready, "operators": d.Operators, "runner_list": d.RunnerList, "inter_vm_listen": d.InterVMListen} {
 		if address != "" {
 			errs = append(errs, checkListen(name, address))
 		}
@@ -101,6 +104,14 @@
 // InterVM is the address at which other VMs call this one.
 func (d *Deployed) InterVM() string { return d.interVMAt(string(d.IP)) }
 
+// ListenInterVM is the address at which this VM listens for others.
+func (d *Deployed) ListenInterVM() string {
+	if d.InterVMListen != "" {
+		return string(d.InterVMListen)
+	}
+	return d.InterVM()
+}
+
 // InterVMSeeds gives the addresses at which VMs call the seeds.
 func (d *Deployed) InterVMSeeds() []string {
 	var list []string
--- a/config/deployed_test.go
+++ b/config/deployed_test.go
@@ -14,11 +14,20 @@
 		Expect(Read("../examples/platform.yaml", d)).To(Succeed())
 		Expect(d.InterVM()).To(Equal("10.1.0.20:7740"))
 		Expect(d.InterVMSeeds()).To(Equal([]string{"10.1.0.36:7740", "10.2.0.14:7740", "10.3.0.17:7740"}))
+		Expect(d.ListenInterVM()).To(Equal("10.1.0.20:7740"))
 		Expect(d.Memory).To(Equal(Bytes(256 << 20)))
 		Expect(d.DrainTime.D()).To(Equal(4 * time.Second))
 		Expect(d.Repeats.Slack).To(Equal(54.0))
 	})
 
+	ginkgo.It("let a VM listen elsewhere than where others call it", func() {
+		d := DefaultDeployed()
+		text := example("platform.yaml") + "inter_vm_listen: 10.1.0.20:7750\n"
+		Expect(parse("s.yaml", []byte(text), d)).To(Succeed())
+		Expect(d.ListenInterVM()).To(Equal("10.1.0.20:7750"))
+		Expect(d.InterVM()).To(Equal("10.1.0.20:7740"))
+	})
+
 	ginkgo.DescribeTable("are rejected with the remedy for",
 		func(old, changed, words string) {
 			text := example("platform.yaml")
--- a/e2e/links.go
+++ b/e2e/links.go
@@ -4,12 +4,10 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/sockowner"
 	"damaskbridge.example/damaskbridge/relay"
 )
 
@@ -55,58 +53,15 @@
 func (l *links) callerOf(caller netip.AddrPort) (ids.Region, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	inodes := udpInodes(caller.Port())
+	inodes := sockowner.Inodes(sockowner.UDP, caller.Port())
 	for name, pid := range l.pids {
-		if ownsSocket(pid, inodes) {
+		if sockowner.Owns(pid, inodes) {
 			return ids.Region(name), true
 		}
 	}
 	return "", false
 }
 
-// udpInodes gives the inodes of the UDP sockets at a port.
-func udpInodes(port uint16) map[string]bool {
-	inodes := make(map[string]bool)
-	for _, path := range []string{"/proc/self/net/udp", "/proc/self/net/udp6"} {
-		raw, err := os.ReadFile(path)
-		if err != nil {
-			continue
-		}
-		for line := range strings.Lines(string(raw)) {
-			fields := strings.Fields(line)
-			const addressField, inodeField = 1, 9
-			if len(fields) <= inodeField {
-				continue
-			}
-			_, hex, _ := strings.Cut(fields[addressField], ":")
-			if n, err := strconv.ParseUint(hex, 16, 16); err == nil && uint16(n) == port {
-				inodes[fields[inodeField]] = true
-			}
-		}
-	}
-	return inodes
-}
-
-// ownsSocket says whether a process has one of the sockets open.
-func ownsSocket(pid int, inodes map[string]bool) bool {
-	dir := fmt.Sprintf("/proc/%d/fd", pid)
-	files, err := os.ReadDir(dir)
-	if err != nil {
-		return false
-	}
-	for _, f := range files {
-		target, err := os.Readlink(dir + "/" + f.Name())
-		if err != nil {
-			continue
-		}
-		inode, ok := strings.CutPrefix(target, "socket:[")
-		if ok && inodes[strings.TrimSuffix(inode, "]")] {
-			return true
-		}
-	}
-	return false
-}
-
 // Cut silently loses all packets from one VM to another, by their names; those
 // in the other direction arrive. It needs Options.Links, as Heal, Freeze,
 // Isolate and CutBoth do.
--- /dev/null
+++ b/internal/sockowner/sockowner.go
@@ -0,0 +1,62 @@
+// Package sockowner finds the process that owns a local socket, for relays that
+// must tell callers at one address apart.
+package sockowner
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// Protocol of a socket.
+type Protocol string
+
+// Protocols.
+const (
+	TCP Protocol = "tcp"
+	UDP Protocol = "udp"
+)
+
+// Inodes gives the inodes of the sockets of a protocol at a local port.
+func Inodes(p Protocol, port uint16) map[string]bool {
+	inodes := make(map[string]bool)
+	for _, path := range []string{"/proc/self/net/" + string(p), "/proc/self/net/" + string(p) + "6"} {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(raw)) {
+			fields := strings.Fields(line)
+			const addressField, inodeField = 1, 9
+			if len(fields) <= inodeField {
+				continue
+			}
+			_, hex, _ := strings.Cut(fields[addressField], ":")
+			if n, err := strconv.ParseUint(hex, 16, 16); err == nil && uint16(n) == port {
+				inodes[fields[inodeField]] = true
+			}
+		}
+	}
+	return inodes
+}
+
+// Owns says whether a process has one of the sockets open.
+func Owns(pid int, inodes map[string]bool) bool {
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, f := range files {
+		target, err := os.Readlink(dir + "/" + f.Name())
+		if err != nil {
+			continue
+		}
+		inode, ok := strings.CutPrefix(target, "socket:[")
+		if ok && inodes[strings.TrimSuffix(inode, "]")] {
+			return true
+		}
+	}
+	return false
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -163,6 +163,40 @@
 		expectSilence(old)
 	})
 
+	It("tells the callers of one address apart and resets those it does not know", func() {
+		regions := make(chan ids.Region, 1)
+		r, err := n.ListenTCPFrom("127.0.0.1:0", tcpEcho(), func(netip.AddrPort) (ids.Region, bool) {
+			region := <-regions
+			return region, region != ""
+		}, "c")
+		Expect(err).NotTo(HaveOccurred())
+		from := func(region ids.Region) net.Conn {
+			regions <- region
+			return dial("tcp", r.Addr())
+		}
+		a, b := from("a"), from("b")
+		expectEcho(a, "a")
+		n.Direction("c", "a").Cut()
+		send(a, "lost")
+		expectEcho(b, "b")
+		expectSilence(a)
+		Expect(n.Freeze("b", "c")).To(Equal(1))
+		_, err = receive(from(""), 1, 10*time.Second)
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(MatchError(ContainSubstring("timeout")))
+	})
+
+	It("resets present connections while new ones work", func() {
+		r, err := n.ListenTCP("127.0.0.1:0", tcpEcho(), "a", "b")
+		Expect(err).NotTo(HaveOccurred())
+		old := dial("tcp", r.Addr())
+		expectEcho(old, "before")
+		r.Reset()
+		_, err = receive(old, 1, 10*time.Second)
+		Expect(err).To(MatchError(ContainSubstring("reset")))
+		expectEcho(dial("tcp", r.Addr()), "new")
+	})
+
 	It("keeps to its bandwidth", func() {
 		n.Direction("a", "b").SetBandwidth(100_000)
 		c := dial("tcp", addr)
--- a/relay/tcp.go
+++ b/relay/tcp.go
@@ -3,19 +3,20 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
 )
 
-// TCP relays connections from callers in one region to a target in another.
+// TCP relays connections from callers to a target in another region.
 type TCP struct {
+	network  *Network
 	listener net.Listener
 	target   string
-	pairing  Pair
-	forward  *Direction
-	back     *Direction
+	regionOf RegionOf
+	to       ids.Region
 
 	mu      sync.Mutex
 	tunnels map[*tunnel]struct{}
@@ -26,18 +27,17 @@
 // over the network's link between two regions. Close, or the network's Close,
 // ends it.
 func (n *Network) ListenTCP(addr, target string, from, to ids.Region) (*TCP, error) {
+	return n.ListenTCPFrom(addr, target, func(netip.AddrPort) (ids.Region, bool) { return from, true }, to)
+}
+
+// ListenTCPFrom relays connections as ListenTCP does, for callers of several
+// regions at one address. A connection whose caller is not known is reset.
+func (n *Network) ListenTCPFrom(addr, target string, regionOf RegionOf, to ids.Region) (*TCP, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w; give an address of this machine that is free", err)
 	}
-	r := &TCP{
-		listener: l,
-		target:   target,
-		pairing:  Pair{From: from, To: to},
-		forward:  n.Direction(from, to),
-		back:     n.Direction(to, from),
-		tunnels:  map[*tunnel]struct{}{},
-	}
+	r := &TCP{network: n, listener: l, target: target, regionOf: regionOf, to: to, tunnels: map[*tunnel]struct{}{}}
 	n.register(r)
 	go r.run()
 	return r, nil
@@ -47,14 +47,21 @@
 func (r *TCP) Addr() string { return r.listener.Addr().String() }
 
 func (r *TCP) freezeBetween(a, b ids.Region) int {
-	if !r.pairing.joins(a, b) {
-		return 0
+	n := 0
+	for _, t := range r.open() {
+		if t.pairing.joins(a, b) {
+			t.freeze()
+			n++
+		}
 	}
-	all := r.open()
-	for _, t := range all {
-		t.freeze()
+	return n
+}
+
+// Reset resets the present connections. New ones work.
+func (r *TCP) Reset() {
+	for _, t := range r.open() {
+		t.reset()
 	}
-	return len(all)
 }
 
 func (r *TCP) run() {
@@ -72,16 +79,23 @@
 // is with this relay, sees the wait in its first bytes.
 func (r *TCP) serve(caller net.Conn) {
 	t := newTunnel(caller)
+	from, known := r.regionOf(caller.RemoteAddr().(*net.TCPAddr).AddrPort())
+	if !known {
+		t.reset()
+		return
+	}
+	t.pairing = Pair{From: from, To: r.to}
+	forward, back := r.network.Direction(from, r.to), r.network.Direction(r.to, from)
 	if !r.add(t) {
 		t.close()
 		return
 	}
 	defer r.remove(t)
 	defer t.close()
-	if !waitUntil(r.forward.due(time.Now(), 0), t.stop) || !r.forward.await(t.stop) {
+	if !waitUntil(forward.due(time.Now(), 0), t.stop) || !forward.await(t.stop) {
 		return
 	}
-	if !waitUntil(r.back.due(time.Now(), 0), t.stop) || !r.back.await(t.stop) {
+	if !waitUntil(back.due(time.Now(), 0), t.stop) || !back.await(t.stop) {
 		return
 	}
 	target, err := net.Dial("tcp", r.target)
@@ -93,8 +107,8 @@
 		return
 	}
 	var pumps sync.WaitGroup
-	pumps.Go(func() { t.pump(caller, target, r.forward) })
-	pumps.Go(func() { t.pump(target, caller, r.back) })
+	pumps.Go(func() { t.pump(caller, target, forward) })
+	pumps.Go(func() { t.pump(target, caller, back) })
 	pumps.Wait()
 }
 
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -17,9 +17,10 @@
 
 // tunnel is one relayed connection.
 type tunnel struct {
-	caller net.Conn
-	stop   chan struct{}
-	once   sync.Once
+	pairing Pair
+	caller  net.Conn
+	stop    chan struct{}
+	once    sync.Once
 
 	mu     sync.Mutex
 	target net.Conn
--- a/relay/udp.go
+++ b/relay/udp.go
@@ -25,7 +25,7 @@
 )
 
 // RegionOf gives the region of a caller's address. It is false if the region
-// is not known; the packet is then lost, and the next one asks again.
+// is not known; a packet is then lost, and the next one asks again.
 type RegionOf func(caller netip.AddrPort) (ids.Region, bool)
 
 // UDP relays packets from callers to a target in another region. Each caller
