--- a/transport/options.go
+++ b/transport/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -37,6 +38,9 @@
 	ProgressTimeout time.Duration
 	// IdleTimeout closes a connection on which nothing happens.
 	IdleTimeout time.Duration
+	// LocalIP is the address from which a TCP client opens connections; nil
+	// leaves it to the system.
+	LocalIP net.IP
 }
 
 func (o Options) withDefaults() Options {
--- a/transport/tcp_client.go
+++ b/transport/tcp_client.go
@@ -110,7 +110,11 @@
 
 func (t *tcpConn) open(self Peer) {
 	defer close(t.ready)
-	conn, err := net.DialTimeout("tcp", t.addr, t.opts.DialTimeout)
+	dialer := net.Dialer{Timeout: t.opts.DialTimeout}
+	if t.opts.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: t.opts.LocalIP}
+	}
+	conn, err := dialer.Dial("tcp", t.addr)
 	if err != nil {
 		t.fail(err)
 		return
