A stream goes on at no more runners than its route allows

A stream that had broken off midway counted its first runner; the next one, lost without an answer or answering 500, was not counted, so a third was tried. Ruled out: repeats before the first event (counted by the request). Change: an execution is counted at the stream where the request does not count it.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -185,7 +185,9 @@
 	executed   bool
 	arrived    bool
 	inputsGone bool
-	cause      string
+	// counted says that the request's executions hold this one.
+	counted bool
+	cause   string
 }
 
 // mayRepeat says whether another runner may be tried.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,6 +46,9 @@
 		if v.done || s.writer == nil {
 			return v
 		}
+		if v.executed && !v.counted {
+			r.executions++
+		}
 		r.last = v.cause
 		r.logAttempt(entry, &v, time.Now())
 		r.tried = append(r.tried, entry)
@@ -144,6 +147,7 @@
 	}
 	n = r.failed(ctx, &exchange.Error{Addr: entry.Addr, Sent: true, Answered: true, Err: err})
 	n.inputsGone = inputsGone
+	n.counted = s.writer != nil
 	r.g.runners.done(entry, n.note)
 	return n.verdict
 }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -48,6 +48,17 @@
 		Expect(out.from).To(Equal(f.sends()[0].RunnerID), "the answer keeps the head of its first runner")
 	})
 
+	// A runner that was lost without an answer counts like one that broke off.
+	ginkgo.It("goes on at no more runners than its route allows", func() {
+		for _, second := range []reply{{lost: true}, {status: 500}} {
+			g, f := newTestGateway()
+			f.any = []reply{{status: 200, body: events(1, 2), cut: true}, second, {status: 200, body: events(3, 4)}}
+			out := serve(g, call("resume"))
+			Expect(out.aborted).To(BeTrue())
+			Expect(f.sends()).To(HaveLen(2))
+		}
+	})
+
 	ginkgo.It("is sent afresh where it may be resumed and no event has come", func() {
 		g, f := newTestGateway()
 		f.any = []reply{{lost: true}, {status: 200, body: events(1, 2)}}
