A restarted control VM's list is not taken for one that it gave before

It went on with the old list until the next change. Ruled out: the list's lag, a VM out of touch (it was watching that control VM). Change: the first number is random for each start of a control VM. Test: directory "gives its list to an entry VM that has one of the same control VM from before its restart" fails with equal first numbers.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -227,6 +227,19 @@
 		Eventually(s.version).WithTimeout(patience).Should(Equal(uint64(2)))
 	})
 
+	// Otherwise the entry VM goes on with the old list, in which a runner that
+	// leaves is ready, until the next change.
+	ginkgo.It("gives its list to an entry VM that has one of the same control VM from before its restart", func() {
+		before := newPoller(nil, "c1", quiet)
+		before.take(time.Now(), []Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1"}})
+		old, _ := before.current()
+		server := NewServer("c1", newControl("c1"), nil, nil, quiet)
+		server.poller.take(time.Now(), []Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1", Draining: true}})
+		list, _ := server.poller.current()
+		reply := server.news(&watchCall{ListSource: old.Source, ListSeq: old.Seq}, list)
+		Expect(reply.List).To(Equal(list))
+	})
+
 	ginkgo.It("keeps the last list when the platform's list cannot be read", func() {
 		p := newPoller(&fakeLister{}, "c", quiet)
 		p.take(time.Now(), []Runner{{ID: "a"}})
--- a/directory/poller.go
+++ b/directory/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	// rate.
 	listPeriod  = 1200 * time.Millisecond
 	listTimeout = 1500 * time.Millisecond
+	maxFirstSeq = 1 << 62
 )
 
 // poller keeps the newest list of this control VM.
@@ -28,6 +30,10 @@
 	source string
 	log    *log.Logger
 
+	// firstSeq is random: a control VM that has started again must not give its
+	// first list the number of one that it gave before.
+	firstSeq uint64
+
 	mu      sync.Mutex
 	list    *RunnerList
 	changed chan struct{}
@@ -35,7 +41,7 @@
 }
 
 func newPoller(l Lister, source string, logger *log.Logger) *poller {
-	return &poller{lister: l, source: source, log: logger, changed: make(chan struct{})}
+	return &poller{lister: l, source: source, log: logger, firstSeq: rand.Uint64N(maxFirstSeq), changed: make(chan struct{})}
 }
 
 // current gives the newest list, nil before the first, and a channel that is
@@ -86,7 +92,7 @@
 	if p.list != nil && slices.Equal(p.list.Runners, runners) {
 		return
 	}
-	next := &RunnerList{Source: p.source, Seq: 1, Runners: runners}
+	next := &RunnerList{Source: p.source, Seq: p.firstSeq, Runners: runners}
 	if p.list != nil {
 		next.Seq = p.list.Seq + 1
 		logListChanges(p.log, p.list.Runners, runners)
