No request is passed on whose kept connection was closed as idle

Ruled out: the time to drain (the process stopped 2.5 s later), the runner. Change: a connection is claimed by a request or closed as idle, never both; answers tell of the close with their head as before. Test: callers "passes no request on whose connection it has closed as idle"; "serves every request that it has read" plays it.

--- a/callers/callers_test.go
+++ b/callers/callers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -82,6 +83,76 @@
 		_ = s
 	})
 
+	// A request that was read while its connection was closed as idle ran at a
+	// runner, and its caller got no answer.
+	ginkgo.It("passes no request on whose connection it has closed as idle", func() {
+		c := &conn{Conn: &net.TCPConn{}}
+		c.closeIdle()
+		Expect(c.begin()).To(BeTrue(), "the first request of a new connection is served")
+		c.closeIdle()
+		c.end()
+		Expect(c.begin()).To(BeTrue(), "a connection with a request is not idle")
+		c.end()
+		c.closeIdle()
+		Expect(c.begin()).To(BeFalse())
+	})
+
+	ginkgo.It("closes kept connections without a request and leaves new ones open", func() {
+		s := listen(ok)
+		kept, keptReader := dial(s)
+		Expect(ask(kept, keptReader, "").Close).To(BeFalse())
+		fresh, freshReader := dial(s)
+		Eventually(func() int {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.open)
+		}).WithTimeout(10 * time.Second).Should(Equal(2))
+		s.EndKeepAlive()
+		_, err := keptReader.ReadByte()
+		Expect(err).To(Equal(io.EOF))
+		Expect(ask(fresh, freshReader, "").Close).To(BeTrue())
+		Eventually(func() int {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.open)
+		}).WithTimeout(10 * time.Second).Should(BeZero())
+	})
+
+	ginkgo.It("serves every request that it has read while kept connections are ended", func() {
+		for range 20 {
+			var ran atomic.Int64
+			s := listen(func(w http.ResponseWriter, _ *http.Request) {
+				ran.Add(1)
+				w.WriteHeader(http.StatusOK)
+			})
+			answered := make(chan int, 10)
+			for range 10 {
+				c, r := dial(s)
+				ask(c, r, "")
+				go func() {
+					n := 1
+					for {
+						if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+							break
+						}
+						if _, err := http.ReadResponse(r, nil); err != nil {
+							break
+						}
+						n++
+					}
+					answered <- n
+				}()
+			}
+			s.EndKeepAlive()
+			total := 0
+			for range 10 {
+				total += <-answered
+			}
+			Expect(s.Stop(context.Background())).To(Succeed())
+			Expect(ran.Load()).To(BeEquivalentTo(total))
+		}
+	})
+
 	// A stop must not cut a request off.
 	ginkgo.It("waits at a stop for the requests under way", func() {
 		began, finish := make(chan struct{}), make(chan struct{})
--- a/callers/server.go
+++ b/callers/server.go
@@ -25,6 +25,10 @@
 	limits  Limits
 	current *generation
 	all     []*generation
+	// open are the callers' connections. Ending says that none is kept after an
+	// answer.
+	open   map[*conn]struct{}
+	ending bool
 }
 
 // generation is the HTTP server of the connections that began under the same
@@ -40,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{})}
+	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{}), open: map[*conn]struct{}{}}
 	s.SetLimits(Limits{})
 	go accept.Loop(s.listener, s.stopped, s.take, func(err error) {
 		s.log.Warn().Err(err).Msg("callers: accept failed")
@@ -61,7 +65,7 @@
 	}
 	g := &generation{
 		http: &http.Server{
-			Handler: s.handler, MaxHeaderBytes: l.MaxHeaderBytes,
+			Handler: http.HandlerFunc(s.serve), ConnContext: withConn, ConnState: s.follow, MaxHeaderBytes: l.MaxHeaderBytes,
 			ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
 			ErrorLog: stdlog.New(&errorLog{s.log}, "", 0),
 		},
@@ -72,21 +76,59 @@
 	go func() { _ = g.http.Serve(g.conns) }()
 }
 
-func (s *Server) take(c net.Conn) {
+func (s *Server) take(raw net.Conn) {
+	c := &conn{Conn: raw}
 	s.mu.Lock()
 	g := s.current
+	s.open[c] = struct{}{}
 	s.mu.Unlock()
 	if !g.conns.give(c) {
+		s.follow(c, http.StateClosed)
 		_ = c.Close()
 	}
 }
 
-// EndKeepAlive has every answer from now on end its connection.
+// follow notes the state of a connection.
+func (s *Server) follow(raw net.Conn, state http.ConnState) {
+	c, ok := raw.(*conn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		c.end()
+		if s.ending {
+			c.closeIdle()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.open, c)
+	}
+}
+
+// serve answers one request, unless its connection was closed before.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if c := connOf(r); c != nil && !c.begin() {
+		panic(http.ErrAbortHandler)
+	}
+	s.handler.ServeHTTP(&answer{ResponseWriter: w, server: s}, r)
+}
+
+func (s *Server) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
+}
+
+// EndKeepAlive has every answer from now on end its connection and closes those
+// without a request.
 func (s *Server) EndKeepAlive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, g := range s.all {
-		g.http.SetKeepAlivesEnabled(false)
+	s.ending = true
+	for c := range s.open {
+		c.closeIdle()
 	}
 }
 
