A relay test hands the caller's region over after its dial

Ruled out: the relay (the caller is reset, as it should be), a timeout. Change: each caller's region is handed over once it is connected, by its address; the assertions are the same.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -164,15 +164,27 @@
 	})
 
 	It("tells the callers of one address apart and resets those it does not know", func() {
-		regions := make(chan ids.Region, 1)
-		r, err := n.ListenTCPFrom("127.0.0.1:0", tcpEcho(), func(netip.AddrPort) (ids.Region, bool) {
-			region := <-regions
+		var mu sync.Mutex
+		regions := map[netip.AddrPort]chan ids.Region{}
+		regionOf := func(caller netip.AddrPort) chan ids.Region {
+			mu.Lock()
+			defer mu.Unlock()
+			if regions[caller] == nil {
+				regions[caller] = make(chan ids.Region, 1)
+			}
+			return regions[caller]
+		}
+		r, err := n.ListenTCPFrom("127.0.0.1:0", tcpEcho(), func(caller netip.AddrPort) (ids.Region, bool) {
+			region := <-regionOf(caller)
 			return region, region != ""
 		}, "c")
 		Expect(err).NotTo(HaveOccurred())
+		// The relay learns the caller after the dial: its reset could end the dial
+		// itself otherwise.
 		from := func(region ids.Region) net.Conn {
-			regions <- region
-			return dial("tcp", r.Addr())
+			c := dial("tcp", r.Addr())
+			regionOf(c.LocalAddr().(*net.TCPAddr).AddrPort()) <- region
+			return c
 		}
 		a, b := from("a"), from("b")
 		expectEcho(a, "a")
