--- a/e2e/links.go
+++ b/e2e/links.go
@@ -53,7 +53,7 @@
 func (l *links) callerOf(caller netip.AddrPort) (ids.Region, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	inodes := sockowner.Inodes(sockowner.UDP, caller.Port())
+	inodes := sockowner.Inodes(caller.Port())
 	for name, pid := range l.pids {
 		if sockowner.Owns(pid, inodes) {
 			return ids.Region(name), true
--- a/internal/sockowner/sockowner.go
+++ b/internal/sockowner/sockowner.go
@@ -1,5 +1,5 @@
-// Package sockowner finds the process that owns a local socket, for relays that
-// must tell callers at one address apart.
+// Package sockowner finds the process that owns a local UDP socket, for relays
+// that must tell callers at one address apart.
 package sockowner
 
 import (
@@ -9,19 +9,10 @@
 	"strings"
 )
 
-// Protocol of a socket.
-type Protocol string
-
-// Protocols.
-const (
-	TCP Protocol = "tcp"
-	UDP Protocol = "udp"
-)
-
-// Inodes gives the inodes of the sockets of a protocol at a local port.
-func Inodes(p Protocol, port uint16) map[string]bool {
+// Inodes gives the inodes of the UDP sockets at a local port.
+func Inodes(port uint16) map[string]bool {
 	inodes := make(map[string]bool)
-	for _, path := range []string{"/proc/self/net/" + string(p), "/proc/self/net/" + string(p) + "6"} {
+	for _, path := range []string{"/proc/self/net/udp", "/proc/self/net/udp6"} {
 		raw, err := os.ReadFile(path)
 		if err != nil {
 			continue
--- a/internal/sockowner/sockowner_test.go
+++ b/internal/sockowner/sockowner_test.go
@@ -8,13 +8,13 @@
 	. "github.com/onsi/gomega"
 )
 
-// A relay that takes one VM's connection for another's cuts the wrong link.
+// A relay that takes one VM's flow for another's cuts the wrong link.
 func TestOwnsTheSocketsOfThisProcess(t *testing.T) {
 	g := NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := net.ListenPacket("udp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	inodes := Inodes(TCP, uint16(l.Addr().(*net.TCPAddr).Port))
+	defer s.Close()
+	inodes := Inodes(uint16(s.LocalAddr().(*net.UDPAddr).Port))
 	g.Expect(inodes).NotTo(BeEmpty())
 	g.Expect(Owns(os.Getpid(), inodes)).To(BeTrue())
 	g.Expect(Owns(os.Getpid(), map[string]bool{"0": true})).To(BeFalse())
--- a/raft/node.go
+++ b/raft/node.go
@@ -89,7 +89,7 @@
 	}
 	n.saved = n.hardState()
 	n.sinceLeader = cfg.ElectionTicks - cfg.StartTicks
-	n.timeout = cfg.StartTicks + n.rand.IntN(cfg.StartTicks)
+	n.drawTimeout(cfg.StartTicks)
 	return n, nil
 }
 
@@ -111,9 +111,12 @@
 	}
 }
 
-func (n *Node) resetTimeout() {
+func (n *Node) resetTimeout() { n.drawTimeout(n.cfg.ElectionTicks) }
+
+// drawTimeout begins a wait for a leader of least ticks up to twice as many.
+func (n *Node) drawTimeout(least int) {
 	n.elapsed = 0
-	n.timeout = n.cfg.ElectionTicks + n.rand.IntN(n.cfg.ElectionTicks)
+	n.timeout = least + n.rand.IntN(least)
 }
 
 // Propose appends a command to the leader's log. The command is committed
