--- a/control/server_test.go
+++ b/control/server_test.go
@@ -194,6 +194,11 @@
 		c.claimN(1)
 		old := c.leader()
 		follower := c.members[c.others(old)[0]].server
+		// A follower without a confirmation has no settings that could grow old.
+		Eventually(func() error {
+			_, _, err := follower.Settings()
+			return err
+		}, waitTimeout, time.Millisecond).Should(Succeed())
 		c.isolate(old)
 		silent := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
