directory, delta: lists travel as differences between control VMs and to entry VMs

Cause: one change of one runner sent the whole list of runners to every entry VM, each probe of a control VM returned the whole list and the document, every control VM read every page of the platform's list each 1.2 s, and the list of entry VMs went whole to everyone at each change. Change: package delta (sets with a digest of their content, differences, order by the age of the reading, documents as zstd patches); one control VM reads each data centre and others take over by the age of its list; control VMs exchange sets through the leader; probes are empty; an entry VM without a document waits at the nearest control VM until that one is confirmed. VMs of the release before are served and used in its form (legacy.go).

--- a/control/documents.go
+++ b/control/documents.go
@@ -54,6 +54,9 @@
 // is this VM.
 func (s *Server) Leader() string { return s.replica.leaderAddr(s.replica.published.Load()) }
 
+// Leads reports whether this VM is the leader.
+func (s *Server) Leads() bool { return s.replica.published.Load().isLeader() }
+
 // Members returns the addresses of all members of the group.
 func (s *Server) Members() []string {
 	var list []string
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/phuslu/log"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/delta"
 	"damaskbridge.example/damaskbridge/transport"
 )
 
@@ -50,12 +53,16 @@
 }
 
 func (f *fakeControl) Leader() string    { return f.leader }
+func (f *fakeControl) Leads() bool       { return f.leader == "" }
 func (f *fakeControl) Members() []string { return f.members }
 
+// documentText is what consecutive documents have in common.
+var documentText = " " + strings.Repeat("routes, services and workspaces ", 10)
+
 func (f *fakeControl) publish(version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.document = &catalog.Document{Version: version, Body: []byte(strconv.FormatUint(version, 10))}
+	f.document = &catalog.Document{Version: version, Body: []byte(strconv.FormatUint(version, 10) + documentText)}
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -71,12 +78,17 @@
 	mu      sync.Mutex
 	runners []Runner
 	err     error
+	// reads counts the readings of each data centre.
+	reads map[string]int
 }
 
-func (f *fakeLister) List(context.Context) ([]Runner, error) {
+func newFakeLister() *fakeLister { return &fakeLister{reads: map[string]int{}} }
+
+func (f *fakeLister) List(_ context.Context, zone string) ([]Runner, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.runners, f.err
+	f.reads[zone]++
+	return slices.Clone(f.runners), f.err
 }
 
 func (f *fakeLister) set(runners []Runner) {
@@ -86,7 +98,8 @@
 }
 
 func decodeCatalog(body []byte) (*catalog.Catalog, error) {
-	version, err := strconv.ParseUint(string(body), 10, 64)
+	text, _, _ := strings.Cut(string(body), " ")
+	version, err := strconv.ParseUint(text, 10, 64)
 	return &catalog.Catalog{Version: version}, err
 }
 
@@ -94,13 +107,14 @@
 type testCluster struct {
 	network  *transport.MemoryNetwork
 	controls map[string]*fakeControl
+	servers  map[string]*Server
 	lister   *fakeLister
 	client   *Client
 	states   chan *State
 }
 
 func newTestCluster(ctx context.Context, names ...string) *testCluster {
-	c := &testCluster{network: transport.NewMemoryNetwork(), controls: map[string]*fakeControl{}, lister: &fakeLister{}, states: make(chan *State, 1000)}
+	c := &testCluster{network: transport.NewMemoryNetwork(), controls: map[string]*fakeControl{}, servers: map[string]*Server{}, lister: newFakeLister(), states: make(chan *State, 1000)}
 	for _, name := range names {
 		control := newFakeControl(names...)
 		control.leader = names[0]
@@ -109,7 +123,8 @@
 		}
 		c.controls[name] = control
 		endpoint := c.network.Endpoint(name, transport.Peer{VM: "c", Role: transport.RoleControl})
-		server := NewServer(name, control, endpoint, c.lister, discardLogger)
+		server := NewServer(ServerOptions{Self: name, Zones: testZones, Control: control, Caller: endpoint, Lister: c.lister, Logger: discardLogger})
+		c.servers[name] = server
 		endpoint.Listen(server)
 		go server.Run(ctx)
 	}
@@ -121,6 +136,9 @@
 	return c
 }
 
+// apply makes the client apply a reply.
+func (c *testCluster) apply(reply *watchReply) { c.client.apply(time.Now(), &watchCall{}, reply) }
+
 func (c *testCluster) version() uint64 {
 	if t := c.client.State().Table; t != nil {
 		return t.Version
@@ -128,9 +146,17 @@
 	return 0
 }
 
+// testZones are the data centres of the test cluster.
+var testZones = []string{"y", "z"}
+
 // eventTimeout is the longest wait for an expected event.
 const eventTimeout = 20 * time.Second
 
+// newTestServer returns a server of the control VM c1 whose loops don't run.
+func newTestServer(lister *fakeLister) *Server {
+	return NewServer(ServerOptions{Self: "c1", Zones: testZones, Control: newFakeControl("c1"), Lister: lister, Logger: discardLogger})
+}
+
 var _ = ginkgo.Describe("the directory", func() {
 	var ctx context.Context
 	ginkgo.BeforeEach(func() {
@@ -142,7 +168,7 @@
 	ginkgo.It("delivers documents, the runner list and the entry VMs to an entry VM", func() {
 		c := newTestCluster(ctx, "c1")
 		c.controls["c1"].publish(1)
-		c.lister.set([]Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1"}})
+		c.lister.set([]Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1", Zone: "z"}})
 		go c.client.Run(ctx)
 		Eventually(c.version).WithTimeout(eventTimeout).Should(Equal(uint64(1)))
 		Eventually(func() bool { return c.client.State().List != nil }).WithTimeout(eventTimeout).Should(BeTrue())
@@ -189,27 +215,28 @@
 		for range 10 {
 			Expect(c.client.nextRetryInterval()).To(BeNumerically("<=", retryInterval))
 		}
-		c.client.apply(&watchReply{Document: &catalog.Document{Version: 1, Body: []byte("1")}})
+		c.apply(&watchReply{Document: &catalog.Document{Version: 1, Body: []byte("1")}})
 		Expect(c.client.nextRetryInterval()).To(Equal(retryInterval))
 	})
 
-	ginkgo.It("accepts the first document from the reply that selects a control VM", func() {
+	ginkgo.It("accepts the first document from the first reply of a fresh control VM only", func() {
 		c := newTestCluster(ctx, "c1")
 		c.controls["c1"].setAge(-1)
 		c.controls["c1"].publish(3)
-		c.client.selectControl(ctx)
+		// The lists are taken before the control VM is given up.
+		Eventually(func() error { return c.client.watch(ctx, "c1") }).WithTimeout(eventTimeout).Should(HaveOccurred())
 		Expect(c.version()).To(BeZero())
-		Expect(c.client.current).To(BeEmpty())
 		c.controls["c1"].setAge(0)
 		c.client.selectControl(ctx)
-		Expect(c.version()).To(Equal(uint64(3)))
 		Expect(c.client.current).To(Equal("c1"))
+		Expect(c.client.watch(ctx, "c1")).To(Succeed())
+		Expect(c.version()).To(Equal(uint64(3)))
 	})
 
 	ginkgo.It("ignores documents older than its own", func() {
 		c := newTestCluster(ctx, "c1")
 		for _, version := range []uint64{5, 3, 5, 6} {
-			c.client.apply(&watchReply{Document: &catalog.Document{Version: version, Body: []byte(strconv.FormatUint(version, 10))}})
+			c.apply(&watchReply{Document: &catalog.Document{Version: version, Body: []byte(strconv.FormatUint(version, 10))}})
 			Expect(c.version()).To(BeNumerically(">=", 5))
 		}
 		Expect(c.version()).To(Equal(uint64(6)))
@@ -230,29 +257,31 @@
 	// Otherwise the entry VM keeps the old list, in which a draining runner is
 	// still available, until the next change.
 	ginkgo.It("sends its list to an entry VM that has a list from before the control VM's restart", func() {
-		before := newPoller(nil, "c1", discardLogger)
-		before.update(time.Now(), []Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1"}})
-		old, _ := before.current()
-		server := NewServer("c1", newFakeControl("c1"), nil, nil, discardLogger)
-		server.poller.update(time.Now(), []Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1", Draining: true}})
-		list, _ := server.poller.current()
-		reply := server.updatesFor(&watchCall{ListSource: old.Source, ListSeq: old.Seq}, list)
-		Expect(reply.List).To(Equal(list))
+		server := newTestServer(newFakeLister())
+		old, asOf := encodeSet([]Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1", Zone: "z"}}), time.Now()
+		next := encodeSet([]Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1", Zone: "z", Draining: true}})
+		server.lists.put(runnersPrefix+"z", asOf.Add(time.Second), next)
+		call := &watchCall{Format: formatSets, Sets: []delta.Version{{Name: runnersPrefix + "z", Digest: old.Digest()}}}
+		reply, err := server.replyTo(call, asOf)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Changes.Updates).To(HaveLen(1))
+		Expect(reply.Changes.Updates[0].Digest).To(Equal(next.Digest()))
 	})
 
 	ginkgo.It("keeps the last list when the platform's list cannot be read", func() {
-		p := newPoller(&fakeLister{}, "c", discardLogger)
-		p.update(time.Now(), []Runner{{ID: "a"}})
-		p.lister = &fakeLister{err: errors.New("429")}
-		Expect(p.poll(ctx)).NotTo(Succeed())
-		list, _ := p.current()
-		Expect(list.Runners).To(HaveLen(1))
-		p.update(time.Now(), []Runner{{ID: "a"}})
-		same, _ := p.current()
-		Expect(same).To(Equal(list))
-		p.update(time.Now(), []Runner{{ID: "a", Draining: true}})
-		next, _ := p.current()
-		Expect(next.Seq).To(Equal(list.Seq + 1))
+		lister := newFakeLister()
+		lister.set([]Runner{{ID: "a", Zone: "z"}})
+		server := newTestServer(lister)
+		Expect(server.reader.readZone(ctx, "z")).To(Succeed())
+		read := server.lists.asOf(runnersPrefix + "z")
+		lister.err = errors.New("429")
+		Expect(server.reader.readZone(ctx, "z")).NotTo(Succeed())
+		Expect(server.lists.runners()).To(HaveLen(1))
+		Expect(server.lists.asOf(runnersPrefix + "z")).To(Equal(read))
+		lister.err = nil
+		lister.set([]Runner{{ID: "a", Zone: "z", Draining: true}, {ID: "b", Zone: "elsewhere"}})
+		Expect(server.reader.readZone(ctx, "z")).To(Succeed())
+		Expect(server.lists.runners()).To(Equal([]Runner{{ID: "a", Zone: "z", Draining: true}}))
 	})
 
 	ginkgo.It("lists entry VMs until they have not been seen for rosterExpiry", func() {
@@ -262,6 +291,6 @@
 		r.touch(now.Add(time.Second), EntryVM{Addr: "a"})
 		Expect(r.list(now.Add(time.Second))).To(Equal([]EntryVM{{Addr: "a"}, {Addr: "b"}}))
 		Expect(r.list(now.Add(rosterExpiry + time.Millisecond))).To(Equal([]EntryVM{{Addr: "a"}}))
-		Expect(rosterHash([]EntryVM{{Addr: "a"}})).NotTo(Equal(rosterHash([]EntryVM{{Addr: "a", Draining: true}})))
+		Expect(encodeSet([]EntryVM{{Addr: "a"}}).Digest()).NotTo(Equal(encodeSet([]EntryVM{{Addr: "a", Draining: true}}).Digest()))
 	})
 })
--- /dev/null
+++ b/directory/lists.go
@@ -0,0 +1,168 @@
+package directory
+
+import (
+	"sync"
+	"time"
+
+	"damaskbridge.example/damaskbridge/delta"
+)
+
+// lists holds the sets of a control VM. It is safe for concurrent use.
+type lists struct {
+	mu    sync.Mutex
+	store *delta.Store
+	// changed is closed at the next change of any set, runnersChanged at the next
+	// change of a set of runners.
+	changed        chan struct{}
+	runnersChanged chan struct{}
+}
+
+func newLists() *lists {
+	return &lists{store: delta.NewStore(), changed: make(chan struct{}), runnersChanged: make(chan struct{})}
+}
+
+// nextChange returns a channel that is closed at the next change of any set or,
+// with runnersOnly, of a set of runners.
+func (l *lists) nextChange(runnersOnly bool) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if runnersOnly {
+		return l.runnersChanged
+	}
+	return l.changed
+}
+
+// put stores a set that was current at asOf. It returns the set before and
+// whether the content has changed.
+func (l *lists) put(name string, asOf time.Time, set *delta.Set) (before *delta.Set, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, _ = l.store.Get(name)
+	if !l.store.Put(name, asOf, set) {
+		return before, false
+	}
+	l.announce([]string{name})
+	return before, true
+}
+
+// announce wakes those who wait for changes. l.mu is held.
+func (l *lists) announce(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	for _, name := range names {
+		if hasRunners(name) {
+			close(l.runnersChanged)
+			l.runnersChanged = make(chan struct{})
+			return
+		}
+	}
+}
+
+// versions returns the versions of all sets.
+func (l *lists) versions(now time.Time) []delta.Version {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.store.Versions(now)
+}
+
+// changesFor returns what the caller of a watch lacks.
+func (l *lists) changesFor(now, calledAt time.Time, call *watchCall) (*delta.Changes, error) {
+	include := sentToEntryVMs
+	if call.Control {
+		include = func(string) bool { return true }
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.store.ChangesFor(now, calledAt, call.Sets, include)
+}
+
+// apply stores the changes of another control VM.
+func (l *lists) apply(madeAt time.Time, known []delta.Version, c *delta.Changes) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	names, err := l.store.Apply(madeAt, known, c)
+	l.announce(names)
+	return err
+}
+
+// asOf returns as of when the content of a set is current, the zero time if
+// there is no such set.
+func (l *lists) asOf(name string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, t := l.store.Get(name)
+	return t
+}
+
+// digest returns a digest of all sets with a prefix.
+func (l *lists) digest(prefix string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var sum uint64
+	for _, name := range namesWith(l.store, prefix) {
+		set, _ := l.store.Get(name)
+		sum += set.Digest()
+	}
+	return sum
+}
+
+// runners returns all runners. A set that cannot be decoded comes from a later
+// release and is left out.
+func (l *lists) runners() []Runner {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Runner
+	for _, name := range namesWith(l.store, runnersPrefix) {
+		set, _ := l.store.Get(name)
+		if list, err := decodeSet[Runner](set); err == nil {
+			all = append(all, list...)
+		}
+	}
+	return all
+}
+
+// entries returns the entry VMs of the whole system, sorted by address.
+func (l *lists) entries() []EntryVM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return entriesOf(l.store)
+}
+
+// putEntries replaces the entry VMs of the whole system.
+func (l *lists) putEntries(now time.Time, list []EntryVM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.announce(putByZone(l.store, entriesPrefix, now, list, entryZone))
+}
+
+// reportedEntries returns the entry VMs that control VMs have reported since a
+// time, and forgets reports from before forgetBefore. A VM that one control VM
+// reports as draining is draining.
+func (l *lists) reportedEntries(since, forgetBefore time.Time) map[string]EntryVM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := map[string]EntryVM{}
+	for _, name := range namesWith(l.store, watchersPrefix) {
+		set, asOf := l.store.Get(name)
+		if asOf.Before(forgetBefore) {
+			l.store.Remove(name)
+			continue
+		}
+		if asOf.Before(since) {
+			continue
+		}
+		list, err := decodeSet[EntryVM](set)
+		if err != nil {
+			// The VM runs a release whose entries this one cannot read.
+			continue
+		}
+		for _, vm := range list {
+			vm.Draining = vm.Draining || all[vm.Addr].Draining
+			all[vm.Addr] = vm
+		}
+	}
+	return all
+}
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -1,6 +1,13 @@
 package directory
 
-import "damaskbridge.example/damaskbridge/catalog"
+import (
+	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/delta"
+)
+
+// formatSets is the message format in which lists travel as sets. VMs of the
+// release before it send no format and whole lists, see legacy.go.
+const formatSets = 1
 
 // EntryVM describes an entry VM that watches the directory.
 type EntryVM struct {
@@ -13,41 +20,49 @@
 }
 
 // watchCall is a long poll for changes since the caller's state. The reply is
-// sent at once if the document or the runner list is newer, and otherwise at
-// the next change of one of them or after WaitMS.
+// sent at once if the caller lacks something that it waits for, and otherwise
+// at the next such change or after WaitMS. Entry VMs wait for documents and
+// runners, control VMs for all sets.
 type watchCall struct {
 	From    EntryVM `cbor:"1,keyasint"`
 	Version uint64  `cbor:"2,keyasint"`
-	// ListSource and ListSeq identify the runner list that the caller has.
-	ListSource string `cbor:"3,keyasint,omitempty"`
-	ListSeq    uint64 `cbor:"4,keyasint,omitempty"`
-	WaitMS     uint32 `cbor:"5,keyasint"`
-	// RosterTag identifies the list of entry VMs that the caller has, 0 for none.
-	RosterTag uint64 `cbor:"6,keyasint,omitempty"`
+	WaitMS  uint32  `cbor:"5,keyasint"`
+	Format  uint8   `cbor:"7,keyasint,omitempty"`
+	// Sets are the versions of the sets that the caller holds.
+	Sets []delta.Version `cbor:"8,keyasint,omitempty"`
+	// Probe asks only for AgeMS, Controls and Format.
+	Probe bool `cbor:"9,keyasint,omitempty"`
+	// Control is true if the caller is a control VM.
+	Control bool `cbor:"10,keyasint,omitempty"`
+
+	legacyCall
 }
 
 // watchReply answers a watchCall.
 type watchReply struct {
 	// AgeMS is the maximum age of the control VM's state, negative if it has no
 	// contact with a leader.
-	AgeMS    int64             `cbor:"1,keyasint"`
+	AgeMS int64 `cbor:"1,keyasint"`
+	// Document is the newest document if the caller has no document that Patch
+	// could start from.
 	Document *catalog.Document `cbor:"2,keyasint,omitempty"`
-	List     *RunnerList       `cbor:"3,keyasint,omitempty"`
 	// Controls are the addresses of the control VMs.
 	Controls []string `cbor:"4,keyasint"`
-	// RosterTag identifies the list of entry VMs. Entries is omitted if the
-	// caller already has that list.
-	RosterTag uint64    `cbor:"5,keyasint"`
-	Entries   []EntryVM `cbor:"6,keyasint,omitempty"`
-}
+	Format   uint8    `cbor:"7,keyasint,omitempty"`
+	// HeldMS is how long the call was held until the reply was put together.
+	HeldMS  uint32         `cbor:"8,keyasint,omitempty"`
+	Changes *delta.Changes `cbor:"9,keyasint,omitempty"`
+	// Patch makes the newest document of the caller's one.
+	Patch *documentPatch `cbor:"10,keyasint,omitempty"`
+	// Complete is true if the control VM knows the runners of every data centre.
+	Complete bool `cbor:"11,keyasint,omitempty"`
 
-// rosterCall reports to the leader the entry VMs that watch the caller.
-type rosterCall struct {
-	From    string    `cbor:"1,keyasint"`
-	Entries []EntryVM `cbor:"2,keyasint"`
+	legacyReply
 }
 
-// rosterReply holds all entry VMs that the leader knows.
-type rosterReply struct {
-	Entries []EntryVM `cbor:"1,keyasint"`
+// documentPatch makes the document of the version Version of the body of the
+// version that the caller stated.
+type documentPatch struct {
+	Version uint64      `cbor:"1,keyasint"`
+	Body    delta.Patch `cbor:"2,keyasint"`
 }
--- a/directory/roster.go
+++ b/directory/roster.go
@@ -1,17 +1,21 @@
 package directory
 
 import (
-	"fmt"
-	"slices"
-	"strings"
+	"context"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// rosterExpiry is how long an entry VM stays listed after it was last seen. It
-// tolerates the loss of two watches and two roster exchanges.
-const rosterExpiry = 4 * time.Second
+const (
+	// rosterExpiry is how long an entry VM stays listed after it was last seen,
+	// and a control VM's report after it was last confirmed. It tolerates the loss
+	// of two watches and two exchanges between control VMs.
+	rosterExpiry = 4 * time.Second
+	// rosterInterval is how often a control VM updates the entry VMs that watch
+	// it and the leader merges them.
+	rosterInterval = 500 * time.Millisecond
+	// reportRetention is how long the report of a control VM that is gone is kept.
+	reportRetention = time.Minute
+)
 
 // roster holds entry VMs by address with the time at which each was last seen.
 // It is not safe for concurrent use.
@@ -40,15 +44,59 @@
 		}
 		list = append(list, e.vm)
 	}
-	slices.SortFunc(list, func(a, b EntryVM) int { return strings.Compare(a.Addr, b.Addr) })
+	sortEntries(list)
 	return list
 }
 
-// rosterHash returns a hash that identifies a list of entry VMs. It is never 0.
-func rosterHash(list []EntryVM) uint64 {
-	h := xxhash.New()
-	for _, e := range list {
-		fmt.Fprintln(h, e.Addr, e.Zone, e.Draining)
+// runRoster updates the roster until ctx ends.
+func (s *Server) runRoster(ctx context.Context) {
+	ticker := time.NewTicker(rosterInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.updateRoster(time.Now())
+		}
+	}
+}
+
+// updateRoster publishes the entry VMs that watch this control VM and, while
+// this VM leads, merges the reports of all control VMs.
+func (s *Server) updateRoster(now time.Time) {
+	leads := s.opts.Control.Leads()
+	s.mu.Lock()
+	own := s.watchers.list(now)
+	switch {
+	case !leads:
+		s.leadsSince = time.Time{}
+	case s.leadsSince.IsZero():
+		s.leadsSince = now
+	}
+	leadsSince := s.leadsSince
+	s.mu.Unlock()
+	s.lists.put(watchersPrefix+s.opts.Self, now, encodeSet(own))
+	if leads {
+		s.mergeReports(now, leadsSince)
+	}
+}
+
+// mergeReports makes the list of all entry VMs from the reports of the control
+// VMs. A new leader keeps its predecessor's entry VMs until every control VM has
+// had the time to report.
+func (s *Server) mergeReports(now, leadsSince time.Time) {
+	all := s.lists.reportedEntries(now.Add(-rosterExpiry), now.Add(-reportRetention))
+	if now.Sub(leadsSince) < rosterExpiry {
+		for _, vm := range s.lists.entries() {
+			if _, ok := all[vm.Addr]; !ok {
+				all[vm.Addr] = vm
+			}
+		}
+	}
+	list := make([]EntryVM, 0, len(all))
+	for _, vm := range all {
+		list = append(list, vm)
 	}
-	return max(h.Sum64(), 1)
+	s.lists.putEntries(now, list)
 }
--- a/directory/server.go
+++ b/directory/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,49 +24,67 @@
 	ConfirmationAge(now time.Time) time.Duration
 	// Leader returns the leader's address, empty if it is unknown or this VM.
 	Leader() string
+	// Leads reports whether this VM is the leader.
+	Leads() bool
 	// Members returns the addresses of the control VMs.
 	Members() []string
 }
 
 const (
-	rosterInterval = time.Second
 	// maxWatchWait is the longest time for which a watch stays open.
 	maxWatchWait = 2 * time.Second
+	// confirmationInterval is how often the watch of a VM without a document
+	// checks whether a leader has confirmed this VM's.
+	confirmationInterval = 30 * time.Millisecond
 )
 
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	// Self is the address at which other VMs reach this control VM.
+	Self string
+	// Zones are the data centres whose runners are listed. If there are none, all
+	// runners are read as one list.
+	Zones   []string
+	Control Control
+	Caller  transport.Caller
+	Lister  Lister
+	Logger  *log.Logger
+}
+
 // Server serves the directory on a control VM. It is safe for concurrent use.
 type Server struct {
-	self    string
-	control Control
-	caller  transport.Caller
-	poller  *poller
-	log     *log.Logger
+	opts      ServerOptions
+	lists     *lists
+	reader    *reader
+	documents *documents
+	// legacySeed makes the list numbers of this process differ from those of
+	// other processes.
+	legacySeed uint64
 
 	mu sync.Mutex
 	// watchers holds the entry VMs that watch this control VM.
 	watchers *roster
-	// reported holds the entry VMs that control VMs reported to this one as the
-	// leader, including its own watchers.
-	reported *roster
-	// allEntries lists the entry VMs of the whole system, as of the last roster
-	// exchange.
-	allEntries []EntryVM
+	// leadsSince is when this VM became the leader, zero if it is not.
+	leadsSince time.Time
 }
 
-// NewServer returns the directory server of the control VM at the address self.
-func NewServer(self string, control Control, caller transport.Caller, lister Lister, logger *log.Logger) *Server {
-	return &Server{
-		self: self, control: control, caller: caller, log: logger,
-		poller:   newPoller(lister, self, logger),
-		watchers: newRoster(), reported: newRoster(),
+// NewServer returns the directory server of a control VM. Run starts its work.
+func NewServer(o ServerOptions) *Server {
+	if len(o.Zones) == 0 {
+		o.Zones = []string{""}
 	}
+	s := &Server{opts: o, lists: newLists(), documents: newDocuments(), legacySeed: rand.Uint64(), watchers: newRoster()}
+	s.reader = newReader(&s.opts, s.lists)
+	return s
 }
 
-// Run polls the runner list and exchanges the roster until ctx ends.
+// Run reads the runner list and exchanges the lists with other control VMs until
+// ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { s.poller.run(ctx) })
-	loops.Go(func() { s.runRosterExchange(ctx) })
+	loops.Go(func() { s.reader.run(ctx) })
+	loops.Go(func() { s.runRoster(ctx) })
+	loops.Go(func() { s.runPeers(ctx) })
 	loops.Wait()
 }
 
@@ -76,121 +95,123 @@
 		if err := wire.Decode(body, &call); err != nil {
 			return nil, err
 		}
-		return wire.Encode(s.mergeRoster(time.Now(), &call))
+		return wire.Encode(s.serveLegacyRoster(time.Now(), &call))
 	}
 	var call watchCall
 	if err := wire.Decode(body, &call); err != nil {
 		return nil, err
 	}
-	return wire.Encode(s.watch(ctx, &call))
+	reply, err := s.watch(ctx, &call)
+	if err != nil {
+		return nil, err
+	}
+	return wire.Encode(reply)
 }
 
-func (s *Server) watch(ctx context.Context, call *watchCall) *watchReply {
-	s.mu.Lock()
-	s.watchers.touch(time.Now(), call.From)
-	s.mu.Unlock()
+func (s *Server) watch(ctx context.Context, call *watchCall) (*watchReply, error) {
+	calledAt := time.Now()
+	if call.Probe {
+		return s.emptyReply(calledAt), nil
+	}
+	if !call.Control {
+		s.mu.Lock()
+		s.watchers.touch(calledAt, call.From)
+		s.mu.Unlock()
+	}
 	wait := min(time.Duration(call.WaitMS)*time.Millisecond, maxWatchWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		documentChanged := s.control.Changed()
-		list, listChanged := s.poller.current()
-		reply := s.updatesFor(call, list)
-		if reply.Document != nil || reply.List != nil {
-			return reply
+	var confirmationCheck <-chan time.Time
+	if call.Version == 0 && !call.Control {
+		ticker := time.NewTicker(confirmationInterval)
+		defer ticker.Stop()
+		confirmationCheck = ticker.C
+	}
+	for expired := false; ; {
+		documentChanged := s.opts.Control.Changed()
+		listsChanged := s.lists.nextChange(!call.Control)
+		reply, err := s.replyTo(call, calledAt)
+		if err != nil || expired || reply.hasAwaited(call) {
+			return reply, err
 		}
 		select {
 		case <-documentChanged:
-		case <-listChanged:
+		case <-listsChanged:
+		case <-confirmationCheck:
 		case <-timer.C:
-			return s.updatesFor(call, list)
+			expired = true
 		case <-ctx.Done():
-			return reply
+			return reply, nil
 		}
 	}
 }
 
-// updatesFor returns a reply with everything that the caller does not have yet.
-func (s *Server) updatesFor(call *watchCall, list *RunnerList) *watchReply {
-	now := time.Now()
-	reply := &watchReply{AgeMS: -1, Controls: s.control.Members()}
-	if age := s.control.ConfirmationAge(now); age >= 0 {
-		reply.AgeMS = age.Milliseconds()
-	}
-	if d := s.control.Document(); d != nil && d.Version > call.Version {
-		reply.Document = d
+// hasAwaited reports whether the reply has something that the caller waits for.
+func (r *watchReply) hasAwaited(call *watchCall) bool {
+	if r.Document != nil || r.Patch != nil || r.List != nil {
+		return true
 	}
-	if list != nil && (list.Source != call.ListSource || list.Seq != call.ListSeq) {
-		reply.List = list
+	if r.Changes == nil {
+		return false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := s.allEntries
-	if len(all) == 0 {
-		all = s.watchers.list(now)
-	}
-	reply.RosterTag = rosterHash(all)
-	if reply.RosterTag != call.RosterTag {
-		reply.Entries = all
+	for i := range r.Changes.Updates {
+		if call.Control || hasRunners(r.Changes.Updates[i].Name) {
+			return true
+		}
 	}
-	return reply
+	return false
 }
 
-// runRosterExchange periodically reports this VM's watchers to the leader and
-// gets the entry VMs of the whole system in return.
-func (s *Server) runRosterExchange(ctx context.Context) {
-	ticker := time.NewTicker(rosterInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.exchangeRoster(ctx)
-		}
+func (s *Server) emptyReply(now time.Time) *watchReply {
+	reply := &watchReply{AgeMS: -1, Controls: s.opts.Control.Members(), Format: formatSets}
+	if age := s.opts.Control.ConfirmationAge(now); age >= 0 {
+		reply.AgeMS = age.Milliseconds()
 	}
+	return reply
 }
 
-func (s *Server) exchangeRoster(ctx context.Context) {
+// replyTo returns a reply with everything that the caller does not have yet.
+func (s *Server) replyTo(call *watchCall, calledAt time.Time) (*watchReply, error) {
 	now := time.Now()
-	s.mu.Lock()
-	own := s.watchers.list(now)
-	s.mu.Unlock()
-	call := &rosterCall{From: s.self, Entries: own}
-	leader := s.control.Leader()
-	if leader == "" {
-		// This VM is the leader, or the leader is unknown.
-		s.setEntries(s.mergeRoster(now, call).Entries)
-		return
-	}
-	body, err := wire.Encode(call)
-	if err != nil {
-		return
+	reply := s.emptyReply(now)
+	reply.HeldMS = uint32(now.Sub(calledAt).Milliseconds())
+	reply.Complete = s.reader.complete()
+	if call.Format < formatSets {
+		s.addLegacyLists(call, reply)
+		if d := s.opts.Control.Document(); d != nil && d.Version > call.Version {
+			reply.Document = d
+		}
+		return reply, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, rosterInterval)
-	defer cancel()
-	b, err := s.caller.Call(ctx, leader, transport.MethodRoster, body)
-	if err != nil {
-		// The next exchange makes up for a failed one.
-		return
+	var err error
+	if reply.Changes, err = s.lists.changesFor(now, calledAt, call); err != nil {
+		return nil, err
 	}
-	var reply rosterReply
-	if wire.Decode(b, &reply) == nil {
-		s.setEntries(reply.Entries)
+	if !call.Control {
+		err = s.addDocument(call, reply)
 	}
+	return reply, err
 }
 
-func (s *Server) mergeRoster(now time.Time, call *rosterCall) *rosterReply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, vm := range call.Entries {
-		s.reported.touch(now, vm)
+// addDocument adds the newest document to a reply, as a patch if possible.
+func (s *Server) addDocument(call *watchCall, reply *watchReply) error {
+	d := s.opts.Control.Document()
+	if d == nil {
+		return nil
 	}
-	return &rosterReply{Entries: s.reported.list(now)}
-}
-
-func (s *Server) setEntries(all []EntryVM) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.allEntries = all
+	s.documents.add(d)
+	if d.Version <= call.Version || call.Version == 0 && !isFresh(reply) {
+		// A VM without a document does not accept one that may be outdated.
+		return nil
+	}
+	patch, err := s.documents.patchFrom(call.Version)
+	if err != nil {
+		return err
+	}
+	if patch == nil {
+		reply.Document = d
+		return nil
+	}
+	reply.Patch = patch
+	return nil
 }
--- /dev/null
+++ b/directory/state.go
@@ -0,0 +1,19 @@
+package directory
+
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/catalog"
+)
+
+// State is the directory's content as known to an entry VM. It is immutable.
+type State struct {
+	// Table is the catalog in force, nil before the first.
+	Table *catalog.Table
+	// List is the newest list of runners, nil before the first.
+	List    *RunnerList
+	Entries []EntryVM
+	// LastContactAt is when a control VM in contact with the leader last
+	// answered.
+	LastContactAt time.Time
+}
