directory: the control VMs near the platform's list read it, and others follow by progress

A reading of ten pages takes 0.7 s from another region, so that the ages at the other VMs passed the takeover time; and readers in other regions moved the list over the paid links.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -75,9 +75,10 @@
 
 // fakeLister returns the runners that were set last, or an error.
 type fakeLister struct {
-	mu      sync.Mutex
-	runners []Runner
-	err     error
+	mu        sync.Mutex
+	runners   []Runner
+	err       error
+	roundTrip time.Duration
 	// reads counts the readings of each data centre.
 	reads map[string]int
 }
@@ -91,6 +92,12 @@
 	return slices.Clone(f.runners), f.err
 }
 
+func (f *fakeLister) Ping(context.Context, string) (time.Duration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roundTrip, f.err
+}
+
 func (f *fakeLister) set(runners []Runner) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/directory/lists.go
+++ b/directory/lists.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -149,6 +150,7 @@
 		set, asOf := l.store.Get(name)
 		if asOf.Before(forgetBefore) {
 			l.store.Remove(name)
+			l.store.Remove(controlsPrefix + strings.TrimPrefix(name, watchersPrefix))
 			continue
 		}
 		if asOf.Before(since) {
@@ -166,3 +168,23 @@
 	}
 	return all
 }
+
+// roundTrips returns the round-trip times to the platform's list that control
+// VMs have told, by their addresses.
+func (l *lists) roundTrips() map[string]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := map[string]time.Duration{}
+	for _, name := range namesWith(l.store, controlsPrefix) {
+		set, _ := l.store.Get(name)
+		list, err := decodeSet[controlVM](set)
+		if err != nil {
+			// The VM runs a release that tells something else; it counts as far.
+			continue
+		}
+		for _, vm := range list {
+			all[vm.Addr] = time.Duration(vm.ListRoundTripMS) * time.Millisecond
+		}
+	}
+	return all
+}
--- a/directory/reader.go
+++ b/directory/reader.go
@@ -9,18 +9,36 @@
 	"github.com/phuslu/log"
 )
 
-// Lister reads the runners of a data centre from the platform, or all runners
-// for the data centre "".
+// Lister reads the platform's list of runners.
 type Lister interface {
+	// List returns the runners of a data centre, or all runners for the data
+	// centre "".
 	List(ctx context.Context, zone string) ([]Runner, error)
+	// Ping returns the round-trip time of one call for the first part of that
+	// list.
+	Ping(ctx context.Context, zone string) (time.Duration, error)
 }
 
 const (
 	// readTick is how often the turns are checked.
-	readTick    = 300 * time.Millisecond
-	readTimeout = 1500 * time.Millisecond
+	readTick = 300 * time.Millisecond
+	// readTimeout is shorter than the time after which another control VM takes
+	// over.
+	readTimeout = 2500 * time.Millisecond
+	// pingInterval is the time between two measurements of the round-trip time.
+	pingInterval = 30 * time.Second
+	// roundTripStep is the resolution at which round-trip times are told, so that
+	// jitter does not change the order.
+	roundTripStep = 5 * time.Millisecond
 )
 
+// controlVM is what a control VM tells the others about itself.
+type controlVM struct {
+	Addr string `cbor:"1,keyasint"`
+	// ListRoundTripMS is the round-trip time to the platform's list, in ms.
+	ListRoundTripMS int64 `cbor:"2,keyasint"`
+}
+
 // reader reads the platform's list for the data centres whose turn it is.
 type reader struct {
 	lister  Lister
@@ -28,38 +46,40 @@
 	self    string
 	members func() []string
 	log     *log.Logger
+	// pingZone is the data centre whose list is used for measurements.
+	pingZone string
 
-	mu        sync.Mutex
-	startedAt time.Time
-	zones     map[string]*zoneReading
+	mu    sync.Mutex
+	zones map[string]*zoneReading
 }
 
 // zoneReading is the state of reading one data centre.
 type zoneReading struct {
-	triedAt time.Time
-	reading bool
-	failing bool
+	// asOf is the last known age of the list, progressAt when it last advanced.
+	asOf       time.Time
+	progressAt time.Time
+	triedAt    time.Time
+	reading    bool
+	failing    bool
 }
 
 func newReader(o *ServerOptions, l *lists) *reader {
-	r := &reader{lister: o.Lister, lists: l, self: o.Self, members: o.Control.Members, log: o.Logger, zones: map[string]*zoneReading{}}
+	r := &reader{lister: o.Lister, lists: l, self: o.Self, members: o.Control.Members, log: o.Logger, pingZone: o.Zones[0], zones: map[string]*zoneReading{}}
 	for _, zone := range o.Zones {
-		r.zones[zone] = &zoneReading{}
+		r.zones[zone] = &zoneReading{progressAt: time.Now()}
 	}
 	return r
 }
 
 func (r *reader) run(ctx context.Context) {
-	r.mu.Lock()
-	r.startedAt = time.Now()
-	r.mu.Unlock()
 	ticker := time.NewTicker(readTick)
 	defer ticker.Stop()
-	var readings sync.WaitGroup
-	defer readings.Wait()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	calls.Go(func() { r.runPings(ctx) })
 	for {
 		for _, zone := range r.dueZones(time.Now()) {
-			readings.Go(func() { r.read(ctx, zone) })
+			calls.Go(func() { r.read(ctx, zone) })
 		}
 		select {
 		case <-ctx.Done():
@@ -69,17 +89,45 @@
 	}
 }
 
+// runPings tells the other control VMs how far the list is from here.
+func (r *reader) runPings(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := pingInterval
+		if err := r.ping(ctx); err != nil {
+			// This VM counts as far from the list until a call succeeds.
+			r.log.Debug().Err(err).Msg("directory: distance to the runner list")
+			pause = readInterval
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (r *reader) ping(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rtt, err := r.lister.Ping(ctx, r.pingZone)
+	if err != nil {
+		return err
+	}
+	self := controlVM{Addr: r.self, ListRoundTripMS: rtt.Round(roundTripStep).Milliseconds()}
+	r.lists.put(controlsPrefix+r.self, time.Now(), encodeSet([]controlVM{self}))
+	return nil
+}
+
 // dueZones returns the data centres that this VM has to read now, and counts
 // them as being read.
 func (r *reader) dueZones(now time.Time) []string {
-	members := r.members()
+	members, roundTrips := r.members(), r.lists.roundTrips()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var due []string
 	for zone, z := range r.zones {
+		if asOf := r.lists.asOf(runnersPrefix + zone); asOf.After(z.asOf) {
+			z.asOf, z.progressAt = asOf, now
+		}
 		t := turn{
-			rank: rankOf(r.self, zone, members), asOf: r.lists.asOf(runnersPrefix + zone),
-			triedAt: z.triedAt, startedAt: r.startedAt,
+			rank:    rankIn(readingOrder(zone, members, roundTrips), r.self),
+			hasList: !z.asOf.IsZero(), progressAt: z.progressAt, triedAt: z.triedAt,
 		}
 		if z.reading || !t.due(now) {
 			continue
--- a/directory/sets.go
+++ b/directory/sets.go
@@ -18,24 +18,31 @@
 	runnersPrefix = "runners/"
 	// entriesPrefix names the entry VMs of a data centre, as merged by the leader.
 	entriesPrefix = "entries/"
-	// watchersPrefix names the entry VMs that watch one control VM, followed by
-	// its address. Only control VMs exchange these sets.
+	// watchersPrefix names the entry VMs that watch one control VM, controlsPrefix
+	// what a control VM tells about itself, both followed by its address. Only
+	// control VMs exchange these sets.
 	watchersPrefix = "watchers/"
+	controlsPrefix = "controls/"
 )
 
 // sentToEntryVMs reports whether entry VMs receive the set with a name.
-func sentToEntryVMs(name string) bool { return !strings.HasPrefix(name, watchersPrefix) }
+func sentToEntryVMs(name string) bool {
+	return hasRunners(name) || strings.HasPrefix(name, entriesPrefix)
+}
+
+// member is a value of a set.
+type member interface{ Runner | EntryVM | controlVM }
 
 func runnerZone(r Runner) string { return r.Zone }
 func entryZone(e EntryVM) string { return e.Zone }
 
 // encodeSet returns the set of the encoded values.
-func encodeSet[T Runner | EntryVM](list []T) *delta.Set {
+func encodeSet[T member](list []T) *delta.Set {
 	values := make([][]byte, 0, len(list))
 	for i := range list {
 		b, err := wire.Encode(&list[i])
 		if err != nil {
-			// Both types consist of strings, numbers and booleans.
+			// The types consist of strings, numbers and booleans.
 			panic(err)
 		}
 		values = append(values, b)
@@ -44,7 +51,7 @@
 }
 
 // decodeSet returns the values of a set, in the order of their encodings.
-func decodeSet[T Runner | EntryVM](set *delta.Set) ([]T, error) {
+func decodeSet[T member](set *delta.Set) ([]T, error) {
 	if set == nil {
 		return nil, nil
 	}
@@ -81,7 +88,7 @@
 
 // putByZone replaces the sets with a prefix by those of the list, one for each
 // data centre. It returns the names of those that have changed.
-func putByZone[T Runner | EntryVM](st *delta.Store, prefix string, now time.Time, list []T, zone func(T) string) (changed []string) {
+func putByZone[T member](st *delta.Store, prefix string, now time.Time, list []T, zone func(T) string) (changed []string) {
 	byZone := map[string][]T{}
 	for _, name := range namesWith(st, prefix) {
 		byZone[name] = nil
