exchange, gateway, platform, upstream: a server in trouble neither fills the memory nor answers another request

Cause, each shown by a test: a response head was read without a limit; an answer over 32 MB was cut there and relayed as whole; a response to another request was discarded without a limit; comments and empty events counted as progress of a stream, so that a stalled one went on until its deadline, and its buffer had no limit; a response that names no request was accepted on a reused connection; a late second copy of a stage answer was taken for the next one, and the right one for the call after it; in the product's client a refusal was believed before its attempt was compared. Change: limits on heads, discarded responses, events and buffered answers (each and together); stalls are counted from the last event with content; a stage answer with a handle seen before, of another number of pieces or unreadable closes its connection; a refusal counts only for its own attempt.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -19,19 +19,41 @@
 	reader *bufio.Reader
 	// bytesRead is the number of bytes received on the connection.
 	bytesRead int64
+	// headLimit is the value of bytesRead up to which a response head is read, 0
+	// while no head is read.
+	headLimit int64
+	// reused is true if the connection has served a request before.
+	reused bool
 	// expires is when the peer may close the connection if it is idle.
 	expires time.Time
 }
 
-// Read counts the bytes received.
+// Read counts the bytes received. It fails once a response head has become too
+// large.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.headLimit > 0 && c.bytesRead >= c.headLimit {
+		return 0, errHeadTooLarge
+	}
 	n, err := c.Conn.Read(b)
 	c.bytesRead += int64(n)
 	return n, err
 }
 
+// readHead reads the head of a response. It buffers at most maxHeadBytes and a
+// buffer's length more.
+func (c *conn) readHead(r *Request) (*http.Response, error) {
+	c.headLimit = c.bytesRead + maxHeadBytes
+	defer func() { c.headLimit = 0 }()
+	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+}
+
 const (
 	readBufferBytes = 4 << 10
+	// maxHeadBytes is the maximum size of a response head.
+	maxHeadBytes = 64 << 10
+	// maxDiscardedBytes is the maximum size of a response to another request that
+	// is read to reach the next one.
+	maxDiscardedBytes = 1 << 20
 	// defaultIdleTimeout is how long an idle connection is kept if the response
 	// has no Keep-Alive timeout.
 	defaultIdleTimeout = 3 * time.Second
--- a/exchange/error.go
+++ b/exchange/error.go
@@ -38,3 +38,10 @@
 // errNoMatchingResponse is returned if all responses on a connection belonged to
 // other requests.
 var errNoMatchingResponse = errors.New("all responses received belong to other requests")
+
+// errHeadTooLarge is returned if a peer sends a head without end.
+var errHeadTooLarge = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
+
+// errUnidentified is returned if a response on a reused connection does not say
+// to which request it belongs: it may be a late copy of an earlier one.
+var errUnidentified = errors.New("the response does not say to which request it belongs")
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -45,27 +46,51 @@
 		}()
 	}
 	for range maxResponsesRead {
-		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: r.Method})
+		resp, err := e.conn.readHead(r)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		if r.Match == nil || r.Match(resp) {
+		match := r.match(resp)
+		if match == Unidentified && e.conn.reused {
+			return nil, errUnidentified
+		}
+		if match != Foreign {
 			resp.Body = &responseBody{ReadCloser: resp.Body, exchange: e, response: resp}
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := discard(resp); err != nil {
 			return nil, errors.Join(errNoMatchingResponse, err)
 		}
-		if resp.Close {
-			return nil, errNoMatchingResponse
-		}
 	}
 	return nil, errNoMatchingResponse
 }
 
+// discard reads a response to another request to its end. It fails if no further
+// response can follow on the connection.
+func discard(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case n > maxDiscardedBytes:
+		return fmt.Errorf("one of them exceeds %d bytes", maxDiscardedBytes)
+	case resp.Close:
+		return errors.New("the peer closes the connection")
+	}
+	return nil
+}
+
+// Abandon closes the connection of a response that Pool.Do has returned, so that
+// no other request is sent on it. The body must still be closed.
+func Abandon(resp *http.Response) {
+	if b, ok := resp.Body.(*responseBody); ok {
+		b.exchange.abandon()
+	}
+}
+
 // abandon closes the connection.
 func (e *exchange) abandon() {
 	e.endOnce.Do(func() {
@@ -83,6 +108,7 @@
 			_ = e.conn.Close()
 			return
 		}
+		e.conn.reused = true
 		e.conn.setExpiry(time.Now(), resp.Header)
 		e.pool.putIdle(e.conn, e.maxIdle)
 	})
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -61,7 +61,15 @@
 func newRequest(id string) *Request {
 	return &Request{
 		Method: "POST", Target: "/p/a%2Fb?q=1", Host: "h.example", Header: http.Header{"X-Id": {id}}, Body: []byte("in"),
-		Match: func(r *http.Response) bool { return r.Header.Get("X-Id") == id },
+		Match: func(r *http.Response) Match {
+			switch r.Header.Get("X-Id") {
+			case id:
+				return Own
+			case "":
+				return Unidentified
+			}
+			return Foreign
+		},
 	}
 }
 
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -21,13 +21,32 @@
 	// afterwards; 0 means the pool's default, a negative number none.
 	MaxIdle int
 	// Match reports whether a response belongs to this request; nil accepts all.
-	// Other responses are discarded.
-	Match func(*http.Response) bool
+	Match func(*http.Response) Match
 	// OnSent, if not nil, is called once the whole request is written. For a large
 	// request it is called from another goroutine.
 	OnSent func()
 }
 
+// Match is the result of comparing a response with a request.
+type Match int
+
+const (
+	// Own is a response to the request.
+	Own Match = iota
+	// Foreign is a response to another request. It is discarded.
+	Foreign
+	// Unidentified is a response that does not say to which request it belongs.
+	// It is accepted on a new connection only, on which there is no other request.
+	Unidentified
+)
+
+func (r *Request) match(resp *http.Response) Match {
+	if r.Match == nil {
+		return Own
+	}
+	return r.Match(resp)
+}
+
 func (r *Request) notifySent() {
 	if r.OnSent != nil {
 		r.OnSent()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxBodyBytes limits the size of an answer that is buffered in memory.
-	maxBodyBytes = 32 << 20
+	// maxDrainedBytes is how much of a refusal's body is read so that its
+	// connection can be used again.
+	maxDrainedBytes = 64 << 10
 	// hangTimeoutFactor times the route's objective is how long a buffered
 	// request that may be repeated waits for one runner before another one is
 	// tried.
@@ -88,7 +89,7 @@
 		return response, sendResult{}
 	}
 	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBytes))
 	n := sendResult{attemptResult: attemptResult{arrived: true, cause: "refused_" + http.StatusText(response.Status)}}
 	now := time.Now()
 	switch {
@@ -118,7 +119,8 @@
 // relayBuffered reads the answer and relays it, unless it is incomplete or is a
 // server error and another runner may be tried.
 func (r *request) relayBuffered(ctx context.Context, runner *placement.RunnerState, response *Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	body, release, err := r.g.answers.readAll(response.Body)
+	defer release()
 	_ = response.Body.Close()
 	if err != nil {
 		n := r.failedSend(ctx, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -33,6 +33,9 @@
 	lost    bool
 	// cut makes the body end with an error after its bytes.
 	cut bool
+	// endless is what the body goes on with, with a pause before each part.
+	endless *repeating
+	pause   time.Duration
 	// after is the delay before the runner answers.
 	after time.Duration
 	// hang blocks the request until its context is done.
@@ -96,12 +99,33 @@
 	if r.cut {
 		body = io.MultiReader(body, &failingReader{})
 	}
+	if r.endless != nil {
+		body = io.MultiReader(body, &pausedReader{ctx: ctx, reader: r.endless, pause: r.pause})
+	}
 	return &Response{
 		Status: r.status, Header: http.Header{"X-From": {d.RunnerID}}, Body: io.NopCloser(body),
 		NotExecuted: r.notExecuted, Misdirected: r.misdirected,
 	}, nil
 }
 
+// pausedReader reads one text at a time until its context ends.
+type pausedReader struct {
+	ctx    context.Context
+	reader *repeating
+	pause  time.Duration
+}
+
+func (p *pausedReader) Read(b []byte) (int, error) {
+	if p.pause > 0 {
+		time.Sleep(p.pause)
+		b = b[:min(len(b), len(p.reader.text))]
+	}
+	if p.ctx.Err() != nil {
+		return 0, p.ctx.Err()
+	}
+	return p.reader.Read(b)
+}
+
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	callerTimeouts *timeoutTracker
 	firstEvents    *latencyTracker
 	holds          *inputHoldTimes
+	answers        answerMemory
 	metrics        *gatewayMetrics
 	stopping       atomic.Bool
 	// configured is closed once this VM has the catalog and the runner list.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -167,15 +167,23 @@
 	buffer := make([]byte, streamReadBytes)
 	for {
 		n, err := response.Body.Read(buffer)
-		if events := s.splitter.push(buffer[:n]); len(events) > 0 {
+		events, progressed, splitErr := s.splitter.push(buffer[:n])
+		if progressed {
 			onFirstEvent()
 			r.freeInputs()
 			stallTimer.Stop()
+		}
+		if len(events) > 0 {
 			if writeErr := r.writeEvents(response, s, events); writeErr != nil {
 				return &callerGoneError{writeErr}
 			}
+		}
+		if progressed {
 			stallTimer.Reset(r.stallTimeout())
 		}
+		if splitErr != nil {
+			return splitErr
+		}
 		if errors.Is(err, io.EOF) {
 			return r.finishEvents(response, s)
 		}
@@ -198,7 +206,7 @@
 	}
 	// A stream without any event is complete too, and the caller needs its
 	// headers.
-	return r.writeEvents(response, s, nil)
+	return r.writeEvents(response, s, s.splitter.takePreamble())
 }
 
 func (r *request) writeEvents(response *Response, s *eventStream, events []byte) error {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -95,7 +95,10 @@
 			var got []byte
 			for rest := whole; rest != ""; {
 				n := min(size, len(rest))
-				got = append(got, s.push([]byte(rest[:n]))...)
+				complete, progressed, err := s.push([]byte(rest[:n]))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(progressed).To(Equal(len(complete) > 0))
+				got = append(got, complete...)
 				rest = rest[n:]
 			}
 			Expect(string(got)).To(Equal(whole))
@@ -106,7 +109,10 @@
 
 	ginkgo.It("drops events that were already seen", func() {
 		s := eventSplitter{}
-		s.push([]byte(events(1, 3)))
-		Expect(string(s.push([]byte(events(2, 4))))).To(Equal(events(4, 4)))
+		_, _, err := s.push([]byte(events(1, 3)))
+		Expect(err).NotTo(HaveOccurred())
+		fresh, _, err := s.push([]byte(events(2, 4)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(fresh)).To(Equal(events(4, 4)))
 	})
 })
--- /dev/null
+++ b/gateway/trouble_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing/iotest"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/directory"
+)
+
+// repeating is a reader of a text without end.
+type repeating struct {
+	text string
+	read int
+}
+
+func (r *repeating) Read(p []byte) (int, error) {
+	n := copy(p, strings.Repeat(r.text, len(p)/len(r.text)+1))
+	r.read += n
+	return n, nil
+}
+
+// A runner in trouble sends bytes without end. Each attempt ends within its
+// bounds, and the caller is told the truth.
+var _ = ginkgo.Describe("a runner in trouble", func() {
+	// Guards against an answer that is cut at the limit and relayed as whole.
+	ginkgo.It("whose answer has no end is no answer", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, endless: &repeating{text: "bytes"}}}
+		out := serve(g, call("once"))
+		Expect(out.body).To(BeEmpty())
+		Expect(out.refusal.Reason).To(Equal(AnswerLost))
+		Expect(out.refusal.Executed).To(BeTrue())
+		Expect(f.sends()).To(HaveLen(1))
+		Expect(f.any[0].endless.read).To(BeNumerically("<=", 2*maxAnswerBytes))
+		Expect(g.answers.used.Load()).To(BeZero())
+	})
+
+	ginkgo.It("whose refusal has no end is passed by", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 503, notExecuted: true, endless: &repeating{text: "bytes"}}, {status: 200, body: "ok"}}
+		out := serve(g, call("once"))
+		Expect(out.body).To(Equal("ok"))
+	})
+
+	ginkgo.DescribeTable("whose stream has no events is given up",
+		func(text string) {
+			g, f := newTestGateway()
+			trouble := &repeating{text: text}
+			f.any = []reply{{status: 200, endless: trouble}, {status: 200, body: events(1, 3)}}
+			out := serve(g, call("resume"))
+			Expect(out.body).To(Equal(events(1, 3)))
+			Expect(out.aborted).To(BeFalse())
+			Expect(trouble.read).To(BeNumerically("<=", 2*maxEventBytes))
+		},
+		ginkgo.Entry("but a line without end", "bytes"),
+		ginkgo.Entry("but comments", ": still here\n\n"),
+		ginkgo.Entry("but empty ones", "\n"),
+	)
+
+	// Guards against a stalled stream that never ends because a byte comes now and
+	// then.
+	ginkgo.It("whose stream goes on with comments only is left for another one", func() {
+		g, f := newTestGateway()
+		c := testCatalog()
+		for i := range c.Routes {
+			c.Routes[i].MaxEventGap = 20 * time.Millisecond
+		}
+		g.Update(&directory.State{Table: catalog.NewTable(c), List: g.state.Load().List})
+		trouble := &repeating{text: ": still here\n\n"}
+		f.any = []reply{{status: 200, body: events(1, 2), endless: trouble, pause: time.Millisecond}, {status: 200, body: events(3, 4)}}
+		out := serve(g, call("resume"))
+		Expect(out.aborted).To(BeFalse())
+		Expect(strings.ReplaceAll(out.body, trouble.text, "")).To(Equal(events(1, 4)))
+		Expect(f.sends()[1].ResumeAfter).To(Equal("2"))
+	})
+
+	ginkgo.It("does not take the bytes of a sound stream: comments before the first event are kept", func() {
+		g, f := newTestGateway()
+		body := ": hello\n\n" + events(1, 1) + ": between\n\n" + events(2, 2)
+		f.any = []reply{{status: 200, body: body}}
+		Expect(serve(g, call("stream")).body).To(Equal(body))
+		f.any = []reply{{status: 200, body: ": only this\n\n"}}
+		Expect(serve(g, call("stream")).body).To(Equal(": only this\n\n"))
+	})
+
+	ginkgo.It("shares the memory for answers with all others", func() {
+		m := &answerMemory{}
+		var releases []func()
+		refused := 0
+		for range 4 {
+			_, release, err := m.readAll(io.LimitReader(&repeating{text: "x"}, maxAnswerBytes/2))
+			releases = append(releases, release)
+			if err != nil {
+				Expect(err).To(MatchError(errAnswerMemory))
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(4 - maxBufferedBytes/(maxAnswerBytes/2)))
+		for _, release := range releases {
+			release()
+		}
+		Expect(m.used.Load()).To(BeZero())
+		body, release, err := m.readAll(iotest.OneByteReader(strings.NewReader("small")))
+		release()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal([]byte("small")))
+		whole := bytes.Repeat([]byte("y"), freeAnswerBytes+answerStepBytes+7)
+		body, release, err = m.readAll(bytes.NewReader(whole))
+		release()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(whole))
+	})
+})
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -195,16 +195,18 @@
 func checkResponse(spec callSpec, resp *http.Response) error {
 	h := resp.Header
 	notExecuted := h.Get(HeaderNotExecuted) == "true"
+	if spec.attempt != "" && h.Get(HeaderAttempt) != spec.attempt {
+		// Also a refusal counts only if it is the one of this attempt: a late copy of
+		// an earlier one says nothing about this one.
+		err := errors.New("response carries attempt " + h.Get(HeaderAttempt) + ", want " + spec.attempt)
+		return &Error{Cause: ResponseMismatch, Address: spec.addr, Status: resp.StatusCode, Err: err}
+	}
 	switch {
 	case h.Get(HeaderDraining) == "true" && notExecuted:
 		return &Error{Cause: Draining, Address: spec.addr, Status: resp.StatusCode}
 	case notExecuted:
 		return &Error{Cause: Overloaded, Address: spec.addr, Status: resp.StatusCode}
 	}
-	if spec.attempt != "" && h.Get(HeaderAttempt) != spec.attempt {
-		err := errors.New("response carries attempt " + h.Get(HeaderAttempt) + ", want " + spec.attempt)
-		return &Error{Cause: ResponseMismatch, Address: spec.addr, Status: resp.StatusCode, Err: err}
-	}
 	return nil
 }
 
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -116,6 +116,20 @@
 		Expect(started).To(BeFalse())
 	})
 
+	// Guards against a refusal that is taken for "not run" while the request runs:
+	// it is a late second copy of the refusal of an earlier one.
+	It("does not accept a refusal of another attempt", func() {
+		addr, _ := startRunner(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderAttempt, "other/stage/1")
+			w.Header().Set(HeaderNotExecuted, "true")
+			w.WriteHeader(http.StatusTooManyRequests)
+		})
+		_, err := c.Service(context.Background(), addr, testAttempt(), ServiceCall{Op: "book"})
+		cause, started := causeAndStarted(err)
+		Expect(cause).To(Equal(ResponseMismatch))
+		Expect(started).To(BeTrue())
+	})
+
 	It("rejects a response that belongs to another attempt", func() {
 		addr, _ := startRunner(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderAttempt, "other/stage/1") })
 		_, err := c.Service(context.Background(), addr, testAttempt(), ServiceCall{Op: "lookup"})
