directory, gateway: entry VMs know each other before they assemble stage calls

Cause: after all VMs were killed an entry VM had the routes and runners 0.5 s after its start but the list of entry VMs only about two seconds later. Until then each of 95 VMs assembled its own calls: 2,765 of 11,668 stage calls found the runner full, and the memory of the runners was filled by calls of one. Change: reports and merges of entry VMs follow changes at once (100 ms apart), entry VMs wait for them too, and a request of a VM that has just started waits up to 400 ms for the list.

--- a/directory/lists.go
+++ b/directory/lists.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -8,29 +9,51 @@
 	"damaskbridge.example/damaskbridge/delta"
 )
 
+// changeKind is a kind of changes that can be waited for.
+type changeKind int
+
+const (
+	// anyChange is a change of any set.
+	anyChange changeKind = iota
+	// entryVMChanges are those of the sets that entry VMs receive.
+	entryVMChanges
+	// reportChanges are those of the control VMs' reports of entry VMs.
+	reportChanges
+	changeKinds
+)
+
+// includes reports whether a change of the set with a name is of the kind.
+func (k changeKind) includes(name string) bool {
+	switch k {
+	case entryVMChanges:
+		return sentToEntryVMs(name)
+	case reportChanges:
+		return strings.HasPrefix(name, watchersPrefix)
+	}
+	return true
+}
+
 // lists holds the sets of a control VM. It is safe for concurrent use.
 type lists struct {
 	mu    sync.Mutex
 	store *delta.Store
-	// changed is closed at the next change of any set, runnersChanged at the next
-	// change of a set of runners.
-	changed        chan struct{}
-	runnersChanged chan struct{}
+	// changed holds, for each kind, a channel that is closed at the next change.
+	changed [changeKinds]chan struct{}
 }
 
 func newLists() *lists {
-	return &lists{store: delta.NewStore(), changed: make(chan struct{}), runnersChanged: make(chan struct{})}
+	l := &lists{store: delta.NewStore()}
+	for kind := range changeKinds {
+		l.changed[kind] = make(chan struct{})
+	}
+	return l
 }
 
-// nextChange returns a channel that is closed at the next change of any set or,
-// with runnersOnly, of a set of runners.
-func (l *lists) nextChange(runnersOnly bool) <-chan struct{} {
+// nextChange returns a channel that is closed at the next change of a kind.
+func (l *lists) nextChange(kind changeKind) <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if runnersOnly {
-		return l.runnersChanged
-	}
-	return l.changed
+	return l.changed[kind]
 }
 
 // put stores a set that was current at asOf. It returns the set before and
@@ -46,18 +69,13 @@
 	return before, true
 }
 
-// announce wakes those who wait for changes. l.mu is held.
+// announce wakes those who wait for changes of the sets with these names. l.mu
+// is held.
 func (l *lists) announce(names []string) {
-	if len(names) == 0 {
-		return
-	}
-	close(l.changed)
-	l.changed = make(chan struct{})
-	for _, name := range names {
-		if hasRunners(name) {
-			close(l.runnersChanged)
-			l.runnersChanged = make(chan struct{})
-			return
+	for kind := range changeKinds {
+		if slices.ContainsFunc(names, kind.includes) {
+			close(l.changed[kind])
+			l.changed[kind] = make(chan struct{})
 		}
 	}
 }
--- a/directory/roster.go
+++ b/directory/roster.go
@@ -10,9 +10,12 @@
 	// and a control VM's report after it was last confirmed. It tolerates the loss
 	// of two watches and two exchanges between control VMs.
 	rosterExpiry = 4 * time.Second
-	// rosterInterval is how often a control VM updates the entry VMs that watch
-	// it and the leader merges them.
+	// rosterInterval is how often a control VM looks for entry VMs that have
+	// expired, and confirms the others.
 	rosterInterval = 500 * time.Millisecond
+	// rosterSpacing is the minimum time between two updates. After a power loss
+	// all entry VMs report within a moment.
+	rosterSpacing = 100 * time.Millisecond
 	// reportRetention is how long the report of a control VM that is gone is kept.
 	reportRetention = time.Minute
 )
@@ -30,8 +33,11 @@
 
 func newRoster() *roster { return &roster{entries: map[string]rosterEntry{}} }
 
-func (r *roster) touch(now time.Time, vm EntryVM) {
+// touch records that a VM was seen and reports whether it is new or has changed.
+func (r *roster) touch(now time.Time, vm EntryVM) (changed bool) {
+	before, known := r.entries[vm.Addr]
 	r.entries[vm.Addr] = rosterEntry{vm: vm, seenAt: now}
+	return !known || before.vm != vm
 }
 
 // list removes expired entry VMs and returns the others, sorted by address.
@@ -48,20 +54,41 @@
 	return list
 }
 
-// runRoster updates the roster until ctx ends.
+// runRoster updates the roster until ctx ends: at intervals, and soon after an
+// entry VM or a report of another control VM has changed. Until an entry VM
+// knows the others of its zone it cannot tell which of them assembles the calls
+// of a service.
 func (s *Server) runRoster(ctx context.Context) {
 	ticker := time.NewTicker(rosterInterval)
 	defer ticker.Stop()
 	for {
+		reportsChanged := s.lists.nextChange(reportChanges)
+		s.updateRoster(time.Now())
+		sleep(ctx, rosterSpacing)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.updateRoster(time.Now())
+		case <-s.rosterChanged:
+		case <-reportsChanged:
 		}
 	}
 }
 
+// touchWatcher records that an entry VM watches this control VM.
+func (s *Server) touchWatcher(now time.Time, vm EntryVM) {
+	s.mu.Lock()
+	changed := s.watchers.touch(now, vm)
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	select {
+	case s.rosterChanged <- struct{}{}:
+	default:
+	}
+}
+
 // updateRoster publishes the entry VMs that watch this control VM and, while
 // this VM leads, merges the reports of all control VMs.
 func (s *Server) updateRoster(now time.Time) {
--- a/directory/server.go
+++ b/directory/server.go
@@ -60,6 +60,8 @@
 	// legacySeed makes the list numbers of this process differ from those of
 	// other processes.
 	legacySeed uint64
+	// rosterChanged has a value when an entry VM that watches has changed.
+	rosterChanged chan struct{}
 
 	mu sync.Mutex
 	// watchers holds the entry VMs that watch this control VM.
@@ -73,7 +75,7 @@
 	if len(o.Zones) == 0 {
 		o.Zones = []string{""}
 	}
-	s := &Server{opts: o, lists: newLists(), documents: newDocuments(), legacySeed: rand.Uint64(), watchers: newRoster()}
+	s := &Server{opts: o, lists: newLists(), documents: newDocuments(), legacySeed: rand.Uint64(), rosterChanged: make(chan struct{}, 1), watchers: newRoster()}
 	s.reader = newReader(&s.opts, s.lists)
 	return s
 }
@@ -114,9 +116,7 @@
 		return s.emptyReply(calledAt), nil
 	}
 	if !call.Control {
-		s.mu.Lock()
-		s.watchers.touch(calledAt, call.From)
-		s.mu.Unlock()
+		s.touchWatcher(calledAt, call.From)
 	}
 	wait := min(time.Duration(call.WaitMS)*time.Millisecond, maxWatchWait)
 	timer := time.NewTimer(wait)
@@ -129,7 +129,7 @@
 	}
 	for expired := false; ; {
 		documentChanged := s.opts.Control.Changed()
-		listsChanged := s.lists.nextChange(!call.Control)
+		listsChanged := s.lists.nextChange(awaitedBy(call))
 		reply, err := s.replyTo(call, calledAt)
 		if err != nil || expired || reply.hasAwaited(call) {
 			return reply, err
@@ -154,12 +154,15 @@
 	if r.Changes == nil {
 		return false
 	}
-	for i := range r.Changes.Updates {
-		if call.Control || hasRunners(r.Changes.Updates[i].Name) {
-			return true
-		}
+	return len(r.Changes.Updates) > 0
+}
+
+// awaitedBy returns the changes that the caller of a watch waits for.
+func awaitedBy(call *watchCall) changeKind {
+	if call.Control {
+		return anyChange
 	}
-	return false
+	return entryVMChanges
 }
 
 func (s *Server) emptyReply(now time.Time) *watchReply {
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -270,7 +270,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
 	go g.Run(ctx)
-	g.Update(&directory.State{Table: catalog.NewTable(testCatalog()), List: &directory.RunnerList{Seq: 1, Runners: testRunners()}})
+	g.Update(&directory.State{
+		Table: catalog.NewTable(testCatalog()), List: &directory.RunnerList{Seq: 1, Runners: testRunners()},
+		Entries: []directory.EntryVM{{Addr: "self", Zone: "z"}},
+	})
 	return g, f
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,9 +41,11 @@
 	answers        answerMemory
 	metrics        *gatewayMetrics
 	stopping       atomic.Bool
-	// configured is closed once this VM has the catalog and the runner list.
+	// configured is closed once this VM has the catalog, the runner list and,
+	// unless that takes longer than maxRosterWait, the list of entry VMs.
 	configured     chan struct{}
 	configuredOnce sync.Once
+	rosterWaitOnce sync.Once
 }
 
 // New returns a Gateway. Run starts its background work.
@@ -80,9 +82,18 @@
 		g.budgets.setVMs(len(s.Entries))
 	}
 	g.pieces.refresh()
-	if s.Table != nil && s.List != nil {
-		g.configuredOnce.Do(func() { close(g.configured) })
+	if s.Table == nil || s.List == nil {
+		return
+	}
+	if len(s.Entries) > 0 {
+		g.markConfigured()
+		return
 	}
+	g.rosterWaitOnce.Do(func() { time.AfterFunc(maxRosterWait, g.markConfigured) })
+}
+
+func (g *Gateway) markConfigured() {
+	g.configuredOnce.Do(func() { close(g.configured) })
 }
 
 const (
@@ -91,9 +102,15 @@
 	// within a second, and a refused caller retries only once.
 	startupWaitShare = 0.15
 	maxStartupWait   = time.Second
+	// maxRosterWait is how long requests wait for the list of entry VMs after
+	// everything else is known. A VM that knows no others assembles stage calls
+	// alone; if all VMs that start after a power loss do so, their small calls fill
+	// the runners' queues and memory for seconds.
+	maxRosterWait = 400 * time.Millisecond
 )
 
-// awaitConfigured waits for the first catalog and the first runner list.
+// awaitConfigured waits until this VM is configured, but only for a share of the
+// caller's timeout.
 func (g *Gateway) awaitConfigured(ctx context.Context, timeout time.Duration) {
 	select {
 	case <-g.configured:
