--- a/directory/peers_test.go
+++ b/directory/peers_test.go
@@ -59,6 +59,41 @@
 		Expect(server.lists.asOf(watchersPrefix + "gone")).To(BeZero())
 	})
 
+	// Guards against entry VMs that know no others for seconds after a power loss.
+	ginkgo.It("is updated at once when an entry VM comes or drains", func() {
+		server := newTestServer(newFakeLister())
+		now := time.Now()
+		vm := EntryVM{Addr: "a", Zone: "z"}
+		server.touchWatcher(now, vm)
+		Expect(server.rosterChanged).To(Receive())
+		server.touchWatcher(now, vm)
+		Expect(server.rosterChanged).NotTo(Receive())
+		vm.Draining = true
+		server.touchWatcher(now, vm)
+		server.touchWatcher(now, EntryVM{Addr: "b"})
+		Expect(server.rosterChanged).To(Receive())
+	})
+
+	ginkgo.It("ends the watch of an entry VM when the list of entry VMs changes", func() {
+		server := newTestServer(newFakeLister())
+		done := make(chan *watchReply, 1)
+		call := &watchCall{Format: formatSets, Version: 1, WaitMS: uint32(maxWatchWait.Milliseconds())}
+		entriesChanged := server.lists.nextChange(awaitedBy(call))
+		reportsChanged := server.lists.nextChange(reportChanges)
+		server.lists.put(watchersPrefix+"c2", time.Now(), encodeSet([]EntryVM{{Addr: "a"}}))
+		Expect(reportsChanged).To(BeClosed())
+		Expect(entriesChanged).NotTo(BeClosed(), "reports are for control VMs")
+		go func() {
+			reply, _ := server.watch(ctx, call)
+			done <- reply
+		}()
+		server.lists.putEntries(time.Now(), []EntryVM{{Addr: "a", Zone: "z"}})
+		Expect(entriesChanged).To(BeClosed())
+		var reply *watchReply
+		Eventually(done).WithTimeout(eventTimeout).Should(Receive(&reply))
+		Expect(reply.Changes.Updates).To(HaveLen(1))
+	})
+
 	// Guards against pieces that are sent to a VM that is stopping.
 	ginkgo.It("takes an entry VM as draining if one control VM says so", func() {
 		server := newTestServer(newFakeLister())
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -261,6 +261,16 @@
 // newTestGateway returns a running gateway with the test catalog, in front of
 // fake runners.
 func newTestGateway() (*Gateway, *fakeRunners) {
+	g, f := newUnconfiguredGateway()
+	g.Update(&directory.State{
+		Table: catalog.NewTable(testCatalog()), List: &directory.RunnerList{Seq: 1, Runners: testRunners()},
+		Entries: []directory.EntryVM{{Addr: "self", Zone: "z"}},
+	})
+	return g, f
+}
+
+// newUnconfiguredGateway returns a running gateway that knows nothing yet.
+func newUnconfiguredGateway() (*Gateway, *fakeRunners) {
 	f := &fakeRunners{replies: map[string][]reply{}, any: []reply{{status: 200, body: "ok"}}}
 	g := New(Options{
 		Self: "self", Topology: placement.Topology{Zone: "z", Regions: map[string]string{"z": "r"}},
@@ -270,10 +280,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
 	go g.Run(ctx)
-	g.Update(&directory.State{
-		Table: catalog.NewTable(testCatalog()), List: &directory.RunnerList{Seq: 1, Runners: testRunners()},
-		Entries: []directory.EntryVM{{Addr: "self", Zone: "z"}},
-	})
 	return g, f
 }
 
