--- a/admin/backend.go
+++ b/admin/backend.go
@@ -10,7 +10,7 @@
 	"damaskbridge.example/damaskbridge/settings"
 )
 
-// Backend gives the API access to the control VM that it runs on.
+// Backend is the access of the API to the control VM that it runs on.
 // Implementations are safe for concurrent use. An error that is a
 // *problem.Problem is returned to the operator; any other error is reported as
 // control_unavailable.
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -33,7 +33,7 @@
 	gomega.Expect(r.Outcomes[load.RefusedFalse]).To(gomega.BeZero(), "%v", r.Notes)
 }
 
-// version gives the settings version that the control VMs serve.
+// version returns the settings version that the control VMs serve.
 func version(ctx context.Context, s *e2e.System) uint64 {
 	ginkgo.GinkgoHelper()
 	v, err := s.Operator().CurrentVersion(ctx)
@@ -187,7 +187,7 @@
 	})
 })
 
-// leaderIndex gives the index of the leading control VM.
+// leaderIndex returns the index of the leading control VM.
 func leaderIndex(ctx context.Context, s *e2e.System) int {
 	ginkgo.GinkgoHelper()
 	var st admin.Status
--- a/e2e/partitions_test.go
+++ b/e2e/partitions_test.go
@@ -39,7 +39,7 @@
 
 func controlName(i int) string { return fmt.Sprintf("control-%d", i+1) }
 
-// operatorAt gives a client of these control VMs only.
+// operatorAt returns a client of these control VMs only.
 func operatorAt(s *e2e.System, controls ...int) *ctl.Client {
 	c := s.Operator()
 	all := c.Addrs
@@ -50,7 +50,7 @@
 	return c
 }
 
-// others gives the indexes of the control VMs but one.
+// others returns the indexes of all control VMs but one.
 func others(i int) []int { return []int{(i + 1) % 3, (i + 2) % 3} }
 
 func statusAt(ctx context.Context, s *e2e.System, controls ...int) admin.Status {
@@ -71,7 +71,7 @@
 	return reply.Version
 }
 
-// get gives the status code and the body of the response to a GET.
+// get returns the status code and the body of the response to a GET.
 func get(ctx context.Context, url string) (int, string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -86,7 +86,7 @@
 	return res.StatusCode, string(body), err
 }
 
-// ready gives the status code of a VM's readiness check.
+// ready returns the status code of a VM's readiness check.
 func ready(ctx context.Context, base string) func() (int, error) {
 	return func() (int, error) {
 		code, _, err := get(ctx, base+"/readyz")
@@ -144,7 +144,7 @@
 	return nil, errors.New("the mix has no lookup")
 }
 
-// inForce gives the settings version that an entry VM has confirmed.
+// inForce returns the settings version that an entry VM has confirmed.
 func inForce(ctx context.Context, s *e2e.System, vm string) func() (uint64, error) {
 	return func() (uint64, error) {
 		var st admin.Status
--- a/e2e/settings.go
+++ b/e2e/settings.go
@@ -103,7 +103,7 @@
 	return string(out), err
 }
 
-// Operator gives a client of the operators' API of all control VMs.
+// Operator returns a client of the operators' API of all control VMs.
 func (s *System) Operator() *ctl.Client {
 	return &ctl.Client{Addrs: s.AdminURLs(), Token: cluster.OperatorToken, HTTP: http.DefaultClient}
 }
--- a/e2e/system.go
+++ b/e2e/system.go
@@ -102,7 +102,7 @@
 	return nil
 }
 
-// regionOf gives the region of the i-th VM of a role and its loopback host.
+// regionOf returns the region of the i-th VM of a role and its loopback host.
 func (s *System) regionOf(i int) (region, host string) {
 	regions := s.opts.Deployment.Regions
 	n := i % len(regions)
--- a/entry/model_loader.go
+++ b/entry/model_loader.go
@@ -216,7 +216,7 @@
 	return nil
 }
 
-// release gives the lease back, so that another VM need not wait for its term.
+// release returns the lease, so that another VM need not wait for its term.
 func (l *orderLease) release(ctx context.Context) {
 	cmd := command.Command{ReleaseLease: &command.ReleaseLease{Upstream: l.addr, Token: l.fencingToken}}
 	if _, err := l.loader.s.opts.Control.Propose(ctx, ids.SettingsGroup, cmd); err != nil && ctx.Err() == nil {
--- a/load/balancer.go
+++ b/load/balancer.go
@@ -79,7 +79,7 @@
 // minReadyTimeout is the least time that an entry VM has to answer /readyz.
 const minReadyTimeout = time.Second
 
-// pick gives the next ready entry VM that has not been tried; where there is
+// pick returns the next ready entry VM that has not been tried; where there is
 // none, the next one not tried, and then any.
 func (b *balancer) pick(tried map[*target]bool) *target {
 	n := len(b.entries)
--- a/load/client.go
+++ b/load/client.go
@@ -112,7 +112,7 @@
 	out.ended(p)
 }
 
-// ended gives the verdict of a problem.
+// ended returns the verdict of a problem.
 func (out *result) ended(p *problem.Problem) {
 	out.problem = p
 	out.verdict = verdictProblem
--- a/load/experiment/local/baseline.go
+++ b/load/experiment/local/baseline.go
@@ -11,7 +11,7 @@
 // Full is the baseline with the whole policy.
 const Full = "full"
 
-// baselines gives the policy of the entry VMs by name.
+// baselines returns the policy of the entry VMs by name.
 var baselines = map[string]entry.Policy{
 	Full:                {},
 	"no_hedge":          {NoHedge: true},
@@ -22,7 +22,7 @@
 	"bare":              {RoutingBaseline: "random", NoHedge: true, NoAdmission: true},
 }
 
-// policy gives a baseline's policy.
+// policy returns a baseline's policy.
 func policy(name string) (entry.Policy, error) {
 	p, ok := baselines[name]
 	if !ok {
@@ -31,7 +31,7 @@
 	return p, nil
 }
 
-// Baselines gives the names of all baselines.
+// Baselines returns the names of all baselines.
 func Baselines() []string {
 	names := make([]string, 0, len(baselines))
 	for name := range baselines {
--- a/load/experiment/local/start.go
+++ b/load/experiment/local/start.go
@@ -32,7 +32,7 @@
 	return nil
 }
 
-// Start gives the function that starts a deployment for each run. Files are in
+// Start returns the function that starts a deployment for each run. Files are in
 // a temporary folder that is removed at the end of the run.
 func Start(o Options) experiment.Start {
 	return func(ctx context.Context, baseline string, seed uint64) (*experiment.Cluster, error) {
@@ -62,7 +62,7 @@
 	}
 }
 
-// wrap gives the cluster as scenarios use it. A killed entry VM does not come
+// wrap returns the cluster as scenarios use it. A killed entry VM does not come
 // back, since the next one would listen at another address.
 func wrap(c *cluster.Cluster, dir string) *experiment.Cluster {
 	return &experiment.Cluster{
--- a/load/experiment/row.go
+++ b/load/experiment/row.go
@@ -54,7 +54,7 @@
 	Errors     int     `json:"errors"`
 }
 
-// Summarize gives one summary for each scenario and baseline, in the order of
+// Summarize returns one summary for each scenario and baseline, in the order of
 // the rows. Rows with an error count only as such.
 func Summarize(rows []Row) []Summary {
 	type name struct{ scenario, baseline string }
@@ -125,7 +125,7 @@
 	return nil
 }
 
-// inOrder gives the actions by time; those of the same time keep their order.
+// inOrder returns the actions by time; those of the same time keep their order.
 func inOrder(actions []Action) []Action {
 	sorted := append([]Action{}, actions...)
 	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].At < sorted[j].At })
--- a/load/experiment/scenario.go
+++ b/load/experiment/scenario.go
@@ -61,7 +61,7 @@
 	restartEnds     = 0.8
 )
 
-// Scenarios gives the scenarios with one fault each.
+// Scenarios returns the scenarios with one fault each.
 func Scenarios() []Scenario {
 	return []Scenario{
 		{Name: Steady},
@@ -76,7 +76,7 @@
 	}
 }
 
-// Pairs gives each two different faults together.
+// Pairs returns each two different faults together.
 func Pairs() []Scenario {
 	var pairs []Scenario
 	single := Scenarios()[1:]
@@ -88,13 +88,13 @@
 	return pairs
 }
 
-// Pair gives two scenarios at the same time.
+// Pair returns two scenarios at the same time.
 func Pair(a, b Scenario) Scenario {
 	actions := append(append([]Action{}, a.Actions...), b.Actions...)
 	return Scenario{Name: a.Name + "+" + b.Name, Burst: max(a.Burst, b.Burst), Actions: actions}
 }
 
-// Find gives the scenario of a name, or of two names joined by "+".
+// Find returns the scenario of a name, or of two names joined by "+".
 func Find(name string) (Scenario, bool) {
 	for _, s := range append(Scenarios(), Pairs()...) {
 		if s.Name == name {
@@ -104,7 +104,7 @@
 	return Scenario{}, false
 }
 
-// bursts gives the scenario's bursts for a run's duration.
+// bursts returns the scenario's bursts for a run's duration.
 func (s Scenario) bursts(d time.Duration) []load.Burst {
 	if s.Burst == 0 {
 		return nil
@@ -141,7 +141,7 @@
 	return nil
 }
 
-// ofKind gives all upstreams of a kind.
+// ofKind returns all upstreams of a kind.
 func ofKind(kind settings.StageKind) func(e *Env) []*standin.Upstream {
 	return func(e *Env) []*standin.Upstream {
 		var chosen []*standin.Upstream
@@ -154,7 +154,7 @@
 	}
 }
 
-// oneEngine gives an engine chosen by the seed.
+// oneEngine returns an engine chosen by the seed.
 func oneEngine(e *Env) []*standin.Upstream {
 	engines := ofKind(settings.KindGenerate)(e)
 	if len(engines) == 0 {
@@ -163,7 +163,7 @@
 	return engines[e.Rand.IntN(len(engines)):][:1]
 }
 
-// oneRegion gives the upstreams of a region chosen by the seed.
+// oneRegion returns the upstreams of a region chosen by the seed.
 func oneRegion(e *Env) []*standin.Upstream {
 	regions := e.Cluster.Fleet.Config().Regions
 	return e.Cluster.Fleet.Select(standin.Selector{Region: regions[e.Rand.IntN(len(regions))]})
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -22,7 +22,7 @@
 	ginkgo.RunSpecs(t, "load")
 }
 
-// profile gives a profile of the fake entry VM's pipeline or service.
+// profile returns a profile of the fake entry VM's pipeline or service.
 func profile(k Kind) Profile {
 	p := Profile{Kind: k, Weight: 1, Deadline: time.Minute, Target: "notes"}
 	if k.service() {
--- a/load/outcome.go
+++ b/load/outcome.go
@@ -31,7 +31,7 @@
 	Duplicate Outcome = "duplicate"
 )
 
-// Outcomes gives all classes in the order of reports.
+// Outcomes returns all classes in the order of reports.
 func Outcomes() []Outcome {
 	return []Outcome{OK, Late, Wrong, Incomplete, RefusedTrue, RefusedFalse, RefusedUnchecked, Failed, Unknown, Lost, Duplicate}
 }
--- a/load/record.go
+++ b/load/record.go
@@ -28,7 +28,7 @@
 	note            string
 }
 
-// deciding gives the try that decides the class: the last one that may have
+// deciding returns the try that decides the class: the last one that may have
 // executed, else the last refusal, else the last try. A refusal of a repetition
 // does not mean that the request did not run.
 func (r *record) deciding() result {
@@ -49,7 +49,7 @@
 
 func (r *record) last() result { return r.tries[len(r.tries)-1] }
 
-// settle gives the record its class from its last try, before anything is
+// settle sets the class of the record from its last try, before anything is
 // known from the upstreams' side.
 func (r *record) settle(last result) {
 	r.note = last.note
@@ -83,7 +83,7 @@
 	}
 }
 
-// outcomeOf gives the class of a problem other than not_run.
+// outcomeOf returns the class of a problem other than not_run.
 func outcomeOf(last result) Outcome {
 	if last.problem != nil && last.problem.Execution == problem.Unknown {
 		return Unknown
--- a/load/request.go
+++ b/load/request.go
@@ -20,7 +20,7 @@
 	key       string
 }
 
-// body gives the request's body.
+// body returns the request's body.
 func (r *request) body() []byte {
 	switch r.profile.Kind {
 	case KindChat, KindChatStream:
@@ -47,7 +47,7 @@
 	return []content.Message{{Role: content.RoleUser, Content: r.input}}
 }
 
-// path gives the request's path.
+// path returns the request's path.
 func (r *request) path() string {
 	switch r.profile.Kind {
 	case KindChat, KindChatStream:
@@ -59,7 +59,7 @@
 	}
 }
 
-// expected gives the tokens of the right response of a pipeline.
+// expected returns the tokens of the right response of a pipeline.
 func (r *request) expected() []string {
 	return content.PipelineTokens(r.profile.Stages, r.input, r.profile.MaxTokens)
 }
@@ -75,7 +75,7 @@
 	return data
 }
 
-// makeInput gives an input that no other request of the run has.
+// makeInput returns an input that no other request of the run has.
 func makeInput(rng *rand.Rand, index int, p Profile) string {
 	var b strings.Builder
 	if p.SharedPrefix > 0 {
@@ -91,7 +91,7 @@
 	return b.String()
 }
 
-// makeKey gives a key in UUIDv7 form for the given wall time.
+// makeKey returns a key in UUIDv7 form for the given wall time.
 func makeKey(rng *rand.Rand, at time.Time) string {
 	ms := uint64(at.UnixMilli()) & (1<<48 - 1)
 	high := ms<<16 | 0x7000 | rng.Uint64()&0xfff
--- a/load/retry.go
+++ b/load/retry.go
@@ -18,7 +18,7 @@
 	poll bool
 }
 
-// decide gives the decision after a result. Every kind of the mix may be
+// decide returns the decision after a result. Every kind of the mix may be
 // repeated after a broken connection: the pipelines and lookups have no
 // effect, and the bookings carry a key. After a not_run problem a request is
 // repeated at once only where the remedy says so, and otherwise after the
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// schedule gives the requests of a run in order of their times. It depends on
+// schedule returns the requests of a run in order of their times. It depends on
 // the options alone, but for the wall time in keys.
 func schedule(o Options, start time.Time) []*request {
 	rng := rand.New(rand.NewPCG(o.Seed, 0x6c6f6164))
--- a/load/sse.go
+++ b/load/sse.go
@@ -22,7 +22,7 @@
 	return &sseReader{lines: bufio.NewReader(r)}
 }
 
-// next gives the next event. An event that is cut off is an error.
+// next returns the next event. An event that is cut off is an error.
 func (s *sseReader) next() (event, error) {
 	var e event
 	var data []string
--- a/load/stream.go
+++ b/load/stream.go
@@ -147,7 +147,7 @@
 	s.last = now
 }
 
-// judge gives the verdict once the stream has ended.
+// judge returns the verdict once the stream has ended.
 func (s *streamReader) judge(err error) {
 	out := s.out
 	if errors.Is(err, errDecided) {
@@ -219,7 +219,7 @@
 	checkText(r, s.text.String(), ended && finished, out)
 }
 
-// chunkProblem gives the problem with which an entry VM ends a stream, if the
+// chunkProblem returns the problem with which an entry VM ends a stream, if the
 // chunk is one.
 func chunkProblem(data string) *problem.Problem {
 	var b struct {
--- a/standin/attempt.go
+++ b/standin/attempt.go
@@ -26,7 +26,7 @@
 	return Attempt{Request: parts[0], Stage: parts[1], Number: n}, nil
 }
 
-// String gives the form of the header.
+// String returns the form of the header.
 func (a Attempt) String() string {
 	return fmt.Sprintf("%s/%s/%d", a.Request, a.Stage, a.Number)
 }
--- a/standin/conn.go
+++ b/standin/conn.go
@@ -77,7 +77,7 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// connOf gives the connection of a request, nil if Serve does not serve it.
+// connOf returns the connection of a request, nil if Serve does not serve it.
 func connOf(r *http.Request) *conn {
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	return c
--- a/standin/content/message.go
+++ b/standin/content/message.go
@@ -14,7 +14,7 @@
 	RoleUser   = "user"
 )
 
-// ChatInput gives the pipeline input of a chat request: the contents of its
+// ChatInput returns the pipeline input of a chat request: the contents of its
 // messages joined by newlines. With one message it is that message's content.
 func ChatInput(messages []Message) string {
 	parts := make([]string, len(messages))
@@ -24,7 +24,7 @@
 	return strings.Join(parts, "\n")
 }
 
-// GenerateMessages gives the messages that a generate stage sends to an
+// GenerateMessages returns the messages that a generate stage sends to an
 // engine: one system message with the previous stage's output, if any,
 // followed by the caller's messages.
 func GenerateMessages(prior string, caller []Message) []Message {
--- a/standin/content/pipeline.go
+++ b/standin/content/pipeline.go
@@ -2,7 +2,7 @@
 
 import "strings"
 
-// Pipeline gives the expected output of a pipeline for an input. Stages are
+// Pipeline returns the expected output of a pipeline for an input. Stages are
 // the kinds of its stages in order. Each stage gets the original input and the
 // previous stage's output; generate stages limit their output to maxTokens.
 func Pipeline(stages []string, input string, maxTokens int) string {
@@ -16,7 +16,7 @@
 	return ChatTokens(stages, caller, maxTokens)
 }
 
-// ChatTokens gives the expected tokens of a chat request that names a
+// ChatTokens returns the expected tokens of a chat request that names a
 // pipeline. Stages before the last generate stage get ChatInput(messages).
 func ChatTokens(stages []string, messages []Message, maxTokens int) []string {
 	input := ChatInput(messages)
--- a/standin/content/prompt.go
+++ b/standin/content/prompt.go
@@ -17,7 +17,7 @@
 	BlockBytes = BlockTokens * BytesPerToken
 )
 
-// Prompt gives the text over which the prefix cache works. Roles and contents
+// Prompt returns the text over which the prefix cache works. Roles and contents
 // are separated by NUL bytes.
 func Prompt(messages []Message) string {
 	var b strings.Builder
@@ -30,12 +30,12 @@
 	return b.String()
 }
 
-// PromptTokens gives the number of tokens of a prompt, at least 1.
+// PromptTokens returns the number of tokens of a prompt, at least 1.
 func PromptTokens(prompt string) int {
 	return max(1, (len(prompt)+BytesPerToken-1)/BytesPerToken)
 }
 
-// PrefixChain gives the hash of each full block of the prompt. Each hash is
+// PrefixChain returns the hash of each full block of the prompt. Each hash is
 // xxhash64 over the previous hash (8 bytes, big-endian; absent for the first
 // block) and the block's bytes, so it names the whole prefix up to its block.
 func PrefixChain(prompt string) []uint64 {
--- a/standin/content/stage.go
+++ b/standin/content/stage.go
@@ -25,7 +25,7 @@
 	otherWords    = 8
 )
 
-// StageOutput gives the output of an encode, retrieve or rerank stage. Input
+// StageOutput returns the output of an encode, retrieve or rerank stage. Input
 // is the caller's original input and prior the previous stage's output.
 func StageOutput(kind, input, prior string) string {
 	seed := xxhash.Sum64String(kind + "\x00" + input + "\x00" + prior)
@@ -61,13 +61,13 @@
 	return b.String()
 }
 
-// ServiceEcho gives the hex SHA-256 of a service call's body.
+// ServiceEcho returns the hex SHA-256 of a service call's body.
 func ServiceEcho(body []byte) string {
 	sum := sha256.Sum256(body)
 	return hex.EncodeToString(sum[:])
 }
 
-// Digest gives the hex SHA-256 of text.
+// Digest returns the hex SHA-256 of text.
 func Digest(text string) string {
 	return ServiceEcho([]byte(text))
 }
--- a/standin/content/tokens.go
+++ b/standin/content/tokens.go
@@ -19,7 +19,7 @@
 	"ba", "de", "fi", "go", "hu", "ka", "le", "mi", "no", "pu", "ra", "se", "ti", "vo", "wu", "za",
 }
 
-// Tokens gives the completion of the messages as tokens: at least one and at
+// Tokens returns the completion of the messages as tokens: at least one and at
 // most maxTokens, the count taken from the messages. A maxTokens of 0 or less
 // stands for DefaultMaxTokens.
 func Tokens(messages []Message, maxTokens int) []string {
@@ -35,7 +35,7 @@
 	return tokens
 }
 
-// tokenCount gives a count from the upper half of 1..maxTokens, so that a long
+// tokenCount returns a count from the upper half of 1..maxTokens, so that a long
 // report is long.
 func tokenCount(seed uint64, maxTokens int) int {
 	half := maxTokens / 2
--- a/standin/core.go
+++ b/standin/core.go
@@ -70,13 +70,13 @@
 // Info identifies the runner.
 func (k *core) Info() Runner { return k.Runner }
 
-// Journal gives what the runner saw and executed.
+// Journal returns what the runner saw and executed.
 func (k *core) Journal() *Journal { return k.journal }
 
-// Counters gives the runner's counts.
+// Counters returns the runner's counts.
 func (k *core) Counters() Counters { return k.journal.Counters() }
 
-// Load gives the load as the runner reports it, late and perhaps wrong.
+// Load returns the load as the runner reports it, late and perhaps wrong.
 func (k *core) Load() LoadReport {
 	r := k.load.report()
 	if f, ok := k.faults.get(FaultWrongLoad); ok {
@@ -86,7 +86,7 @@
 	return r
 }
 
-// RealLoad gives the present load, for checks from the upstream's side.
+// RealLoad returns the present load, for checks from the upstream's side.
 func (k *core) RealLoad() (running, waiting int) { return k.load.real() }
 
 // Fault uses a fault switch. Faults of connections and listeners need the
@@ -177,7 +177,7 @@
 	errorResponse(status, kind, message).write(w)
 }
 
-// scaled gives the real duration of a simulated one.
+// scaled returns the real duration of a simulated one.
 func (k *core) scaled(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * k.TimeScale * k.faults.slowFactor())
 }
@@ -215,7 +215,7 @@
 	res.write(w)
 }
 
-// swap gives the response of the call before, if the fault is in force and
+// swap returns the response of the call before, if the fault is in force and
 // there was such a call.
 func (k *core) swap(w http.ResponseWriter, res response) response {
 	if _, ok := k.faults.get(FaultSwap); !ok {
@@ -246,7 +246,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// noCancel gives the context of work that goes on when the caller has gone.
+// noCancel returns the context of work that goes on when the caller has gone.
 func noCancel(r *http.Request) context.Context {
 	return context.WithoutCancel(r.Context())
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -170,7 +170,7 @@
 	return prefill
 }
 
-// emit gives each sequence of the batch its next token.
+// emit sends each sequence of the batch its next token.
 func (e *Engine) emit() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/faultset.go
+++ b/standin/faultset.go
@@ -22,7 +22,7 @@
 	s.active[f.Kind] = &f
 }
 
-// get gives the fault of a kind, if it is in force.
+// get returns the fault of a kind, if it is in force.
 func (s *faultSet) get(kind FaultKind) (Fault, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -27,19 +27,19 @@
 	core   *core
 }
 
-// Address gives the upstream's own address.
+// Address returns the upstream's own address.
 func (u *Upstream) Address() string { return u.Server.Addr() }
 
-// Journal gives what the upstream saw and executed.
+// Journal returns what the upstream saw and executed.
 func (u *Upstream) Journal() *Journal { return u.core.journal }
 
-// Counters gives the upstream's counts.
+// Counters returns the upstream's counts.
 func (u *Upstream) Counters() Counters { return u.core.Counters() }
 
-// Load gives the upstream's load as it reports it.
+// Load returns the upstream's load as it reports it.
 func (u *Upstream) Load() LoadReport { return u.core.Load() }
 
-// RealLoad gives the upstream's present load.
+// RealLoad returns the upstream's present load.
 func (u *Upstream) RealLoad() (running, waiting int) { return u.core.RealLoad() }
 
 // Faulty says whether a fault is in force at the upstream.
@@ -208,45 +208,45 @@
 	}
 }
 
-// Config gives the description with its defaults.
+// Config returns the description with its defaults.
 func (f *Fleet) Config() FleetConfig { return f.config }
 
-// Members gives the membership list.
+// Members returns the membership list.
 func (f *Fleet) Members() *Members { return f.members }
 
-// MembersURL gives the URL of the membership list with the upstreams' own
+// MembersURL returns the URL of the membership list with the upstreams' own
 // addresses.
 func (f *Fleet) MembersURL() string { return f.admin.URL() + "/members" }
 
-// RegionMembersURL gives the URL of the membership list for callers in one
+// RegionMembersURL returns the URL of the membership list for callers in one
 // region: upstreams of other regions are listed with addresses that lead over
 // the links. Without links it lists the same as MembersURL.
 func (f *Fleet) RegionMembersURL(region ids.Region) string {
 	return f.admin.URL() + "/regions/" + url.PathEscape(string(region)) + "/members"
 }
 
-// Network gives the links between regions, nil without links.
+// Network returns the links between regions, nil without links.
 func (f *Fleet) Network() *relay.Network { return f.network }
 
-// AdminURL gives the base URL of the fleet's switches and counters.
+// AdminURL returns the base URL of the fleet's switches and counters.
 func (f *Fleet) AdminURL() string { return f.admin.URL() }
 
-// WeightsURL gives the base URL of the weight store.
+// WeightsURL returns the base URL of the weight store.
 func (f *Fleet) WeightsURL() string { return f.store.URL() }
 
-// Weights gives the weight store.
+// Weights returns the weight store.
 func (f *Fleet) Weights() *Weights { return f.weights }
 
-// Upstreams gives all upstreams in a fixed order.
+// Upstreams returns all upstreams in a fixed order.
 func (f *Fleet) Upstreams() []*Upstream { return f.upstreams }
 
-// Upstream gives the upstream of a VM.
+// Upstream returns the upstream of a VM.
 func (f *Fleet) Upstream(vm ids.VMID) (*Upstream, bool) {
 	u, ok := f.byVM[vm]
 	return u, ok
 }
 
-// Pool gives a pool's upstreams.
+// Pool returns a pool's upstreams.
 func (f *Fleet) Pool(name string) []*Upstream {
 	return f.Select(Selector{Pool: name})
 }
@@ -258,7 +258,7 @@
 	Region ids.Region `json:"region,omitempty" yaml:"region,omitempty"`
 }
 
-// Select gives the chosen upstreams in a fixed order.
+// Select returns the chosen upstreams in a fixed order.
 func (f *Fleet) Select(s Selector) []*Upstream {
 	var chosen []*Upstream
 	for _, u := range f.upstreams {
@@ -290,7 +290,7 @@
 	return nil
 }
 
-// Counters gives the sum over the chosen upstreams.
+// Counters returns the sum over the chosen upstreams.
 func (f *Fleet) Counters(s Selector) Counters {
 	var sum Counters
 	for _, u := range f.Select(s) {
@@ -299,7 +299,7 @@
 	return sum
 }
 
-// Ran gives how many executions began anywhere for a request.
+// Ran returns how many executions began anywhere for a request.
 func (f *Fleet) Ran(request string) int {
 	sum := 0
 	for _, u := range f.upstreams {
@@ -308,7 +308,7 @@
 	return sum
 }
 
-// Executions gives how often a key executed, over all services.
+// Executions returns how often a key executed, over all services.
 func (f *Fleet) Executions(key string) int {
 	sum := 0
 	for _, k := range f.keys {
@@ -317,7 +317,7 @@
 	return sum
 }
 
-// Duplicates gives the keys that executed more than once at one service.
+// Duplicates returns the keys that executed more than once at one service.
 func (f *Fleet) Duplicates() []string {
 	var keys []string
 	for _, k := range f.keys {
--- a/standin/fleetadmin.go
+++ b/standin/fleetadmin.go
@@ -83,7 +83,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// serveCounters gives the counts of each upstream by VM.
+// serveCounters returns the counts of each upstream by VM.
 func (f *Fleet) serveCounters(w http.ResponseWriter, _ *http.Request) {
 	all := map[string]Counters{}
 	for _, u := range f.upstreams {
--- a/standin/fleetconfig.go
+++ b/standin/fleetconfig.go
@@ -52,7 +52,7 @@
 type PoolConfig struct {
 	Name string             `yaml:"name"`
 	Kind settings.StageKind `yaml:"kind"`
-	// Runners gives the number of runners by region.
+	// Runners is the number of runners by region.
 	Runners map[ids.Region]int `yaml:"runners"`
 	// ChecksFencing is for engines; see EngineOptions.
 	ChecksFencing bool `yaml:"checks_fencing"`
--- a/standin/journal.go
+++ b/standin/journal.go
@@ -31,21 +31,21 @@
 	j.attempts = map[string]int{}
 }
 
-// Counters gives the counts so far.
+// Counters returns the counts so far.
 func (j *Journal) Counters() Counters {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.counters
 }
 
-// Seen gives how often an attempt arrived.
+// Seen returns how often an attempt arrived.
 func (j *Journal) Seen(attempt string) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.seen[attempt]
 }
 
-// Attempts gives the attempts that arrived, with their number of arrivals.
+// Attempts returns the attempts that arrived, with their number of arrivals.
 func (j *Journal) Attempts() map[string]int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -56,14 +56,14 @@
 	return all
 }
 
-// Ran gives how many executions began for a request.
+// Ran returns how many executions began for a request.
 func (j *Journal) Ran(request string) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.ran[request]
 }
 
-// AttemptRan gives how often an attempt's execution began.
+// AttemptRan returns how often an attempt's execution began.
 func (j *Journal) AttemptRan(attempt string) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/standin/keys.go
+++ b/standin/keys.go
@@ -29,14 +29,14 @@
 	return k.counts[key], k.tickets
 }
 
-// Executions gives how often a key has executed.
+// Executions returns how often a key has executed.
 func (k *KeyCount) Executions(key string) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.counts[key]
 }
 
-// Duplicates gives the keys that executed more than once.
+// Duplicates returns the keys that executed more than once.
 func (k *KeyCount) Duplicates() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/standin/links.go
+++ b/standin/links.go
@@ -36,7 +36,7 @@
 	return nil
 }
 
-// RegionMembers gives the membership list for callers in one region.
+// RegionMembers returns the membership list for callers in one region.
 func (f *Fleet) RegionMembers(region ids.Region) MemberList {
 	list := f.members.List()
 	over := f.crossings[region]
--- a/standin/loadreport.go
+++ b/standin/loadreport.go
@@ -15,7 +15,7 @@
 	Draining      bool    `json:"draining"`
 }
 
-// header gives the form of the Damask-Load header.
+// header returns the form of the Damask-Load header.
 func (r LoadReport) header() string {
 	return fmt.Sprintf("running=%d;waiting=%d;at=%d", r.Running, r.Waiting, r.AtUnixMS)
 }
@@ -75,7 +75,7 @@
 	}
 }
 
-// report gives the load one lag ago.
+// report returns the load one lag ago.
 func (h *loadHistory) report() LoadReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -92,7 +92,7 @@
 	}
 }
 
-// real gives the present load.
+// real returns the present load.
 func (h *loadHistory) real() (running, waiting int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/standin/members.go
+++ b/standin/members.go
@@ -133,7 +133,7 @@
 	m.versions = append(m.versions, MemberList{Seq: newest.Seq + 1, AtUnixMS: now.UnixMilli(), Members: list})
 }
 
-// List gives the list as it is shown now.
+// List returns the list as it is shown now.
 func (m *Members) List() MemberList {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -86,7 +86,7 @@
 	return ""
 }
 
-// State gives what the engine is now.
+// State returns the present models, adapters, versions and role of the engine.
 func (e *Engine) State() EngineState { return e.orders.state() }
 
 func (b *orderBook) state() EngineState {
@@ -102,7 +102,7 @@
 	return s
 }
 
-// split gives the loaded names and adds the others to loading.
+// split returns the loaded names and adds the others to loading.
 func split(names map[string]bool, loading *[]string) []string {
 	loaded := []string{}
 	for name, ok := range names {
--- a/standin/prefixcache.go
+++ b/standin/prefixcache.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// match gives the number of leading blocks of the chain that are cached.
+// match returns the number of leading blocks of the chain that are cached.
 func (c *prefixCache) match(chain []uint64) int {
 	for i, h := range chain {
 		if _, ok := c.blocks[h]; !ok {
@@ -111,7 +111,7 @@
 	c.recent.Init()
 }
 
-// after gives the events with a higher number that happened by the limit.
+// after returns the events with a higher number that happened by the limit.
 func (c *prefixCache) after(seq uint64, limit time.Time) []CacheEvent {
 	shown := []CacheEvent{}
 	for _, e := range c.events {
@@ -122,7 +122,7 @@
 	return shown
 }
 
-// chainOf gives the chain that ends in a block. It is false if a part of the
+// chainOf returns the chain that ends in a block. It is false if a part of the
 // chain is no longer cached.
 func (c *prefixCache) chainOf(hash uint64) ([]uint64, bool) {
 	var reversed []uint64
--- a/standin/preset.go
+++ b/standin/preset.go
@@ -15,7 +15,7 @@
 	PresetDev      = "dev"
 )
 
-// Preset gives the description of a known deployment.
+// Preset returns the description of a known deployment.
 func Preset(name string) (FleetConfig, error) {
 	var c FleetConfig
 	switch name {
@@ -77,7 +77,7 @@
 	}
 }
 
-// stagePools gives small pools of each stage in every region.
+// stagePools returns small pools of each stage in every region.
 func stagePools(regions []ids.Region) []PoolConfig {
 	return []PoolConfig{
 		{Name: "encoders", Kind: settings.KindEncode, Runners: spread(regions, 2*len(regions))},
--- a/standin/sequence.go
+++ b/standin/sequence.go
@@ -45,7 +45,7 @@
 	return s.arrival < o.arrival
 }
 
-// rankOf gives the place of a priority; an unknown one counts as normal.
+// rankOf returns the place of a priority; an unknown one counts as normal.
 func rankOf(priority string) int {
 	switch priority {
 	case "interactive":
--- a/standin/server.go
+++ b/standin/server.go
@@ -39,7 +39,7 @@
 	return s, nil
 }
 
-// Addr gives the address with the actual port. It stays the same while the
+// Addr returns the address with the actual port. It stays the same while the
 // server refuses connections.
 func (s *Server) Addr() string {
 	s.mu.Lock()
@@ -47,7 +47,7 @@
 	return s.address
 }
 
-// URL gives "http://" and the address.
+// URL returns "http://" and the address.
 func (s *Server) URL() string { return "http://" + s.Addr() }
 
 func (s *Server) listen() error {
--- a/standin/service.go
+++ b/standin/service.go
@@ -64,7 +64,7 @@
 	return s
 }
 
-// Keys gives the count of executions for each key.
+// Keys returns the count of executions for each key.
 func (s *Service) Keys() *KeyCount { return s.options.Keys }
 
 // ServiceResponse is the body of a response to a service call.
--- a/standin/weights.go
+++ b/standin/weights.go
@@ -48,14 +48,14 @@
 	return s
 }
 
-// Drawn gives the bytes drawn for a model.
+// Drawn returns the bytes drawn for a model.
 func (s *Weights) Drawn(model string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.drawn[model]
 }
 
-// Refused gives the number of draws above the rate.
+// Refused returns the number of draws above the rate.
 func (s *Weights) Refused() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
