--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -42,6 +42,19 @@
 	return server
 }
 
+// newEchoServer answers every request with its ID and a body.
+func newEchoServer(body string) *scriptedServer {
+	return newScriptedServer(func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, _ := readRequest(r)
+			if req == nil {
+				return
+			}
+			fmt.Fprint(c, responseText(req.Header.Get("X-Id"), body))
+		}
+	})
+}
+
 func (s *scriptedServer) addr() string { return s.listener.Addr().String() }
 
 // readRequest reads one request and its body.
@@ -109,15 +122,7 @@
 	// Guards against more connections than a runner accepts from all VMs together;
 	// it resets those above its limit.
 	ginkgo.It("keeps no more idle connections than allowed", func() {
-		server := newScriptedServer(func(c net.Conn, r *bufio.Reader) {
-			for {
-				req, _ := readRequest(r)
-				if req == nil {
-					return
-				}
-				fmt.Fprint(c, responseText(req.Header.Get("X-Id"), "x"))
-			}
-		})
+		server := newEchoServer("x")
 		pool := NewPool()
 		for i := range 3 {
 			r := newRequest(fmt.Sprint(i))
--- a/exchange/trouble_test.go
+++ b/exchange/trouble_test.go
@@ -120,15 +120,7 @@
 	})
 
 	ginkgo.It("gets no other request on a connection that was abandoned after the whole response", func() {
-		server := newScriptedServer(func(c net.Conn, r *bufio.Reader) {
-			for {
-				req, _ := readRequest(r)
-				if req == nil {
-					return
-				}
-				fmt.Fprint(c, responseText(req.Header.Get("X-Id"), "x"))
-			}
-		})
+		server := newEchoServer("x")
 		pool := NewPool()
 		resp, err := pool.Do(context.Background(), server.addr(), newRequest("a"))
 		Expect(err).NotTo(HaveOccurred())
