raft: the first election after a start seldom splits its votes

After a loss of power with two of five disks lost, two elections split their votes and the leader came 1.8 s after the start; callers were refused for want of routes. All voters campaigned within 180 ms, less than a few round trips, and the next attempt waited for the whole election time. Change: until a replica has had a leader since its start, its timeouts start at the vote delay with a spread wider than that, and a voter that grants a pre-vote lets the sender campaign first. When votes are withheld is unchanged.

--- a/raft/election.go
+++ b/raft/election.go
@@ -10,6 +10,7 @@
 		n.ticksSinceLeader = n.cfg.ElectionTicks
 	}
 	n.role, n.leader = Follower, leader
+	n.hadLeader = n.hadLeader || !leader.IsZero()
 	n.votes, n.peers = nil, nil
 	n.resetElectionTimeout()
 }
@@ -93,6 +94,9 @@
 	reply := Message{Type: MsgPreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
 	if !grant {
 		reply.Term = n.term
+	} else if !n.hadLeader {
+		// The sender campaigns next. Without a pause here the votes would split.
+		n.resetElectionTimeout()
 	}
 	n.send(reply)
 }
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -3,7 +3,7 @@
 import "slices"
 
 func (n *Node) becomeLeader() {
-	n.role, n.leader = Leader, n.cfg.ID
+	n.role, n.leader, n.hadLeader = Leader, n.cfg.ID, true
 	n.leaderSince, n.heartbeatElapsed, n.uncommittedBytes = n.now, 0, 0
 	n.transfer = transfer{}
 	n.peers = map[ReplicaID]*progress{}
--- a/raft/node.go
+++ b/raft/node.go
@@ -31,6 +31,8 @@
 	vote   ReplicaID
 	role   Role
 	leader ReplicaID
+	// hadLeader is true once this replica has had a leader since its start.
+	hadLeader bool
 
 	// now counts ticks since the start of the node.
 	now uint64
@@ -94,7 +96,7 @@
 	}
 	n.savedHardState = n.hardState()
 	n.ticksSinceLeader = cfg.ElectionTicks - cfg.VoteDelayTicks
-	n.randomizeElectionTimeout(cfg.VoteDelayTicks)
+	n.resetElectionTimeout()
 	return n, nil
 }
 
@@ -116,13 +118,19 @@
 	}
 }
 
-func (n *Node) resetElectionTimeout() { n.randomizeElectionTimeout(n.cfg.ElectionTicks) }
-
-// randomizeElectionTimeout restarts the election timer with a random timeout of
-// at least minTicks and less than twice as many.
-func (n *Node) randomizeElectionTimeout(minTicks int) {
+// resetElectionTimeout restarts the election timer with a random timeout of at
+// least ElectionTicks and less than twice as many. Until a replica has had a
+// leader since its start, callers wait for one: it campaigns as soon as votes are
+// granted, and again soon if the votes are split. The spread is then wider than
+// the delay, because replicas that start together would often campaign together.
+func (n *Node) resetElectionTimeout() {
+	shortest, spread := n.cfg.ElectionTicks, n.cfg.ElectionTicks
+	if !n.hadLeader {
+		shortest = n.cfg.VoteDelayTicks
+		spread = (n.cfg.VoteDelayTicks + n.cfg.ElectionTicks) / 2
+	}
 	n.electionElapsed = 0
-	n.electionTimeout = minTicks + n.rand.IntN(minTicks)
+	n.electionTimeout = shortest + n.rand.IntN(spread)
 }
 
 // Propose appends a command to the leader's log. The command is committed
