transport: a TCP link is dialled in short attempts

Control VMs connect to each other while some are not up yet; the lost SYN packet is sent again a second later, and all calls to that VM wait for that dial.

--- a/transport/tcp_client.go
+++ b/transport/tcp_client.go
@@ -112,11 +112,13 @@
 
 func (t *tcpConn) connect(self Peer) {
 	defer close(t.ready)
-	dialer := net.Dialer{Timeout: t.opts.DialTimeout}
-	if t.opts.LocalIP != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: t.opts.LocalIP}
-	}
-	conn, err := dialer.Dial("tcp", t.addr)
+	conn, err := dialInAttempts(t.opts.DialTimeout, func(timeout time.Duration) (net.Conn, error) {
+		dialer := net.Dialer{Timeout: timeout}
+		if t.opts.LocalIP != nil {
+			dialer.LocalAddr = &net.TCPAddr{IP: t.opts.LocalIP}
+		}
+		return dialer.Dial("tcp", t.addr)
+	})
 	if err != nil {
 		t.closeWithError(err)
 		return
