--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -240,6 +240,17 @@
 		Expect(c.version()).To(Equal(uint64(3)))
 	})
 
+	// Control VMs of the earlier release send their document in any case.
+	ginkgo.It("does not take its first document from a reply that no leader has confirmed", func() {
+		c := newTestCluster(ctx, "c1")
+		document := &catalog.Document{Version: 3, Body: []byte("3")}
+		c.apply(&watchReply{AgeMS: -1, Document: document})
+		c.apply(&watchReply{AgeMS: maxStaleness.Milliseconds(), Document: document})
+		Expect(c.version()).To(BeZero())
+		c.apply(&watchReply{Document: document})
+		Expect(c.version()).To(Equal(uint64(3)))
+	})
+
 	ginkgo.It("ignores documents older than its own", func() {
 		c := newTestCluster(ctx, "c1")
 		for _, version := range []uint64{5, 3, 5, 6} {
