--- a/directory/lists.go
+++ b/directory/lists.go
@@ -188,7 +188,7 @@
 }
 
 // roundTrips returns the round-trip times to the platform's list that control
-// VMs have told, by their addresses.
+// VMs have reported, by their addresses.
 func (l *lists) roundTrips() map[string]time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -197,7 +197,7 @@
 		set, _ := l.store.Get(name)
 		list, err := decodeSet[controlVM](set)
 		if err != nil {
-			// The VM runs a release that tells something else; it counts as far.
+			// The VM runs a later release; it counts as far from the list.
 			continue
 		}
 		for _, vm := range list {
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -21,8 +21,8 @@
 
 // watchCall is a long poll for changes since the caller's state. The reply is
 // sent at once if the caller lacks something that it waits for, and otherwise
-// at the next such change or after WaitMS. Entry VMs wait for documents and
-// runners, control VMs for all sets.
+// at the next such change or after WaitMS. Entry VMs wait for documents, runners
+// and entry VMs, control VMs for all sets.
 type watchCall struct {
 	From    EntryVM `cbor:"1,keyasint"`
 	Version uint64  `cbor:"2,keyasint"`
--- a/directory/reader.go
+++ b/directory/reader.go
@@ -27,12 +27,12 @@
 	readTimeout = 2500 * time.Millisecond
 	// pingInterval is the time between two measurements of the round-trip time.
 	pingInterval = 30 * time.Second
-	// roundTripStep is the resolution at which round-trip times are told, so that
-	// jitter does not change the order.
+	// roundTripStep is the resolution at which round-trip times are reported, so
+	// that jitter does not change the order.
 	roundTripStep = 5 * time.Millisecond
 )
 
-// controlVM is what a control VM tells the others about itself.
+// controlVM is what a control VM reports to the others about itself.
 type controlVM struct {
 	Addr string `cbor:"1,keyasint"`
 	// ListRoundTripMS is the round-trip time to the platform's list, in ms.
@@ -89,7 +89,7 @@
 	}
 }
 
-// runPings tells the other control VMs how far the list is from here.
+// runPings reports to the other control VMs how far the list is from here.
 func (r *reader) runPings(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := pingInterval
--- a/directory/sets.go
+++ b/directory/sets.go
@@ -19,7 +19,7 @@
 	// entriesPrefix names the entry VMs of a data centre, as merged by the leader.
 	entriesPrefix = "entries/"
 	// watchersPrefix names the entry VMs that watch one control VM, controlsPrefix
-	// what a control VM tells about itself, both followed by its address. Only
+	// what a control VM reports about itself, both followed by its address. Only
 	// control VMs exchange these sets.
 	watchersPrefix = "watchers/"
 	controlsPrefix = "controls/"
--- a/directory/turns.go
+++ b/directory/turns.go
@@ -21,8 +21,8 @@
 	// startTakeoverDelay replaces takeoverDelay while a control VM has no list at
 	// all, because callers wait for it.
 	startTakeoverDelay = 300 * time.Millisecond
-	// nearFactor and nearSlack tell the control VMs that are near the platform's
-	// list by their round-trip time: those within the factor times the shortest
+	// nearFactor and nearSlack define which control VMs are near the platform's
+	// list: those whose round-trip time is at most the factor times the shortest
 	// one plus the slack.
 	nearFactor = 2
 	nearSlack  = 5 * time.Millisecond
@@ -62,7 +62,7 @@
 // readingOrder returns the members in the order in which they read a data
 // centre. VMs near the platform's list come first, because the list is large
 // and the links between regions are paid by volume. roundTrips holds the
-// round-trip times to the list of those members that have told them.
+// round-trip times to the list of those members that have reported them.
 func readingOrder(zone string, members []string, roundTrips map[string]time.Duration) []string {
 	shortest := time.Duration(-1)
 	for _, m := range members {
--- a/directory/turns_test.go
+++ b/directory/turns_test.go
@@ -57,7 +57,7 @@
 		}
 	})
 
-	ginkgo.It("take the round-trip times from what the control VMs tell", func() {
+	ginkgo.It("take the round-trip times from what the control VMs report", func() {
 		lister := newFakeLister()
 		lister.roundTrip = 72 * time.Millisecond
 		server := newTestServer(lister)
