--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -166,6 +166,12 @@
 	return append([]Dispatch(nil), f.sent...)
 }
 
+func (f *fakeRunners) callCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls)
+}
+
 func (f *fakeRunners) freedCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
