--- a/directory/client.go
+++ b/directory/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -39,12 +40,13 @@
 	Changed func(*State)
 }
 
-// Client keeps an entry VM's State up to date. The methods State and
-// MarkDraining are safe for concurrent use.
+// Client keeps an entry VM's State up to date. The methods State,
+// MarkDraining and WriteMetrics are safe for concurrent use.
 type Client struct {
 	opts     ClientOptions
 	state    atomic.Pointer[State]
 	draining atomic.Bool
+	monitor  *applyMonitor
 
 	// The fields below belong to Run's goroutine.
 	controlAddrs []string
@@ -66,7 +68,7 @@
 
 // NewClient returns a client. Call Run to start it.
 func NewClient(o ClientOptions) *Client {
-	c := &Client{opts: o, store: delta.NewStore(), runners: map[string][]Runner{}}
+	c := &Client{opts: o, monitor: newApplyMonitor(o.Logger), store: delta.NewStore(), runners: map[string][]Runner{}}
 	c.state.Store(&State{})
 	return c
 }
@@ -74,6 +76,9 @@
 // State returns the newest state. It is never nil.
 func (c *Client) State() *State { return c.state.Load() }
 
+// WriteMetrics writes the client's metrics in the Prometheus text format.
+func (c *Client) WriteMetrics(w io.Writer) { c.monitor.set.WritePrometheus(w) }
+
 // MarkDraining announces to other VMs that this VM is stopping.
 func (c *Client) MarkDraining() { c.draining.Store(true) }
 
--- a/directory/client_apply.go
+++ b/directory/client_apply.go
@@ -19,9 +19,14 @@
 		c.controlAddrs = reply.Controls
 	}
 	c.applyLists(sentAt, call, reply, &next)
+	before := c.version()
 	c.applyDocument(reply, &next)
 	c.state.Store(&next)
-	c.opts.Changed(&next)
+	took := c.monitor.run(c.version(), func() { c.opts.Changed(&next) })
+	if version := c.version(); version != before {
+		c.opts.Logger.Info().Uint64("version", version).Uint64("before", before).Str("control", c.current).
+			Int64("age_ms", reply.AgeMS).Int64("apply_ms", took.Milliseconds()).Msg("directory: document in force")
+	}
 }
 
 // applyLists updates the lists of runners and entry VMs.
@@ -76,7 +81,7 @@
 	return list
 }
 
-// applyDocument puts a newer document in force. The first document must come
+// applyDocument adds a newer document to the state. The first document must come
 // from a control VM in contact with a leader: a stale document would restore
 // routes and keys that have been replaced.
 func (c *Client) applyDocument(reply *watchReply, next *State) {
@@ -93,7 +98,6 @@
 		return
 	}
 	next.Table = catalog.NewTable(decoded)
-	c.opts.Logger.Info().Uint64("version", d.Version).Uint64("before", c.version()).Str("control", c.current).Int64("age_ms", reply.AgeMS).Msg("directory: document in force")
 	c.document, c.needsDocument = d, false
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,9 @@
 	// inputsFreedEarly counts the cases in which a runner found its inputs
 	// already freed.
 	inputsFreedEarly *metrics.Counter
+	// schedulerFull counts the tasks that found the queue of the piece scheduler
+	// full.
+	schedulerFull *metrics.Counter
 }
 
 func newGatewayMetrics() *gatewayMetrics {
@@ -35,6 +38,7 @@
 		forwarded:  set.NewCounter("damask_gateway_stage_orders_forwarded_total"),
 
 		inputsFreedEarly: set.NewCounter("damask_gateway_inputs_freed_early_total"),
+		schedulerFull:    set.NewCounter("damask_gateway_scheduler_queue_full_total"),
 	}
 }
 
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -16,6 +16,9 @@
 	// freeTimeout limits a call that frees results. If it fails, the runner drops
 	// the results later by itself.
 	freeTimeout = time.Second
+	// taskQueueLength is the number of tasks that may wait for the scheduler's
+	// goroutine.
+	taskQueueLength = 64
 )
 
 // pieceScheduler assembles stage calls for this VM and for the other VMs of its
@@ -54,11 +57,13 @@
 }
 
 func newPieceScheduler(g *Gateway) *pieceScheduler {
-	return &pieceScheduler{
-		g: g, tasks: make(chan func(time.Time), 64), stopped: make(chan struct{}),
+	p := &pieceScheduler{
+		g: g, tasks: make(chan func(time.Time), taskQueueLength), stopped: make(chan struct{}),
 		assemblers: map[string]*batch.Assembler{}, zones: map[string]string{},
 		waiters: map[uint64]*pieceWaiter{}, backoffUntil: map[string]time.Time{}, peers: map[peerKey]*peerDelay{},
 	}
+	g.metrics.set.NewGauge("damask_gateway_scheduler_waiting_tasks", func() float64 { return float64(len(p.tasks)) })
+	return p
 }
 
 // run is the goroutine that owns the assemblers. It returns when ctx is done.
@@ -79,6 +84,12 @@
 }
 
 func (p *pieceScheduler) post(task func(now time.Time)) bool {
+	select {
+	case p.tasks <- task:
+		return true
+	default:
+		p.g.metrics.schedulerFull.Inc()
+	}
 	select {
 	case p.tasks <- task:
 		return true
