gateway: the goroutine that owns the assemblers never waits for its own queue

Cause: results of a request whose caller had left were freed by a task that the scheduler's goroutine posted to its own bounded queue, one for each result. With 64 tasks waiting it waited for itself for ever; the directory client then waited in Gateway.Update. Change: pieceOwner holds the assemblers; its methods call each other, and what has to come later goes through spawn or after, which never wait.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -30,21 +30,10 @@
 	delayQueryTimeout  = 300 * time.Millisecond
 )
 
-// peerKey identifies the assembler of a service at a VM.
-type peerKey struct{ service, vm string }
-
-// peerDelay is the delay that an assembler last reported, increased by the work
-// forwarded to it since.
-type peerDelay struct {
-	delay     time.Duration
-	updatedAt time.Time
-	queriedAt time.Time
-}
-
 // fasterPeer returns the VM of another zone whose assembler would finish the
 // pieces clearly earlier, or "" if there is none.
-func (p *pieceScheduler) fasterPeer(now time.Time, c *piecesCall, localDelay time.Duration) string {
-	t := p.g.Table()
+func (o *pieceOwner) fasterPeer(now time.Time, c *piecesCall, localDelay time.Duration) string {
+	t := o.g.Table()
 	if t == nil {
 		return ""
 	}
@@ -60,86 +49,41 @@
 		gain = largeResultGain
 	}
 	best, bestDelay := "", localDelay-gain
-	for _, vm := range p.peerAssemblers(c.Service) {
-		delay, ok := p.cachedDelay(now, peerKey{c.Service, vm})
+	for _, vm := range o.peerAssemblers(c.Service) {
+		delay, ok := o.peers.cached(now, peerKey{c.Service, vm})
 		if ok && delay+peerRoundTrip < bestDelay {
 			best, bestDelay = vm, delay+peerRoundTrip
 		}
 	}
 	if best != "" {
-		p.increaseDelay(peerKey{c.Service, best}, time.Duration(len(c.Items))*s.StageRunner.PieceTime)
+		o.peers.increase(peerKey{c.Service, best}, time.Duration(len(c.Items))*s.StageRunner.PieceTime)
 	}
 	return best
 }
 
 // peerAssemblers returns the assembler VM of each other zone with runners of
 // the service.
-func (p *pieceScheduler) peerAssemblers(service string) []string {
-	preferred := p.zones[service]
+func (o *pieceOwner) peerAssemblers(service string) []string {
+	preferred := o.zones[service]
 	byZone := map[string][]string{}
-	for _, e := range p.g.state.Load().Entries {
+	for _, e := range o.g.state.Load().Entries {
 		if e.Zone != preferred && !e.Draining {
 			byZone[e.Zone] = append(byZone[e.Zone], e.Addr)
 		}
 	}
 	var list []string
 	for zone, names := range byZone {
-		if len(p.g.runners.runnersInZone(service, zone)) > 0 {
+		if len(o.g.runners.runnersInZone(service, zone)) > 0 {
 			list = append(list, placement.PickRendezvous(service, names))
 		}
 	}
 	return list
 }
 
-// cachedDelay returns the delay that an assembler last reported and whether the
-// report is recent. It starts a new query if one is due.
-func (p *pieceScheduler) cachedDelay(now time.Time, key peerKey) (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d := p.peers[key]
-	if d == nil {
-		d = &peerDelay{}
-		p.peers[key] = d
-	}
-	if now.Sub(d.queriedAt) > delayQueryInterval {
-		d.queriedAt = now
-		go p.queryDelay(key)
-	}
-	return d.delay, now.Sub(d.updatedAt) < maxDelayAge
-}
-
-func (p *pieceScheduler) recordDelay(key peerKey, delay time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d := p.peers[key]
-	if d == nil {
-		d = &peerDelay{}
-		p.peers[key] = d
-	}
-	d.delay, d.updatedAt = delay, time.Now()
-}
-
 // currentDelay returns the last reported delay of a service in the preferred
 // zone, or 0 if there is no recent report.
 func (p *pieceScheduler) currentDelay(now time.Time, service string) time.Duration {
-	at := p.assemblerVM(service)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d := p.peers[peerKey{service, at}]
-	if d == nil || now.Sub(d.updatedAt) > maxDelayAge {
-		return 0
-	}
-	return d.delay
-}
-
-// increaseDelay adds forwarded work to the delay of an assembler until its next
-// report.
-func (p *pieceScheduler) increaseDelay(key peerKey, more time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if d := p.peers[key]; d != nil {
-		d.delay += more
-	}
+	return p.peers.recent(now, peerKey{service, p.assemblerVM(service)})
 }
 
 // queryDelay queries the delay of an assembler with a call without pieces.
@@ -161,16 +105,7 @@
 // localDelay returns the delay of one additional piece at this VM.
 func (p *pieceScheduler) localDelay(ctx context.Context, service string) time.Duration {
 	answer := make(chan time.Duration, 1)
-	p.post(func(now time.Time) {
-		a := p.assembler(service)
-		if a == nil {
-			answer <- batch.NoRunnerDelay
-			return
-		}
-		// The item is the least urgent one in the queue, so that the reported delay
-		// covers all waiting items.
-		answer <- a.Delay(now, &batch.Item{Due: now.Add(time.Hour), Deadline: now.Add(time.Hour)}, 1)
-	})
+	p.post(func(o *pieceOwner, now time.Time) { answer <- o.delay(now, service) })
 	select {
 	case d := <-answer:
 		return d
@@ -180,3 +115,14 @@
 		return batch.NoRunnerDelay
 	}
 }
+
+// delay returns the delay of one additional piece at this VM.
+func (o *pieceOwner) delay(now time.Time, service string) time.Duration {
+	a := o.assembler(service)
+	if a == nil {
+		return batch.NoRunnerDelay
+	}
+	// The item is the least urgent one in the queue, so that the delay covers all
+	// waiting items.
+	return a.Delay(now, &batch.Item{Due: now.Add(time.Hour), Deadline: now.Add(time.Hour)}, 1)
+}
--- a/gateway/pieces_free.go
+++ b/gateway/pieces_free.go
@@ -15,29 +15,38 @@
 // runners.
 func (p *pieceScheduler) free(service string, results []batch.Result) {
 	for _, c := range freeCalls(service, results) {
-		p.sendFree(c)
+		if p.g.accounts(c) {
+			p.freeLocal(c)
+		} else {
+			go p.g.forwardFree(c)
+		}
 	}
 }
 
-// sendFree asks the VM that accounts the runner's memory to free the results.
+// freeLocal frees results of runners whose memory this VM accounts.
+func (p *pieceScheduler) freeLocal(c *freeCall) {
+	p.post(func(o *pieceOwner, _ time.Time) { o.freeLocal(c) })
+}
+
+// accounts reports whether this VM accounts the memory of the call's runner.
+func (g *Gateway) accounts(c *freeCall) bool {
+	return c.assembler == "" || c.assembler == g.opts.Self
+}
+
+// forwardFree asks the VM that accounts the runner's memory to free the results.
 // If that VM does not answer, this VM frees those that nobody needs anymore at
 // the runner.
-func (p *pieceScheduler) sendFree(c *freeCall) {
-	if c.assembler == "" || c.assembler == p.g.opts.Self {
-		p.freeLocal(c)
-		return
-	}
+func (g *Gateway) forwardFree(c *freeCall) {
 	body, err := wire.Encode(c)
 	if err != nil {
+		g.log.Error().Err(err).Str("service", c.Service).Msg("gateway: a call that frees results cannot be encoded")
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		defer cancel()
-		if _, err := p.g.opts.Caller.Call(ctx, c.assembler, transport.MethodFreePieces, body); err != nil && !c.Fetched {
-			p.freeAtRunner(c.Runner, c.Handles)
-		}
-	}()
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if _, err := g.opts.Caller.Call(ctx, c.assembler, transport.MethodFreePieces, body); err != nil && !c.Fetched {
+		g.freeAtRunner(c.Runner, c.Handles)
+	}
 }
 
 // freeCalls groups results by runner and accounting VM.
@@ -57,29 +66,50 @@
 	return calls
 }
 
+// freeAtRunner tells a runner to free results and waits for its answer.
+func (g *Gateway) freeAtRunner(runner string, handles []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := g.opts.Upstreams.FreePieces(ctx, runner, handles); err != nil {
+		g.log.Info().Err(err).Str("addr", runner).Int("results", len(handles)).Msg("gateway: freeing results failed; the runner drops them after their retention time")
+	}
+}
+
+// free is pieceScheduler.free for the owner.
+func (o *pieceOwner) free(service string, results []batch.Result) {
+	for _, c := range freeCalls(service, results) {
+		o.sendFree(c)
+	}
+}
+
+func (o *pieceOwner) sendFree(c *freeCall) {
+	if o.g.accounts(c) {
+		o.freeLocal(c)
+	} else {
+		go o.g.forwardFree(c)
+	}
+}
+
 // freeLocal frees results of runners whose memory this VM accounts.
-func (p *pieceScheduler) freeLocal(c *freeCall) {
-	p.post(func(time.Time) {
-		handles := c.Handles
-		a := p.assemblers[c.Service]
-		if a != nil {
-			if c.Fetched && !a.IsLowOnMemory(c.Runner) {
-				return
-			}
-			handles = a.WithoutFreed(c.Runner, handles)
+func (o *pieceOwner) freeLocal(c *freeCall) {
+	handles := c.Handles
+	if a := o.assemblers[c.Service]; a != nil {
+		if c.Fetched && !a.IsLowOnMemory(c.Runner) {
+			return
 		}
-		go func() {
-			if len(handles) > 0 {
-				p.freeAtRunner(c.Runner, handles)
-			}
-			// The runner's memory is free only once the runner has been told.
-			p.post(func(time.Time) { p.recordFreed(c) })
-		}()
+		handles = a.WithoutFreed(c.Runner, handles)
+	}
+	o.later.spawn(func() ownerTask {
+		if len(handles) > 0 {
+			o.g.freeAtRunner(c.Runner, handles)
+		}
+		// The runner's memory is free only once the runner has been told.
+		return func(o *pieceOwner, _ time.Time) { o.recordFreed(c) }
 	})
 }
 
-func (p *pieceScheduler) recordFreed(c *freeCall) {
-	a := p.assemblers[c.Service]
+func (o *pieceOwner) recordFreed(c *freeCall) {
+	a := o.assemblers[c.Service]
 	switch {
 	case a == nil:
 	case c.Fetched:
@@ -88,12 +118,3 @@
 		a.Release(c.Runner, c.Handles)
 	}
 }
-
-// freeAtRunner tells a runner to free results and waits for its answer.
-func (p *pieceScheduler) freeAtRunner(runner string, handles []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	if err := p.g.opts.Upstreams.FreePieces(ctx, runner, handles); err != nil {
-		p.g.log.Info().Err(err).Str("addr", runner).Int("results", len(handles)).Msg("gateway: freeing results failed; the runner drops them after their retention time")
-	}
-}
--- a/gateway/pieces_inputs.go
+++ b/gateway/pieces_inputs.go
@@ -70,10 +70,10 @@
 
 // scheduleInputRelease frees the inputs of pieces once all of the pieces are in
 // a call and the hold has expired.
-func (p *pieceScheduler) scheduleInputRelease(service string, call *batch.Call) {
-	startsAtOnce := p.assemblers[service].IsOnTime(call.Runner)
+func (o *pieceOwner) scheduleInputRelease(service string, call *batch.Call) {
+	startsAtOnce := o.assemblers[service].IsOnTime(call.Runner)
 	for _, item := range call.Items {
-		w := p.waiters[item.Ref]
+		w := o.waiters[item.Ref]
 		if w == nil || len(w.inputs.producers) == 0 {
 			continue
 		}
@@ -82,17 +82,16 @@
 			continue
 		}
 		returned := w.inputs.returned
-		time.AfterFunc(p.g.holds.duration(service, p.farthestProducer(w.inputs.producers)), func() {
-			p.post(func(time.Time) { p.releaseInputs(w, returned) })
-		})
+		hold := o.g.holds.duration(service, o.farthestProducer(w.inputs.producers))
+		o.later.after(hold, func(o *pieceOwner, _ time.Time) { o.releaseInputs(w, returned) })
 	}
 }
 
 // markUnfinished records the pieces that a call did not finish, so that their
 // inputs are kept.
-func (p *pieceScheduler) markUnfinished(call *batch.Call) {
+func (o *pieceOwner) markUnfinished(call *batch.Call) {
 	for _, item := range call.Items {
-		if w := p.waiters[item.Ref]; w != nil {
+		if w := o.waiters[item.Ref]; w != nil {
 			w.inputs.markReturned(int(item.Ref - w.firstRef))
 		}
 	}
@@ -100,41 +99,41 @@
 
 // releaseInputs tells the accounting VMs that the inputs were fetched, unless
 // the pieces have ended or may need the inputs again.
-func (p *pieceScheduler) releaseInputs(w *pieceWaiter, returned int) {
+func (o *pieceOwner) releaseInputs(w *pieceWaiter, returned int) {
 	if w.pending == 0 || w.cancelled || w.inputs.returned != returned || w.inputs.keep {
 		return
 	}
 	w.inputs.fetched, w.inputs.returnedAtFetch = true, returned
 	for _, c := range w.inputs.freeCalls() {
-		p.sendFree(c)
+		o.sendFree(c)
 	}
 }
 
 // recordInputResult learns from the result of a piece whether its inputs were
 // freed too early, once for all pieces that needed them. A piece that was sent
 // again after the release says nothing about the hold.
-func (p *pieceScheduler) recordInputResult(service string, w *pieceWaiter, r batch.Result) {
+func (o *pieceOwner) recordInputResult(service string, w *pieceWaiter, r batch.Result) {
 	u := &w.inputs
 	switch {
 	case !u.fetched || u.gone:
 	case r.Reason == batch.InputGone && !u.keep && u.returned == u.returnedAtFetch:
 		u.gone = true
-		p.g.holds.recordTooShort(service)
-		p.g.metrics.inputsFreedEarly.Inc()
+		o.g.holds.recordTooShort(service)
+		o.g.metrics.inputsFreedEarly.Inc()
 	case w.pending == 1 && r.Handle != "":
-		p.g.holds.recordSufficient(service)
+		o.g.holds.recordSufficient(service)
 	}
 }
 
 // farthestProducer returns the distance of the farthest zone among the
 // accounting VMs of the inputs.
-func (p *pieceScheduler) farthestProducer(producers []inputProducer) placement.Distance {
+func (o *pieceOwner) farthestProducer(producers []inputProducer) placement.Distance {
 	far := placement.SameZone
 	for _, m := range producers {
-		if m.Assembler == p.g.opts.Self {
+		if m.Assembler == o.g.opts.Self {
 			continue
 		}
-		far = max(far, p.g.opts.Topology.DistanceTo(p.g.zoneOf(m.Assembler)))
+		far = max(far, o.g.opts.Topology.DistanceTo(o.g.zoneOf(m.Assembler)))
 	}
 	return far
 }
--- a/gateway/pieces_rpc.go
+++ b/gateway/pieces_rpc.go
@@ -19,7 +19,7 @@
 	at := p.assemblerVM(c.Service)
 	if at == p.g.opts.Self {
 		results, err := p.assemble(ctx, c)
-		p.recordDelay(peerKey{c.Service, at}, p.localDelay(ctx, c.Service))
+		p.peers.record(peerKey{c.Service, at}, p.localDelay(ctx, c.Service))
 		return results, err
 	}
 	results, err := p.runPiecesAt(ctx, at, c)
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	delay := time.Duration(reply.DelayMS) * time.Millisecond
-	p.recordDelay(peerKey{c.Service, at}, delay)
+	p.peers.record(peerKey{c.Service, at}, delay)
 	results := make([]batch.Result, 0, len(reply.Results))
 	for _, r := range reply.Results {
 		result := batch.Result{Handle: r.Handle, Runner: r.Runner, Reason: r.Reason, Assembler: r.Assembler}
