gateway: a new document or list is applied without waiting for stage calls

Cause: Gateway.Update posted a task to the scheduler's bounded queue. Change: Update leaves one signal that never waits; the scheduler applies the catalog and list that are in force when it gets to it, before its next task.

--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -27,7 +27,10 @@
 type pieceScheduler struct {
 	g *Gateway
 	// tasks run on the owner's goroutine, which must never wait for room here.
-	tasks   chan ownerTask
+	tasks chan ownerTask
+	// changed holds one signal while the owner must apply a new catalog or list of
+	// runners.
+	changed chan struct{}
 	stopped chan struct{}
 	peers   *peerDelays
 
@@ -37,7 +40,7 @@
 
 func newPieceScheduler(g *Gateway) *pieceScheduler {
 	p := &pieceScheduler{
-		g: g, tasks: make(chan ownerTask, taskQueueLength), stopped: make(chan struct{}),
+		g: g, tasks: make(chan ownerTask, taskQueueLength), changed: make(chan struct{}, 1), stopped: make(chan struct{}),
 		backoffUntil: map[string]time.Time{},
 	}
 	p.peers = newPeerDelays(p.queryDelay)
@@ -56,13 +59,25 @@
 		case <-ctx.Done():
 			return
 		case task := <-p.tasks:
+			p.applyChange(owner)
 			task(owner, time.Now())
+		case <-p.changed:
+			owner.updateAssemblers()
 		case <-timer.C:
 		}
 		timer.Reset(owner.dispatchDue(time.Now()))
 	}
 }
 
+// applyChange applies a pending change before a task that may depend on it.
+func (p *pieceScheduler) applyChange(owner *pieceOwner) {
+	select {
+	case <-p.changed:
+		owner.updateAssemblers()
+	default:
+	}
+}
+
 // post queues a task for the owner's goroutine and waits for room. It returns
 // false once the scheduler has stopped. The owner itself must not call it.
 func (p *pieceScheduler) post(task ownerTask) bool {
@@ -95,8 +110,15 @@
 	time.AfterFunc(d, func() { p.post(task) })
 }
 
-// refresh applies changes of the runners and services to the assemblers.
-func (p *pieceScheduler) refresh() { p.post(func(o *pieceOwner, _ time.Time) { o.updateAssemblers() }) }
+// refresh makes the owner apply the current catalog and list of runners. It
+// never waits: a confirmed change must not depend on the data path.
+func (p *pieceScheduler) refresh() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+		// The pending signal covers this change too.
+	}
+}
 
 // assemble schedules the pieces at this VM, or forwards them to a faster zone,
 // and waits for the results.
