gateway: an unknown delay of the assembler is not remembered as two seconds

A request whose caller left during its stages asked this VM's assembler for its delay with a context that had ended; "not known" was returned and stored as batch.NoRunnerDelay (2 s). For up to 600 ms the VM then refused first attempts on all routes with that service as stages_late, though its runners were idle. Change: localDelay returns an error in that case, and nothing is stored.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -102,17 +102,18 @@
 	return p.runPiecesAt(ctx, vm, &forwarded)
 }
 
-// localDelay returns the delay of one additional piece at this VM.
-func (p *pieceScheduler) localDelay(ctx context.Context, service string) time.Duration {
+// localDelay returns the delay of one additional piece at this VM. It returns an
+// error if ctx ends or the VM stops before that is known.
+func (p *pieceScheduler) localDelay(ctx context.Context, service string) (time.Duration, error) {
 	answer := make(chan time.Duration, 1)
 	p.post(func(o *pieceOwner, now time.Time) { answer <- o.delay(now, service) })
 	select {
 	case d := <-answer:
-		return d
+		return d, nil
 	case <-ctx.Done():
-		return batch.NoRunnerDelay
+		return 0, ctx.Err()
 	case <-p.stopped:
-		return batch.NoRunnerDelay
+		return 0, errStopping
 	}
 }
 
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -21,6 +21,9 @@
 	taskQueueLength = 64
 )
 
+// errStopping reports that the scheduler has stopped.
+var errStopping = errors.New("gateway: this VM is stopping; use another VM")
+
 // pieceScheduler assembles stage calls for this VM and for the other VMs of its
 // zone. Its methods are called by the goroutines of requests and peers; the
 // assemblers belong to a pieceOwner.
@@ -127,7 +130,7 @@
 	began := time.Now()
 	ok := p.post(func(o *pieceOwner, now time.Time) { o.addPieces(now, began, c, w) })
 	if !ok {
-		return nil, errors.New("gateway: this VM is stopping; use another VM")
+		return nil, errStopping
 	}
 	select {
 	case <-w.done:
@@ -139,6 +142,6 @@
 		p.post(func(o *pieceOwner, _ time.Time) { o.cancel(c.Service, w) })
 		return nil, ctx.Err()
 	case <-p.stopped:
-		return nil, errors.New("gateway: this VM is stopping; use another VM")
+		return nil, errStopping
 	}
 }
--- a/gateway/pieces_rpc.go
+++ b/gateway/pieces_rpc.go
@@ -19,7 +19,9 @@
 	at := p.assemblerVM(c.Service)
 	if at == p.g.opts.Self {
 		results, err := p.assemble(ctx, c)
-		p.peers.record(peerKey{c.Service, at}, p.localDelay(ctx, c.Service))
+		if delay, err := p.localDelay(ctx, c.Service); err == nil {
+			p.peers.record(peerKey{c.Service, at}, delay)
+		}
 		return results, err
 	}
 	results, err := p.runPiecesAt(ctx, at, c)
@@ -114,7 +116,11 @@
 			return nil, err
 		}
 	}
-	reply := &piecesReply{DelayMS: p.localDelay(ctx, c.Service).Milliseconds()}
+	delay, err := p.localDelay(ctx, c.Service)
+	if err != nil {
+		return nil, err
+	}
+	reply := &piecesReply{DelayMS: delay.Milliseconds()}
 	for _, r := range results {
 		reply.Results = append(reply.Results, pieceResult{Handle: r.Handle, Runner: r.Runner, Reason: r.Reason, Assembler: r.Assembler})
 	}
