--- a/gateway/request.go
+++ b/gateway/request.go
@@ -360,6 +360,6 @@
 
 func (r *request) logAttempt(runner *placement.RunnerState, v *attemptResult, began time.Time) {
 	r.g.log.Info().Str("id", r.call.ID).Str("runner", runner.ID).Str("addr", runner.Addr).Str("cause", v.cause).
-		Bool("executed", v.executed).Bool("arrived", v.arrived).Int64("ms", time.Since(began).Milliseconds()).
+		Bool("executed", v.executed).Bool("arrived", v.arrived).Strs("parts", r.call.Prompt.SharedIDs()).Int64("ms", time.Since(began).Milliseconds()).
 		Msg("gateway: attempt failed")
 }
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -42,6 +42,15 @@
 	tokens int
 }
 
+// SharedIDs returns the IDs of the parts that other requests can share.
+func (p *Prompt) SharedIDs() []string {
+	var ids []string
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Affinity returns the hash of the longest prefix that other requests can
 // share, or 0 if there is none.
 func (p *Prompt) Affinity() uint64 {
