quarantine: a prompt part under which several engines ended reaches no more engines

Cause: nothing linked a crash to what the engine was working on. Each entry VM sees a few of the crashes, and every new request with the part was placed anew. Change: entry VMs report with their watch which starts of runners they lost with which parts in flight, without parts that were answered within a minute. The control VM that leads joins the reports and quarantines a part under which three runners were lost; parts beside it share its crashes and stay free. Entry VMs get the set of quarantined parts with their lists and refuse such prompts at once as not executed, also after their stages and before a stream is resumed. A VM that has had an answer with a part disputes its quarantine, which ends it. Class: failures that a request carries with it from server to server.

--- a/directory/client.go
+++ b/directory/client.go
@@ -11,6 +11,7 @@
 
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/delta"
+	"damaskbridge.example/damaskbridge/quarantine"
 	"damaskbridge.example/damaskbridge/transport"
 )
 
@@ -36,6 +37,9 @@
 	Caller transport.Caller
 	Decode Decode
 	Logger *log.Logger
+	// Report returns what this VM has observed of crashed runners. It is called
+	// with the parts that are quarantined; nil stands for no reports.
+	Report func(now time.Time, quarantined quarantine.Set) *quarantine.Report
 	// Changed is called on the client's goroutine after each new State.
 	Changed func(*State)
 }
@@ -134,6 +138,9 @@
 		call.Version = 0
 	}
 	call.From.Draining = c.draining.Load()
+	if c.opts.Report != nil {
+		call.Report = c.opts.Report(now, c.State().Quarantined)
+	}
 	return call
 }
 
--- a/directory/client_apply.go
+++ b/directory/client_apply.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/quarantine"
 )
 
 // apply stores a new state with the content of the reply to a call that was sent
@@ -29,7 +30,7 @@
 	}
 }
 
-// applyLists updates the lists of runners and entry VMs.
+// applyLists updates the lists of runners, entry VMs and quarantined parts.
 func (c *Client) applyLists(sentAt time.Time, call *watchCall, reply *watchReply, next *State) {
 	names := c.applyLegacy(sentAt, reply)
 	if reply.Changes != nil {
@@ -41,10 +42,13 @@
 	}
 	runnersChanged, entriesChanged := false, false
 	for _, name := range names {
-		if hasRunners(name) {
+		switch {
+		case hasRunners(name):
 			runnersChanged = true
 			c.decodeRunners(name)
-		} else {
+		case name == quarantineName:
+			c.applyQuarantine(next)
+		default:
 			entriesChanged = true
 		}
 	}
@@ -58,6 +62,22 @@
 	}
 }
 
+// applyQuarantine puts the quarantined parts of prompts in force.
+func (c *Client) applyQuarantine(next *State) {
+	set, _ := c.store.Get(quarantineName)
+	list, err := decodeSet[quarantinedPart](set)
+	if err != nil {
+		c.opts.Logger.Error().Err(err).Msg("directory: quarantined prompt parts")
+		return
+	}
+	parts := quarantine.Set{}
+	for _, p := range list {
+		parts[p.Part] = true
+	}
+	next.Quarantined = parts
+	c.opts.Logger.Info().Int("parts", len(parts)).Str("control", c.current).Msg("directory: quarantined prompt parts in force")
+}
+
 // decodeRunners decodes a set of runners that has changed.
 func (c *Client) decodeRunners(name string) {
 	set, _ := c.store.Get(name)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -305,8 +305,8 @@
 	ginkgo.It("lists entry VMs until they have not been seen for rosterExpiry", func() {
 		r := newRoster()
 		now := time.Now()
-		r.touch(now, EntryVM{Addr: "b"})
-		r.touch(now.Add(time.Second), EntryVM{Addr: "a"})
+		r.touch(now, EntryVM{Addr: "b"}, nil)
+		r.touch(now.Add(time.Second), EntryVM{Addr: "a"}, nil)
 		Expect(r.list(now.Add(time.Second))).To(Equal([]EntryVM{{Addr: "a"}, {Addr: "b"}}))
 		Expect(r.list(now.Add(rosterExpiry + time.Millisecond))).To(Equal([]EntryVM{{Addr: "a"}}))
 		Expect(encodeSet([]EntryVM{{Addr: "a"}}).Digest()).NotTo(Equal(encodeSet([]EntryVM{{Addr: "a", Draining: true}}).Digest()))
--- a/directory/legacy_test.go
+++ b/directory/legacy_test.go
@@ -137,7 +137,7 @@
 		c.network.Endpoint("c1", transport.Peer{}).Listen(earlier)
 		server := c.servers["c2"]
 		server.mu.Lock()
-		server.watchers.touch(time.Now(), EntryVM{Addr: "e2"})
+		server.watchers.touch(time.Now(), EntryVM{Addr: "e2"}, nil)
 		server.mu.Unlock()
 		Eventually(earlier.reportedEntries).WithTimeout(eventTimeout).Should(ContainElement(EntryVM{Addr: "e2"}))
 		Eventually(server.lists.entries).WithTimeout(eventTimeout).Should(Equal(entries))
--- a/directory/lists.go
+++ b/directory/lists.go
@@ -17,7 +17,8 @@
 	anyChange changeKind = iota
 	// entryVMChanges are those of the sets that entry VMs receive.
 	entryVMChanges
-	// reportChanges are those of the control VMs' reports of entry VMs.
+	// reportChanges are those of the control VMs' reports of entry VMs and of what
+	// these have observed.
 	reportChanges
 	changeKinds
 )
@@ -28,7 +29,7 @@
 	case entryVMChanges:
 		return sentToEntryVMs(name)
 	case reportChanges:
-		return strings.HasPrefix(name, watchersPrefix)
+		return strings.HasPrefix(name, watchersPrefix) || strings.HasPrefix(name, crashesPrefix)
 	}
 	return true
 }
@@ -80,6 +81,9 @@
 	}
 }
 
+// has reports whether there is a set with a name.
+func (l *lists) has(name string) bool { return !l.asOf(name).IsZero() }
+
 // versions returns the versions of all sets.
 func (l *lists) versions(now time.Time) []delta.Version {
 	l.mu.Lock()
@@ -169,6 +173,7 @@
 		if asOf.Before(forgetBefore) {
 			l.store.Remove(name)
 			l.store.Remove(controlsPrefix + strings.TrimPrefix(name, watchersPrefix))
+			l.store.Remove(crashesPrefix + strings.TrimPrefix(name, watchersPrefix))
 			continue
 		}
 		if asOf.Before(since) {
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -3,6 +3,7 @@
 import (
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/delta"
+	"damaskbridge.example/damaskbridge/quarantine"
 )
 
 // formatSets is the message format in which lists travel as sets. VMs of the
@@ -34,6 +35,9 @@
 	Probe bool `cbor:"9,keyasint,omitempty"`
 	// Control is true if the caller is a control VM.
 	Control bool `cbor:"10,keyasint,omitempty"`
+	// Report is what the calling entry VM has observed of crashed runners, nil if
+	// there is nothing.
+	Report *quarantine.Report `cbor:"11,keyasint,omitempty"`
 
 	legacyCall
 }
--- a/directory/peers_test.go
+++ b/directory/peers_test.go
@@ -64,13 +64,13 @@
 		server := newTestServer(newFakeLister())
 		now := time.Now()
 		vm := EntryVM{Addr: "a", Zone: "z"}
-		server.touchWatcher(now, vm)
+		server.touchWatcher(now, &watchCall{From: vm})
 		Expect(server.rosterChanged).To(Receive())
-		server.touchWatcher(now, vm)
+		server.touchWatcher(now, &watchCall{From: vm})
 		Expect(server.rosterChanged).NotTo(Receive())
 		vm.Draining = true
-		server.touchWatcher(now, vm)
-		server.touchWatcher(now, EntryVM{Addr: "b"})
+		server.touchWatcher(now, &watchCall{From: vm})
+		server.touchWatcher(now, &watchCall{From: EntryVM{Addr: "b"}})
 		Expect(server.rosterChanged).To(Receive())
 	})
 
@@ -110,7 +110,7 @@
 		server.opts.Control.(*fakeControl).leader = "c2"
 		all := []EntryVM{{Addr: "a", Zone: "z"}, {Addr: "b", Zone: "z"}}
 		server.lists.putEntries(time.Now(), all)
-		server.watchers.touch(time.Now(), all[0])
+		server.watchers.touch(time.Now(), all[0], nil)
 		server.updateRoster(time.Now())
 		Expect(server.lists.entries()).To(Equal(all))
 		Expect(server.lists.asOf(watchersPrefix + "c1")).NotTo(BeZero())
--- a/directory/roster.go
+++ b/directory/roster.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"damaskbridge.example/damaskbridge/quarantine"
 )
 
 const (
@@ -28,16 +30,29 @@
 
 type rosterEntry struct {
 	vm     EntryVM
+	report *quarantine.Report
 	seenAt time.Time
 }
 
 func newRoster() *roster { return &roster{entries: map[string]rosterEntry{}} }
 
-// touch records that a VM was seen and reports whether it is new or has changed.
-func (r *roster) touch(now time.Time, vm EntryVM) (changed bool) {
+// touch records that a VM was seen and what it reports. It returns whether the
+// VM is new or something has changed.
+func (r *roster) touch(now time.Time, vm EntryVM, report *quarantine.Report) (changed bool) {
 	before, known := r.entries[vm.Addr]
-	r.entries[vm.Addr] = rosterEntry{vm: vm, seenAt: now}
-	return !known || before.vm != vm
+	r.entries[vm.Addr] = rosterEntry{vm: vm, report: report, seenAt: now}
+	return !known || before.vm != vm || !before.report.Equal(report)
+}
+
+// crashReports returns what the listed entry VMs have reported.
+func (r *roster) crashReports() []crashReport {
+	var list []crashReport
+	for _, e := range r.entries {
+		if !e.report.IsEmpty() {
+			list = append(list, crashReport{VM: e.vm.Addr, Report: *e.report})
+		}
+	}
+	return list
 }
 
 // list removes expired entry VMs and returns the others, sorted by address.
@@ -76,9 +91,9 @@
 }
 
 // touchWatcher records that an entry VM watches this control VM.
-func (s *Server) touchWatcher(now time.Time, vm EntryVM) {
+func (s *Server) touchWatcher(now time.Time, call *watchCall) {
 	s.mu.Lock()
-	changed := s.watchers.touch(now, vm)
+	changed := s.watchers.touch(now, call.From, call.Report)
 	s.mu.Unlock()
 	if !changed {
 		return
@@ -89,12 +104,13 @@
 	}
 }
 
-// updateRoster publishes the entry VMs that watch this control VM and, while
-// this VM leads, merges the reports of all control VMs.
+// updateRoster publishes the entry VMs that watch this control VM and what they
+// report. While this VM leads, it merges the reports of all control VMs.
 func (s *Server) updateRoster(now time.Time) {
 	leads := s.opts.Control.Leads()
 	s.mu.Lock()
 	own := s.watchers.list(now)
+	crashes := s.watchers.crashReports()
 	switch {
 	case !leads:
 		s.leadsSince = time.Time{}
@@ -104,8 +120,12 @@
 	leadsSince := s.leadsSince
 	s.mu.Unlock()
 	s.lists.put(watchersPrefix+s.opts.Self, now, encodeSet(own))
+	s.lists.put(crashesPrefix+s.opts.Self, now, encodeSet(crashes))
 	if leads {
 		s.mergeReports(now, leadsSince)
+		s.judgeCrashes(now)
+	} else {
+		s.judge = nil
 	}
 }
 
--- a/directory/server.go
+++ b/directory/server.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/quarantine"
 	"damaskbridge.example/damaskbridge/transport"
 	"damaskbridge.example/damaskbridge/wire"
 )
@@ -62,6 +63,9 @@
 	legacySeed uint64
 	// rosterChanged has a value when an entry VM that watches has changed.
 	rosterChanged chan struct{}
+	// judge decides about the quarantine of prompt parts, nil if this VM does not
+	// lead. It belongs to the goroutine of runRoster.
+	judge *quarantine.Judge
 
 	mu sync.Mutex
 	// watchers holds the entry VMs that watch this control VM.
@@ -116,7 +120,7 @@
 		return s.emptyReply(calledAt), nil
 	}
 	if !call.Control {
-		s.touchWatcher(calledAt, call.From)
+		s.touchWatcher(calledAt, call)
 	}
 	wait := min(time.Duration(call.WaitMS)*time.Millisecond, maxWatchWait)
 	timer := time.NewTimer(wait)
--- a/directory/sets.go
+++ b/directory/sets.go
@@ -23,15 +23,23 @@
 	// control VMs exchange these sets.
 	watchersPrefix = "watchers/"
 	controlsPrefix = "controls/"
+	// crashesPrefix names what the entry VMs that watch one control VM have
+	// observed of crashed runners, followed by the control VM's address. Only
+	// control VMs exchange these sets.
+	crashesPrefix = "crashes/"
+	// quarantineName is the set of the quarantined parts of prompts.
+	quarantineName = "quarantine/parts"
 )
 
 // sentToEntryVMs reports whether entry VMs receive the set with a name.
 func sentToEntryVMs(name string) bool {
-	return hasRunners(name) || strings.HasPrefix(name, entriesPrefix)
+	return hasRunners(name) || strings.HasPrefix(name, entriesPrefix) || name == quarantineName
 }
 
 // member is a value of a set.
-type member interface{ Runner | EntryVM | controlVM }
+type member interface {
+	Runner | EntryVM | controlVM | crashReport | quarantinedPart
+}
 
 func runnerZone(r Runner) string { return r.Zone }
 func entryZone(e EntryVM) string { return e.Zone }
@@ -42,7 +50,7 @@
 	for i := range list {
 		b, err := wire.Encode(&list[i])
 		if err != nil {
-			// The types consist of strings, numbers and booleans.
+			// The types consist of strings, numbers, booleans and lists of them.
 			panic(err)
 		}
 		values = append(values, b)
--- a/directory/state.go
+++ b/directory/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/quarantine"
 )
 
 // State is the directory's content as known to an entry VM. It is immutable.
@@ -13,6 +14,8 @@
 	// List is the newest list of runners, nil before the first.
 	List    *RunnerList
 	Entries []EntryVM
+	// Quarantined are the parts of prompts that are kept away from runners.
+	Quarantined quarantine.Set
 	// LastContactAt is when a control VM in contact with the leader last
 	// answered.
 	LastContactAt time.Time
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -82,7 +82,7 @@
 func (r *request) send(ctx context.Context, runner *placement.RunnerState, d *Dispatch) (*Response, sendResult) {
 	response, err := r.g.opts.Upstreams.Send(ctx, d)
 	if err != nil {
-		return nil, r.failedSend(ctx, err)
+		return nil, r.failedSend(ctx, runner, err)
 	}
 	r.g.runners.updateLoad(runner, response.Load)
 	if !response.NotExecuted {
@@ -106,9 +106,12 @@
 }
 
 // failedSend classifies an attempt that ended without a complete answer.
-func (r *request) failedSend(ctx context.Context, err error) sendResult {
+func (r *request) failedSend(ctx context.Context, runner *placement.RunnerState, err error) sendResult {
 	n := sendResult{attemptResult: attemptResult{executed: exchange.WasSent(err), cause: err.Error()}}
 	n.arrived = n.executed
+	if n.executed {
+		r.recordLoss(ctx, runner)
+	}
 	if ctx.Err() == nil {
 		now := time.Now()
 		n.record = func(s *placement.RunnerState) { s.RecordFailure(now) }
@@ -123,11 +126,12 @@
 	defer release()
 	_ = response.Body.Close()
 	if err != nil {
-		n := r.failedSend(ctx, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
+		n := r.failedSend(ctx, runner, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
 		r.g.runners.finish(runner, n.record)
 		return n.attemptResult
 	}
 	r.g.runners.finish(runner, (*placement.RunnerState).RecordSuccess)
+	r.recordAnswer(response)
 	v := attemptResult{executed: true, arrived: true, cause: "status"}
 	if response.Status >= http.StatusInternalServerError {
 		r.executions++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/quarantine"
 	"damaskbridge.example/damaskbridge/transport"
 )
 
@@ -39,6 +40,7 @@
 	firstEvents    *latencyTracker
 	holds          *inputHoldTimes
 	answers        answerMemory
+	evidence       *quarantine.Evidence
 	metrics        *gatewayMetrics
 	stopping       atomic.Bool
 	// configured is closed once this VM has the catalog, the runner list and,
@@ -62,6 +64,7 @@
 		callerTimeouts: newTimeoutTracker(),
 		firstEvents:    newLatencyTracker(),
 		holds:          newInputHoldTimes(),
+		evidence:       quarantine.NewEvidence(),
 	}
 	g.pieces = newPieceScheduler(g)
 	g.state.Store(&directory.State{})
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/quarantine"
+)
+
+// quarantineRetryDelay is when a caller may come back whose prompt has a
+// quarantined part. A part that was quarantined by mistake is free again before.
+const quarantineRetryDelay = 5 * time.Second
+
+// refuseQuarantined refuses a request whose prompt has a part that crashes
+// runners. Parts with which this VM has had an answer are not refused: it
+// disputes their quarantine.
+func (r *request) refuseQuarantined(now time.Time) *Refusal {
+	parts := r.g.state.Load().Quarantined
+	if len(parts) == 0 {
+		return nil
+	}
+	for _, id := range r.call.Prompt.SharedIDs() {
+		part := quarantine.PartOf(id)
+		if parts[part] && !r.g.evidence.IsSound(now, part) {
+			return &Refusal{Reason: PromptQuarantined, RetryAfter: quarantineRetryDelay, Detail: "prompt part " + id + " crashes runners"}
+		}
+	}
+	return nil
+}
+
+// recordLoss records that a runner was lost while it may have executed the
+// request, unless the request was given up here.
+func (r *request) recordLoss(ctx context.Context, runner *placement.RunnerState) {
+	if ctx.Err() == nil {
+		r.g.evidence.RecordLoss(time.Now(), r.g.runners.startOf(runner), r.sharedParts())
+	}
+}
+
+// recordAnswer records a complete answer. An answer that ends with its connection
+// may also be one that a crash has cut short.
+func (r *request) recordAnswer(response *Response) {
+	if response.Status/100 == 2 && !response.EndsWithConnection {
+		r.g.evidence.RecordAnswer(time.Now(), r.sharedParts())
+	}
+}
+
+func (r *request) sharedParts() []quarantine.Part {
+	return quarantine.PartsOf(r.call.Prompt.SharedIDs())
+}
+
+// CrashReport returns what this VM has observed of crashed runners, given the
+// parts that are quarantined.
+func (g *Gateway) CrashReport(now time.Time, quarantined quarantine.Set) *quarantine.Report {
+	return g.evidence.Report(now, quarantined)
+}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -27,6 +27,8 @@
 	StagesLate Reason = "stages_late"
 	// StagesFailed: a stage failed.
 	StagesFailed Reason = "stages_failed"
+	// PromptQuarantined: the prompt has a part under which several runners crashed.
+	PromptQuarantined Reason = "prompt_quarantined"
 	// Stopping: this VM is stopping.
 	Stopping Reason = "stopping"
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -99,6 +99,9 @@
 	if r.g.stopping.Load() && r.route.Streaming {
 		return &Refusal{Reason: Stopping, RetryAfter: shortRetryDelay()}
 	}
+	if refusal := r.refuseQuarantined(time.Now()); refusal != nil {
+		return refusal
+	}
 	r.service = r.table.Service(r.route.Pick(rand.Float64()))
 	timeout := r.route.Timeout
 	if c.Timeout > 0 {
@@ -141,6 +144,9 @@
 	r.g.budgets.forService(r.service.Name).RecordRequest(time.Now())
 	for {
 		now := time.Now()
+		if refusal := r.refuseQuarantined(now); refusal != nil {
+			return refusal
+		}
 		runner := r.pickRunner(now)
 		if runner == nil {
 			return r.noRunnerRefusal(ctx)
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 		if ok && previous.StartedUnixMS != x.StartedUnixMS {
 			runner.ClearCache()
 		}
+		runner.StartedUnixMS = x.StartedUnixMS
 		item := listedRunner{Runner: x, state: runner, drainingSince: previous.drainingSince}
 		if x.Draining && item.drainingSince.IsZero() {
 			item.drainingSince = now
@@ -139,6 +141,13 @@
 	}
 }
 
+// startOf returns a name of the runner that differs for each of its starts.
+func (r *runnerSet) startOf(runner *placement.RunnerState) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return runner.ID + " " + runner.Addr + " " + strconv.FormatInt(runner.StartedUnixMS, 10)
+}
+
 // updateLoad records the load that a runner reported.
 func (r *runnerSet) updateLoad(runner *placement.RunnerState, load *placement.Load) {
 	if load == nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -72,7 +72,7 @@
 	if r.route.RetryPolicy != catalog.RetryFromEvent || ctx.Err() != nil || r.resumes >= maxResumes {
 		return nil
 	}
-	if r.executions >= r.route.MaxRunners || r.deadline.Sub(now) < minTimeLeft {
+	if r.executions >= r.route.MaxRunners || r.deadline.Sub(now) < minTimeLeft || r.refuseQuarantined(now) != nil {
 		return nil
 	}
 	if !r.g.budgets.forService(r.service.Name).TrySpend(now) {
@@ -132,6 +132,7 @@
 	_ = response.Body.Close()
 	if err == nil {
 		r.g.runners.finish(runner, (*placement.RunnerState).RecordSuccess)
+		r.recordAnswer(response)
 		return attemptResult{done: true}
 	}
 	if s.writer == nil {
@@ -145,7 +146,7 @@
 		s.writer.Abort()
 		return attemptResult{done: true}
 	}
-	n = r.failedSend(ctx, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
+	n = r.failedSend(ctx, runner, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
 	n.inputsGone = inputsGone
 	n.counted = s.writer != nil
 	r.g.runners.finish(runner, n.record)
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -52,6 +52,9 @@
 	// NotExecuted reports whether the runner declared that it did not execute the
 	// request.
 	NotExecuted bool
+	// EndsWithConnection reports whether the answer has no length and no chunks, so
+	// that only the end of its connection ends it.
+	EndsWithConnection bool
 	// Misdirected reports whether another runner has the address.
 	Misdirected bool
 	// Load is the load that the runner reported about itself, or nil if it
--- a/placement/registry.go
+++ b/placement/registry.go
@@ -16,6 +16,8 @@
 	ID   string
 	Addr string
 	Zone string
+	// StartedUnixMS is the start time as a Unix time in ms, 0 if unknown.
+	StartedUnixMS int64
 	// ActiveRequests is the number of this VM's own requests at the runner.
 	// PendingPromptTokens is the number of prompt tokens of those that have not
 	// produced a first token yet.
--- /dev/null
+++ b/quarantine/evidence.go
@@ -0,0 +1,134 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// evidenceWindow is how long a crash counts against a part, and an answer for
+	// it.
+	evidenceWindow = time.Minute
+	// maxCrashes and maxAnswered bound what one VM remembers.
+	maxCrashes  = 32
+	maxAnswered = 8192
+)
+
+// Evidence collects what one entry VM observes. It is safe for concurrent use.
+type Evidence struct {
+	mu sync.Mutex
+	// crashes are the runners lost within the window, oldest first.
+	crashes []lostRunner
+	// answeredAt holds when a request with a part was last answered completely.
+	answeredAt map[Part]time.Time
+	// disputed holds the parts that were quarantined although this VM has had an
+	// answer with them. It goes on to report them: otherwise they would be
+	// quarantined again for the same crashes.
+	disputed map[Part]bool
+}
+
+// lostRunner is a runner that was lost, with the parts of the requests that were
+// in flight there.
+type lostRunner struct {
+	runner string
+	at     time.Time
+	parts  map[Part]bool
+}
+
+// NewEvidence returns empty evidence.
+func NewEvidence() *Evidence {
+	return &Evidence{answeredAt: map[Part]time.Time{}, disputed: map[Part]bool{}}
+}
+
+// RecordAnswer records the complete answer to a request with these parts.
+func (e *Evidence) RecordAnswer(now time.Time, parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.answeredAt) > maxAnswered {
+		e.forgetAnswers(now)
+	}
+	for _, p := range parts {
+		e.answeredAt[p] = now
+	}
+}
+
+// forgetAnswers forgets the answers before the window, or all answers if that
+// does not free half of the memory.
+func (e *Evidence) forgetAnswers(now time.Time) {
+	maps.DeleteFunc(e.answeredAt, func(p Part, _ time.Time) bool { return !e.isSound(now, p) })
+	if len(e.answeredAt) > maxAnswered/2 {
+		clear(e.answeredAt)
+	}
+}
+
+// RecordLoss records a request with these parts that was lost with the runner.
+// The name of the runner differs for each of its starts.
+func (e *Evidence) RecordLoss(now time.Time, runner string, parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forgetCrashes(now)
+	i := slices.IndexFunc(e.crashes, func(c lostRunner) bool { return c.runner == runner })
+	if i < 0 {
+		if len(e.crashes) == maxCrashes {
+			e.crashes = slices.Delete(e.crashes, 0, 1)
+		}
+		i = len(e.crashes)
+		e.crashes = append(e.crashes, lostRunner{runner: runner, at: now, parts: map[Part]bool{}})
+	}
+	for _, p := range parts {
+		if len(e.crashes[i].parts) < maxParts {
+			e.crashes[i].parts[p] = true
+		}
+	}
+}
+
+func (e *Evidence) forgetCrashes(now time.Time) {
+	e.crashes = slices.DeleteFunc(e.crashes, func(c lostRunner) bool { return now.Sub(c.at) > evidenceWindow })
+}
+
+// IsSound reports whether a request with the part was answered at this VM within
+// the window. This VM then does not follow a quarantine of the part.
+func (e *Evidence) IsSound(now time.Time, p Part) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isSound(now, p)
+}
+
+func (e *Evidence) isSound(now time.Time, p Part) bool {
+	at, ok := e.answeredAt[p]
+	return ok && now.Sub(at) <= evidenceWindow
+}
+
+// Report returns the report of this VM, to which the given parts are known as
+// quarantined.
+func (e *Evidence) Report(now time.Time, quarantined Set) *Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forgetCrashes(now)
+	r := &Report{}
+	for _, c := range e.crashes {
+		var parts []Part
+		for _, p := range slices.Sorted(maps.Keys(c.parts)) {
+			if !e.isSound(now, p) {
+				parts = append(parts, p)
+			}
+		}
+		if len(parts) > 0 {
+			r.Crashes = append(r.Crashes, Crash{Runner: c.runner, Parts: parts})
+		}
+	}
+	for p := range quarantined {
+		e.disputed[p] = true
+	}
+	maps.DeleteFunc(e.disputed, func(p Part, _ bool) bool { return !e.isSound(now, p) })
+	r.Sound = slices.Sorted(maps.Keys(e.disputed))
+	return r
+}
--- /dev/null
+++ b/quarantine/evidence_test.go
@@ -0,0 +1,68 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("the evidence of an entry VM", func() {
+	const bad, shared Part = 1, 2
+
+	ginkgo.It("joins the requests that one start of a runner has lost, without parts that were answered", func() {
+		e := NewEvidence()
+		e.RecordAnswer(start, []Part{shared})
+		e.RecordLoss(start, "r1", []Part{shared, bad})
+		e.RecordLoss(start, "r1", []Part{3})
+		e.RecordLoss(start, "r2", []Part{shared})
+		Expect(e.Report(start, nil)).To(Equal(&Report{Crashes: []Crash{{Runner: "r1", Parts: []Part{bad, 3}}}}))
+		e.RecordAnswer(start, []Part{3})
+		Expect(e.Report(start, nil).Crashes[0].Parts).To(Equal([]Part{bad}))
+	})
+
+	ginkgo.It("forgets crashes and answers after the window", func() {
+		e := NewEvidence()
+		e.RecordLoss(start, "r1", []Part{bad})
+		e.RecordAnswer(start, []Part{shared})
+		later := start.Add(evidenceWindow + time.Second)
+		Expect(e.Report(later, nil).IsEmpty()).To(BeTrue())
+		Expect(e.IsSound(start.Add(evidenceWindow), shared)).To(BeTrue())
+		Expect(e.IsSound(later, shared)).To(BeFalse())
+	})
+
+	// Guards against a part that is quarantined and freed in turn.
+	ginkgo.It("disputes the quarantine of a part that was answered, as long as the answer counts", func() {
+		e := NewEvidence()
+		e.RecordAnswer(start, []Part{shared})
+		Expect(e.Report(start, Set{bad: true, shared: true}).Sound).To(Equal([]Part{shared}))
+		Expect(e.Report(start.Add(time.Second), nil).Sound).To(Equal([]Part{shared}))
+		Expect(e.Report(start.Add(evidenceWindow+time.Second), Set{shared: true}).Sound).To(BeEmpty())
+	})
+
+	ginkgo.It("stays bounded", func() {
+		e := NewEvidence()
+		for i := range 3 * maxAnswered {
+			e.RecordAnswer(start, []Part{Part(i)})
+			e.RecordLoss(start, fmt.Sprint("r", i), []Part{Part(i), Part(-i)})
+			e.RecordLoss(start, "last", []Part{Part(1_000_000 + i)})
+		}
+		Expect(len(e.answeredAt)).To(BeNumerically("<=", maxAnswered+1))
+		report := e.Report(start.Add(time.Second), nil)
+		Expect(len(report.Crashes)).To(BeNumerically("<=", maxCrashes))
+		for _, c := range report.Crashes {
+			Expect(len(c.Parts)).To(BeNumerically("<=", maxParts))
+		}
+	})
+
+	ginkgo.It("makes equal reports of equal content", func() {
+		Expect((*Report)(nil).Equal(&Report{})).To(BeTrue())
+		a, b := &Report{Crashes: []Crash{crash(1, bad)}}, &Report{Crashes: []Crash{crash(1, bad)}}
+		Expect(a.Equal(b)).To(BeTrue())
+		Expect(a.Equal(nil)).To(BeFalse())
+		b.Crashes[0].Parts = []Part{shared}
+		Expect(a.Equal(b)).To(BeFalse())
+		Expect(a.Equal(&Report{Crashes: a.Crashes, Sound: []Part{bad}})).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,31 @@
+package quarantine
+
+import "slices"
+
+// Report is what an entry VM has observed within the evidence window.
+type Report struct {
+	Crashes []Crash `cbor:"1,keyasint,omitempty"`
+	// Sound are parts that are or were quarantined although this VM has had an
+	// answer with them.
+	Sound []Part `cbor:"2,keyasint,omitempty"`
+}
+
+// Crash is the loss of one runner with requests in flight.
+type Crash struct {
+	// Runner identifies one start of the runner.
+	Runner string `cbor:"1,keyasint"`
+	// Parts are those of the lost requests without a recent answer, sorted.
+	Parts []Part `cbor:"2,keyasint"`
+}
+
+// IsEmpty reports whether there is nothing to report.
+func (r *Report) IsEmpty() bool { return r == nil || len(r.Crashes) == 0 && len(r.Sound) == 0 }
+
+// Equal reports whether two reports have the same content.
+func (r *Report) Equal(other *Report) bool {
+	if r.IsEmpty() || other.IsEmpty() {
+		return r.IsEmpty() == other.IsEmpty()
+	}
+	sameCrash := func(a, b Crash) bool { return a.Runner == b.Runner && slices.Equal(a.Parts, b.Parts) }
+	return slices.EqualFunc(r.Crashes, other.Crashes, sameCrash) && slices.Equal(r.Sound, other.Sound)
+}
