--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -38,6 +38,10 @@
 	pause   time.Duration
 	// after is the delay before the runner answers.
 	after time.Duration
+	// endsWithConnection marks the answer as one without a length.
+	endsWithConnection bool
+	// onSent is called when the request has arrived.
+	onSent func()
 	// hang blocks the request until its context is done.
 	hang bool
 }
@@ -85,6 +89,9 @@
 	if d.OnSent != nil {
 		d.OnSent()
 	}
+	if r.onSent != nil {
+		r.onSent()
+	}
 	if r.after > 0 {
 		time.Sleep(r.after)
 	}
@@ -104,7 +111,7 @@
 	}
 	return &Response{
 		Status: r.status, Header: http.Header{"X-From": {d.RunnerID}}, Body: io.NopCloser(body),
-		NotExecuted: r.notExecuted, Misdirected: r.misdirected,
+		NotExecuted: r.notExecuted, Misdirected: r.misdirected, EndsWithConnection: r.endsWithConnection,
 	}, nil
 }
 
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/batch"
+	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/directory"
+	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/quarantine"
+)
+
+var _ = ginkgo.Describe("a quarantined prompt part", func() {
+	bad := quarantine.PartOf("bad")
+	withPart := func(c *Call, id string) *Call {
+		c.Prompt = placement.Prompt{Parts: []placement.Part{{ID: "shared", Tokens: 10}, {ID: id, Tokens: 10}, {ID: "own", Tokens: 10}}, Tokens: 30}
+		return c
+	}
+	setQuarantine := func(g *Gateway, parts ...quarantine.Part) {
+		next := *g.state.Load()
+		next.Quarantined = quarantine.Set{}
+		for _, p := range parts {
+			next.Quarantined[p] = true
+		}
+		g.Update(&next)
+	}
+
+	ginkgo.It("is refused at once as not executed, unlike other prompts and a last part of that name", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1)}}
+		setQuarantine(g, bad)
+		out := serve(g, withPart(call("stream"), "bad"))
+		Expect(out.refusal.Reason).To(Equal(PromptQuarantined))
+		Expect(out.refusal.Executed).To(BeFalse())
+		Expect(out.refusal.RetryAfter).To(BeNumerically(">", 0))
+		Expect(f.sends()).To(BeEmpty())
+		Expect(serve(g, withPart(call("stream"), "good")).status).To(Equal(200))
+		last := call("stream")
+		last.Prompt = placement.Prompt{Parts: []placement.Part{{ID: "shared"}, {ID: "bad"}}}
+		Expect(serve(g, last).status).To(Equal(200))
+	})
+
+	// Guards against requests that were on their way through their stages when the
+	// part was quarantined.
+	ginkgo.It("is refused after the stages too", func() {
+		g, f := newTestGateway()
+		f.pieces = func(c *batch.Call) batch.CallResult {
+			setQuarantine(g, bad)
+			return resultsFor(c)
+		}
+		out := serve(g, withPart(stagedCallWithID("a"), "bad"))
+		Expect(out.refusal.Reason).To(Equal(PromptQuarantined))
+		Expect(f.sends()).To(BeEmpty())
+		Eventually(f.freedCount).WithTimeout(10 * time.Second).Should(Equal(6))
+	})
+
+	ginkgo.It("does not go on at a second runner", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1), cut: true, onSent: func() { setQuarantine(g, bad) }}, {status: 200, body: events(2, 2)}}
+		out := serve(g, withPart(call("resume"), "bad"))
+		Expect(out.aborted).To(BeTrue())
+		Expect(f.sends()).To(HaveLen(1))
+	})
+
+	ginkgo.It("is reported with each runner that was lost, and its quarantine is disputed by an answer", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{lost: true}, {status: 200, body: events(1, 1), cut: true}, {status: 200, body: events(1, 1)}}
+		serve(g, withPart(call("stream"), "bad"))
+		serve(g, withPart(call("stream"), "bad"))
+		report := g.CrashReport(time.Now(), nil)
+		Expect(report.Crashes).To(HaveLen(2))
+		for _, c := range report.Crashes {
+			Expect(c.Parts).To(ConsistOf(bad, quarantine.PartOf("shared")))
+		}
+		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
+		setQuarantine(g, bad)
+		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
+		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Sound).To(Equal([]quarantine.Part{bad}))
+	})
+
+	// Guards against a crash that looks like the end of an answer without a length.
+	ginkgo.It("is not taken for sound by an answer that ends with its connection, nor by one with an error status", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1), endsWithConnection: true}, {status: 500, body: "failed"}}
+		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
+		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(500))
+		Expect(g.CrashReport(time.Now(), quarantine.Set{bad: true}).Sound).To(BeEmpty())
+	})
+
+	ginkgo.It("counts each start of a runner once", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{lost: true}}
+		restart := func(at int64) {
+			list := testRunners()
+			for i := range list {
+				list[i].StartedUnixMS = at
+			}
+			next := *g.state.Load()
+			next.List = &directory.RunnerList{Seq: uint64(at), Runners: list}
+			next.Table = catalog.NewTable(testCatalog())
+			g.Update(&next)
+		}
+		for start := range 2 {
+			restart(int64(start + 1))
+			for n := range 12 {
+				c := withPart(call("stream"), "bad")
+				c.ID = fmt.Sprint(start, n)
+				serve(g, c)
+			}
+		}
+		var starts []string
+		for _, c := range g.CrashReport(time.Now(), nil).Crashes {
+			Expect(starts).NotTo(ContainElement(c.Runner))
+			starts = append(starts, c.Runner)
+		}
+		Expect(starts).To(ContainElements("engines1 engines1:80 1", "engines1 engines1:80 2"))
+	})
+})
