--- a/directory/crashes_test.go
+++ b/directory/crashes_test.go
@@ -73,6 +73,21 @@
 		Expect(server.lists.quarantined()).To(Equal([]quarantine.Part{bad}))
 	})
 
+	ginkgo.It("is taken from the last leader, not from an earlier term", func() {
+		server := newTestServer(newFakeLister())
+		now := time.Now()
+		server.touchWatcher(now, entry("a", crashes(1, 2, 3)))
+		server.updateRoster(now)
+		control := server.opts.Control.(*fakeControl)
+		control.leader = "another"
+		now = now.Add(2 * rosterExpiry)
+		server.updateRoster(now)
+		server.lists.put(quarantineName, now, encodeSet([]quarantinedPart{{Part: 8}}))
+		control.leader = ""
+		server.updateRoster(now)
+		Expect(server.lists.quarantined()).To(Equal([]quarantine.Part{8}))
+	})
+
 	// Guards against a report of crashes that waits for the next regular update.
 	ginkgo.It("is decided at once when an entry VM reports something new", func() {
 		server := newTestServer(newFakeLister())
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -44,6 +45,13 @@
 		Expect(serve(g, last).status).To(Equal(200))
 	})
 
+	ginkgo.It("is refused before its stages run", func() {
+		g, f := newTestGateway()
+		setQuarantine(g, bad)
+		Expect(serve(g, withPart(stagedCallWithID("a"), "bad")).refusal.Reason).To(Equal(PromptQuarantined))
+		Expect(f.callCount()).To(BeZero())
+	})
+
 	// Guards against requests that were on their way through their stages when the
 	// part was quarantined.
 	ginkgo.It("is refused after the stages too", func() {
@@ -91,6 +99,15 @@
 		Expect(g.CrashReport(time.Now(), quarantine.Set{bad: true}).Sound).To(BeEmpty())
 	})
 
+	ginkgo.It("is not reported for a request whose caller has left", func() {
+		g, f := newTestGateway()
+		ctx, leave := context.WithCancel(context.Background())
+		f.any = []reply{{hang: true, onSent: leave}}
+		g.Serve(ctx, withPart(call("stream"), "bad"), &fakeResponder{})
+		Expect(f.sends()).To(HaveLen(1))
+		Expect(g.CrashReport(time.Now(), nil).Crashes).To(BeEmpty())
+	})
+
 	ginkgo.It("counts each start of a runner once", func() {
 		g, f := newTestGateway()
 		f.any = []reply{{lost: true}}
