gateway: split request.go by concern

Change: moved into request_admission, request_refusals, request_dispatch and request_log; the lines are the same.

--- /dev/null
+++ b/gateway/request_refusals.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+// finalRefusal returns the refusal after the last attempt.
+func (r *request) finalRefusal(v *attemptResult) *Refusal {
+	if r.executions > 0 {
+		return &Refusal{Reason: AnswerLost, Executed: true, Detail: v.cause}
+	}
+	reason := Unreachable
+	if v.arrived {
+		reason = RunnersFull
+	}
+	return &Refusal{Reason: reason, RetryAfter: shortRetryDelay(), Detail: v.cause}
+}
+
+// contextRefusal returns the refusal for a request whose context has ended.
+func (r *request) contextRefusal(ctx context.Context) *Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &Refusal{Reason: TimedOut, Executed: r.executions > 0, Detail: r.lastCause}
+	}
+	return &Refusal{Reason: CallerLeft, Executed: r.executions > 0, Detail: r.lastCause}
+}
+
+func (r *request) noRunnerRefusal(ctx context.Context) *Refusal {
+	if ctx.Err() != nil {
+		return r.contextRefusal(ctx)
+	}
+	if r.executions > 0 {
+		return &Refusal{Reason: AnswerLost, Executed: true, Detail: r.lastCause}
+	}
+	if r.sends > 0 {
+		return &Refusal{Reason: RunnersFull, RetryAfter: shortRetryDelay(), Detail: r.lastCause}
+	}
+	return &Refusal{Reason: NoRunner, RetryAfter: shortRetryDelay(), Detail: r.service.Name}
+}
+
+const (
+	shortRetryMin    = 200 * time.Millisecond
+	shortRetryJitter = 400 * time.Millisecond
+)
+
+// shortRetryDelay returns a randomized delay for callers that another VM, or
+// this one a moment later, can serve.
+func shortRetryDelay() time.Duration {
+	return shortRetryMin + rand.N(shortRetryJitter)
+}
+
+const (
+	lateStageRetryMin    = 700 * time.Millisecond
+	lateStageRetryJitter = 800 * time.Millisecond
+)
+
+// lateStageRetryDelay returns a randomized delay that spreads the callers of an
+// overloaded stage over the time in which it recovers from a short peak.
+func lateStageRetryDelay() time.Duration {
+	return lateStageRetryMin + rand.N(lateStageRetryJitter)
+}
