--- a/audit/suite_test.go
+++ b/audit/suite_test.go
@@ -1,25 +1,16 @@
 package audit
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "60", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 60) }
 
 func TestAudit(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/budget/suite_test.go
+++ b/budget/suite_test.go
@@ -1,25 +1,15 @@
 package budget
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/internal/propertytest"
 )
 
-// TestMain sets a fixed seed and check count for the property tests, so that
-// runs are reproducible.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 300) }
 
 func TestBudget(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"flag"
 	"os"
 	"strings"
 	"testing"
@@ -13,17 +12,11 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"damaskbridge.example/damaskbridge/internal/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 300) }
 
 func TestConfig(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
--- a/retry/suite_test.go
+++ b/retry/suite_test.go
@@ -1,24 +1,15 @@
 package retry
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/internal/propertytest"
 )
 
-// TestMain fixes the seed and the number of checks of the property tests.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 300) }
 
 func TestRetry(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
