quarantine: control VMs that know of no quarantine learn it from entry VMs

Cause: the set of quarantined parts is in the memory of the control VMs. After all of them were restarted, entry VMs that start later did not get it, and the next quarantine would have replaced it. Change: entry VMs report what is quarantined at them; a control VM that has just become the leader adopts that for five seconds, unless an entry VM disputes it.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -130,5 +130,6 @@
 	}
 	maps.DeleteFunc(e.disputed, func(p Part, _ bool) bool { return !e.isSound(now, p) })
 	r.Sound = slices.Sorted(maps.Keys(e.disputed))
+	r.Quarantined = slices.Sorted(maps.Keys(quarantined))
 	return r
 }
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -36,7 +36,9 @@
 	ginkgo.It("disputes the quarantine of a part that was answered, as long as the answer counts", func() {
 		e := NewEvidence()
 		e.RecordAnswer(start, []Part{shared})
-		Expect(e.Report(start, Set{bad: true, shared: true}).Sound).To(Equal([]Part{shared}))
+		report := e.Report(start, Set{bad: true, shared: true})
+		Expect(report.Sound).To(Equal([]Part{shared}))
+		Expect(report.Quarantined).To(Equal([]Part{bad, shared}))
 		Expect(e.Report(start.Add(time.Second), nil).Sound).To(Equal([]Part{shared}))
 		Expect(e.Report(start.Add(evidenceWindow+time.Second), Set{shared: true}).Sound).To(BeEmpty())
 	})
@@ -64,5 +66,7 @@
 		b.Crashes[0].Parts = []Part{shared}
 		Expect(a.Equal(b)).To(BeFalse())
 		Expect(a.Equal(&Report{Crashes: a.Crashes, Sound: []Part{bad}})).To(BeFalse())
+		Expect(a.Equal(&Report{Crashes: a.Crashes, Quarantined: []Part{bad}})).To(BeFalse())
+		Expect((&Report{Quarantined: []Part{bad}}).IsEmpty()).To(BeFalse())
 	})
 })
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -14,6 +14,9 @@
 	// quarantineTime is how long a part stays quarantined. Then it is tried again,
 	// at the price of up to minCrashes runners.
 	quarantineTime = 10 * time.Minute
+	// adoptionTime is how long a new judge adopts the parts that are quarantined at
+	// entry VMs: all control VMs may have been restarted.
+	adoptionTime = 5 * time.Second
 )
 
 // Verdict is a change of the quarantine.
@@ -28,11 +31,13 @@
 type Judge struct {
 	// since holds when each quarantined part was quarantined.
 	since map[Part]time.Time
+	// adoptUntil is the end of the adoption time.
+	adoptUntil time.Time
 }
 
 // NewJudge returns a judge that continues the quarantine of the given parts.
 func NewJudge(now time.Time, quarantined []Part) *Judge {
-	j := &Judge{since: map[Part]time.Time{}}
+	j := &Judge{since: map[Part]time.Time{}, adoptUntil: now.Add(adoptionTime)}
 	for _, p := range quarantined {
 		j.since[p] = now
 	}
@@ -46,6 +51,9 @@
 // returns what has changed.
 func (j *Judge) Decide(now time.Time, reports []*Report) []Verdict {
 	sound := soundParts(reports)
+	if now.Before(j.adoptUntil) {
+		j.adopt(now, reports)
+	}
 	var verdicts []Verdict
 	for _, p := range j.Quarantined() {
 		if sound[p] || now.Sub(j.since[p]) > quarantineTime {
@@ -72,6 +80,17 @@
 	}
 }
 
+// adopt continues the quarantines that entry VMs know.
+func (j *Judge) adopt(now time.Time, reports []*Report) {
+	for _, r := range reports {
+		for _, p := range r.Quarantined {
+			if _, known := j.since[p]; !known {
+				j.since[p] = now
+			}
+		}
+	}
+}
+
 func soundParts(reports []*Report) Set {
 	sound := Set{}
 	for _, r := range reports {
--- a/quarantine/judge_test.go
+++ b/quarantine/judge_test.go
@@ -48,6 +48,16 @@
 		Expect(j.Decide(start, []*Report{crashes, disputed})).To(BeEmpty())
 	})
 
+	// Guards against a quarantine that is lost with all control VMs.
+	ginkgo.It("adopts at first what is quarantined at entry VMs, unless that is disputed", func() {
+		j := NewJudge(start, nil)
+		known := &Report{Quarantined: []Part{bad, other}}
+		j.Decide(start, []*Report{known, {Sound: []Part{other}}})
+		Expect(j.Quarantined()).To(Equal([]Part{bad}))
+		j.Decide(start.Add(adoptionTime), []*Report{known})
+		Expect(j.Quarantined()).To(Equal([]Part{bad}))
+	})
+
 	ginkgo.It("ends a quarantine after its time, and continues that of a judge before it", func() {
 		j := NewJudge(start, []Part{bad})
 		Expect(j.Decide(start.Add(quarantineTime), nil)).To(BeEmpty())
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -8,6 +8,9 @@
 	// Sound are parts that are or were quarantined although this VM has had an
 	// answer with them.
 	Sound []Part `cbor:"2,keyasint,omitempty"`
+	// Quarantined are the parts that are quarantined at this VM, from which a
+	// control VM learns them that knows of none.
+	Quarantined []Part `cbor:"3,keyasint,omitempty"`
 }
 
 // Crash is the loss of one runner with requests in flight.
@@ -19,7 +22,9 @@
 }
 
 // IsEmpty reports whether there is nothing to report.
-func (r *Report) IsEmpty() bool { return r == nil || len(r.Crashes) == 0 && len(r.Sound) == 0 }
+func (r *Report) IsEmpty() bool {
+	return r == nil || len(r.Crashes) == 0 && len(r.Sound) == 0 && len(r.Quarantined) == 0
+}
 
 // Equal reports whether two reports have the same content.
 func (r *Report) Equal(other *Report) bool {
@@ -27,5 +32,6 @@
 		return r.IsEmpty() == other.IsEmpty()
 	}
 	sameCrash := func(a, b Crash) bool { return a.Runner == b.Runner && slices.Equal(a.Parts, b.Parts) }
-	return slices.EqualFunc(r.Crashes, other.Crashes, sameCrash) && slices.Equal(r.Sound, other.Sound)
+	return slices.EqualFunc(r.Crashes, other.Crashes, sameCrash) && slices.Equal(r.Sound, other.Sound) &&
+		slices.Equal(r.Quarantined, other.Quarantined)
 }
