quarantine: usual names; room for the part without answers in a crash record

Cause: the first reading of the diff stumbled on Judge, Verdict and sound parts. Change: Detector, Change, Answered; parts with an answer within the window are left out when a loss is recorded, not only when it is reported. Result: a test of the full record, and the packages' tests with the race detector.

--- a/directory/crashes.go
+++ b/directory/crashes.go
@@ -17,20 +17,20 @@
 	Part quarantine.Part `cbor:"1,keyasint"`
 }
 
-// judgeCrashes decides about the quarantine while this control VM leads. A new
+// detectBadParts decides about the quarantine while this control VM leads. A new
 // leader continues its predecessor's quarantine. It belongs to the goroutine of
 // runRoster.
-func (s *Server) judgeCrashes(now time.Time) {
-	if s.judge == nil {
-		s.judge = quarantine.NewJudge(now, s.lists.quarantined())
+func (s *Server) detectBadParts(now time.Time) {
+	if s.detector == nil {
+		s.detector = quarantine.NewDetector(now, s.lists.quarantined())
 	}
-	verdicts := s.judge.Decide(now, s.lists.crashReports(now.Add(-rosterExpiry)))
-	for _, v := range verdicts {
-		s.opts.Logger.Warn().Uint64("part", uint64(v.Part)).Bool("quarantined", v.Quarantined).Int("crashes", v.Crashes).
+	changes := s.detector.Update(now, s.lists.crashReports(now.Add(-rosterExpiry)))
+	for _, c := range changes {
+		s.opts.Logger.Warn().Uint64("part", uint64(c.Part)).Bool("quarantined", c.Quarantined).Int("crashes", c.Crashes).
 			Msg("directory: quarantine of a prompt part")
 	}
 	var list []quarantinedPart
-	for _, p := range s.judge.Quarantined() {
+	for _, p := range s.detector.Quarantined() {
 		list = append(list, quarantinedPart{Part: p})
 	}
 	if len(list) > 0 || s.lists.has(quarantineName) {
--- a/directory/crashes_test.go
+++ b/directory/crashes_test.go
@@ -24,17 +24,17 @@
 		return &watchCall{From: EntryVM{Addr: addr, Zone: "z"}, Report: report}
 	}
 
-	ginkgo.It("reaches an entry VM from reports at several control VMs, and ends with its dispute", func() {
+	ginkgo.It("reaches an entry VM from reports at several control VMs, and ends with its objection", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		ginkgo.DeferCleanup(cancel)
 		c := newTestCluster(ctx, "c1", "c2", "c3")
 		c.controls["c1"].publish(1)
-		disputes := make(chan *quarantine.Report, 1)
-		disputes <- crashes(1)
+		contests := make(chan *quarantine.Report, 1)
+		contests <- crashes(1)
 		c.client.opts.Seeds = func() []string { return []string{"c2"} }
 		c.client.opts.Report = func(time.Time, quarantine.Set) *quarantine.Report {
-			report := <-disputes
-			disputes <- report
+			report := <-contests
+			contests <- report
 			return report
 		}
 		go c.client.Run(ctx)
@@ -52,8 +52,8 @@
 		}()
 		quarantined := func() quarantine.Set { return c.client.State().Quarantined }
 		Eventually(quarantined).WithTimeout(eventTimeout).Should(Equal(quarantine.Set{bad: true}))
-		<-disputes
-		disputes <- &quarantine.Report{Sound: []quarantine.Part{bad}}
+		<-contests
+		contests <- &quarantine.Report{Answered: []quarantine.Part{bad}}
 		Eventually(quarantined).WithTimeout(eventTimeout).Should(BeEmpty())
 	})
 
--- a/directory/roster.go
+++ b/directory/roster.go
@@ -123,9 +123,9 @@
 	s.lists.put(crashesPrefix+s.opts.Self, now, encodeSet(crashes))
 	if leads {
 		s.mergeReports(now, leadsSince)
-		s.judgeCrashes(now)
+		s.detectBadParts(now)
 	} else {
-		s.judge = nil
+		s.detector = nil
 	}
 }
 
--- a/directory/server.go
+++ b/directory/server.go
@@ -63,9 +63,9 @@
 	legacySeed uint64
 	// rosterChanged has a value when an entry VM that watches has changed.
 	rosterChanged chan struct{}
-	// judge decides about the quarantine of prompt parts, nil if this VM does not
+	// detector decides about the quarantine of prompt parts, nil if this VM does not
 	// lead. It belongs to the goroutine of runRoster.
-	judge *quarantine.Judge
+	detector *quarantine.Detector
 
 	mu sync.Mutex
 	// watchers holds the entry VMs that watch this control VM.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -14,7 +14,7 @@
 
 // refuseQuarantined refuses a request whose prompt has a part that crashes
 // runners. Parts with which this VM has had an answer are not refused: it
-// disputes their quarantine.
+// contests their quarantine.
 func (r *request) refuseQuarantined(now time.Time) *Refusal {
 	parts := r.g.state.Load().Quarantined
 	if len(parts) == 0 {
@@ -22,7 +22,7 @@
 	}
 	for _, id := range r.call.Prompt.SharedIDs() {
 		part := quarantine.PartOf(id)
-		if parts[part] && !r.g.evidence.IsSound(now, part) {
+		if parts[part] && !r.g.evidence.HasAnswer(now, part) {
 			return &Refusal{Reason: PromptQuarantined, RetryAfter: quarantineRetryDelay, Detail: "prompt part " + id + " crashes runners"}
 		}
 	}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -74,7 +74,7 @@
 		Expect(f.sends()).To(HaveLen(1))
 	})
 
-	ginkgo.It("is reported with each runner that was lost, and its quarantine is disputed by an answer", func() {
+	ginkgo.It("is reported with each runner that was lost, and its quarantine is contested by an answer", func() {
 		g, f := newTestGateway()
 		f.any = []reply{{lost: true}, {status: 200, body: events(1, 1), cut: true}, {status: 200, body: events(1, 1)}}
 		serve(g, withPart(call("stream"), "bad"))
@@ -87,16 +87,16 @@
 		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
 		setQuarantine(g, bad)
 		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
-		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Sound).To(Equal([]quarantine.Part{bad}))
+		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Answered).To(Equal([]quarantine.Part{bad}))
 	})
 
 	// Guards against a crash that looks like the end of an answer without a length.
-	ginkgo.It("is not taken for sound by an answer that ends with its connection, nor by one with an error status", func() {
+	ginkgo.It("is not freed by an answer that ends with its connection, nor by one with an error status", func() {
 		g, f := newTestGateway()
 		f.any = []reply{{status: 200, body: events(1, 1), endsWithConnection: true}, {status: 500, body: "failed"}}
 		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
 		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(500))
-		Expect(g.CrashReport(time.Now(), quarantine.Set{bad: true}).Sound).To(BeEmpty())
+		Expect(g.CrashReport(time.Now(), quarantine.Set{bad: true}).Answered).To(BeEmpty())
 	})
 
 	ginkgo.It("is not reported for a request whose caller has left", func() {
--- a/quarantine/judge.go
+++ b/quarantine/detector.go
@@ -14,65 +14,67 @@
 	// quarantineTime is how long a part stays quarantined. Then it is tried again,
 	// at the price of up to minCrashes runners.
 	quarantineTime = 10 * time.Minute
-	// adoptionTime is how long a new judge adopts the parts that are quarantined at
+	// adoptionTime is how long a new detector adopts the parts that are quarantined at
 	// entry VMs: all control VMs may have been restarted.
 	adoptionTime = 5 * time.Second
 )
 
-// Verdict is a change of the quarantine.
-type Verdict struct {
+// Change is the beginning or end of the quarantine of a part.
+type Change struct {
 	Part        Part
 	Quarantined bool
-	// Crashes is the number of runners lost with the part.
+	// Crashes is the number of runners lost with the part, 0 at the end.
 	Crashes int
 }
 
-// Judge decides which parts are quarantined. It is not safe for concurrent use.
-type Judge struct {
+// Detector decides which parts are quarantined. It is not safe for concurrent use.
+type Detector struct {
 	// since holds when each quarantined part was quarantined.
 	since map[Part]time.Time
 	// adoptUntil is the end of the adoption time.
 	adoptUntil time.Time
 }
 
-// NewJudge returns a judge that continues the quarantine of the given parts.
-func NewJudge(now time.Time, quarantined []Part) *Judge {
-	j := &Judge{since: map[Part]time.Time{}, adoptUntil: now.Add(adoptionTime)}
+// NewDetector returns a detector that continues the quarantine of the given parts.
+func NewDetector(now time.Time, quarantined []Part) *Detector {
+	d := &Detector{since: map[Part]time.Time{}, adoptUntil: now.Add(adoptionTime)}
 	for _, p := range quarantined {
-		j.since[p] = now
+		d.since[p] = now
 	}
-	return j
+	return d
 }
 
 // Quarantined returns the quarantined parts, sorted.
-func (j *Judge) Quarantined() []Part { return slices.Sorted(maps.Keys(j.since)) }
+func (d *Detector) Quarantined() []Part { return slices.Sorted(maps.Keys(d.since)) }
 
-// Decide updates the quarantine with the current reports of all entry VMs and
+// Update updates the quarantine with the current reports of all entry VMs and
 // returns what has changed.
-func (j *Judge) Decide(now time.Time, reports []*Report) []Verdict {
-	sound := soundParts(reports)
-	if now.Before(j.adoptUntil) {
-		j.adopt(now, reports)
+func (d *Detector) Update(now time.Time, reports []*Report) []Change {
+	answered := answeredParts(reports)
+	if now.Before(d.adoptUntil) {
+		d.adopt(now, reports)
 	}
-	var verdicts []Verdict
-	for _, p := range j.Quarantined() {
-		if sound[p] || now.Sub(j.since[p]) > quarantineTime {
-			delete(j.since, p)
-			verdicts = append(verdicts, Verdict{Part: p})
+	var changes []Change
+	for _, p := range d.Quarantined() {
+		if answered[p] || now.Sub(d.since[p]) > quarantineTime {
+			delete(d.since, p)
+			changes = append(changes, Change{Part: p})
 		}
 	}
-	crashes := joinCrashes(reports, sound)
-	for _, p := range j.Quarantined() {
+	crashes := joinCrashes(reports, answered)
+	for _, p := range d.Quarantined() {
 		removeExplained(crashes, p)
 	}
+	// The part with the most crashes comes first: the others may only have been in
+	// flight beside it.
 	for {
 		worst, count := mostFrequent(crashes)
 		if count < minCrashes {
-			return verdicts
+			return changes
 		}
 		for _, p := range worst {
-			j.since[p] = now
-			verdicts = append(verdicts, Verdict{Part: p, Quarantined: true, Crashes: count})
+			d.since[p] = now
+			changes = append(changes, Change{Part: p, Quarantined: true, Crashes: count})
 		}
 		for _, p := range worst {
 			removeExplained(crashes, p)
@@ -81,29 +83,30 @@
 }
 
 // adopt continues the quarantines that entry VMs know.
-func (j *Judge) adopt(now time.Time, reports []*Report) {
+func (d *Detector) adopt(now time.Time, reports []*Report) {
 	for _, r := range reports {
 		for _, p := range r.Quarantined {
-			if _, known := j.since[p]; !known {
-				j.since[p] = now
+			if _, known := d.since[p]; !known {
+				d.since[p] = now
 			}
 		}
 	}
 }
 
-func soundParts(reports []*Report) Set {
-	sound := Set{}
+// answeredParts returns the parts with which an entry VM has had an answer.
+func answeredParts(reports []*Report) Set {
+	answered := Set{}
 	for _, r := range reports {
-		for _, p := range r.Sound {
-			sound[p] = true
+		for _, p := range r.Answered {
+			answered[p] = true
 		}
 	}
-	return sound
+	return answered
 }
 
 // joinCrashes returns the parts that were in flight at each lost runner, over all
-// entry VMs and without those that are sound.
-func joinCrashes(reports []*Report, sound Set) map[string]Set {
+// entry VMs and without those with an answer.
+func joinCrashes(reports []*Report, answered Set) map[string]Set {
 	crashes := map[string]Set{}
 	for _, r := range reports {
 		for _, c := range r.Crashes {
@@ -111,7 +114,7 @@
 				crashes[c.Runner] = Set{}
 			}
 			for _, p := range c.Parts {
-				if !sound[p] {
+				if !answered[p] {
 					crashes[c.Runner][p] = true
 				}
 			}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -3,7 +3,7 @@
 //
 // Each entry VM collects Evidence: which runners were lost with which parts of
 // prompts in flight, and which parts have been answered. The control VM that
-// leads joins the reports of all entry VMs in a Judge, because each of them sees
+// leads joins the reports of all entry VMs in a Detector, because each of them sees
 // only a few of the crashes. It quarantines a part once several runners were
 // lost with it and no entry VM has had an answer with it; parts that were only
 // in flight beside it share their crashes with it and stay free.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -23,10 +23,10 @@
 	crashes []lostRunner
 	// answeredAt holds when a request with a part was last answered completely.
 	answeredAt map[Part]time.Time
-	// disputed holds the parts that were quarantined although this VM has had an
+	// contested holds the parts that were quarantined although this VM has had an
 	// answer with them. It goes on to report them: otherwise they would be
 	// quarantined again for the same crashes.
-	disputed map[Part]bool
+	contested map[Part]bool
 }
 
 // lostRunner is a runner that was lost, with the parts of the requests that were
@@ -39,7 +39,7 @@
 
 // NewEvidence returns empty evidence.
 func NewEvidence() *Evidence {
-	return &Evidence{answeredAt: map[Part]time.Time{}, disputed: map[Part]bool{}}
+	return &Evidence{answeredAt: map[Part]time.Time{}, contested: map[Part]bool{}}
 }
 
 // RecordAnswer records the complete answer to a request with these parts.
@@ -60,7 +60,7 @@
 // forgetAnswers forgets the answers before the window, or all answers if that
 // does not free half of the memory.
 func (e *Evidence) forgetAnswers(now time.Time) {
-	maps.DeleteFunc(e.answeredAt, func(p Part, _ time.Time) bool { return !e.isSound(now, p) })
+	maps.DeleteFunc(e.answeredAt, func(p Part, _ time.Time) bool { return !e.hasAnswer(now, p) })
 	if len(e.answeredAt) > maxAnswered/2 {
 		clear(e.answeredAt)
 	}
@@ -69,11 +69,12 @@
 // RecordLoss records a request with these parts that was lost with the runner.
 // The name of the runner differs for each of its starts.
 func (e *Evidence) RecordLoss(now time.Time, runner string, parts []Part) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	parts = e.withoutAnswered(now, parts)
 	if len(parts) == 0 {
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.forgetCrashes(now)
 	i := slices.IndexFunc(e.crashes, func(c lostRunner) bool { return c.runner == runner })
 	if i < 0 {
@@ -90,19 +91,24 @@
 	}
 }
 
+// withoutAnswered returns the parts without an answer within the window.
+func (e *Evidence) withoutAnswered(now time.Time, parts []Part) []Part {
+	return slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return e.hasAnswer(now, p) })
+}
+
 func (e *Evidence) forgetCrashes(now time.Time) {
 	e.crashes = slices.DeleteFunc(e.crashes, func(c lostRunner) bool { return now.Sub(c.at) > evidenceWindow })
 }
 
-// IsSound reports whether a request with the part was answered at this VM within
+// HasAnswer reports whether a request with the part was answered at this VM within
 // the window. This VM then does not follow a quarantine of the part.
-func (e *Evidence) IsSound(now time.Time, p Part) bool {
+func (e *Evidence) HasAnswer(now time.Time, p Part) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.isSound(now, p)
+	return e.hasAnswer(now, p)
 }
 
-func (e *Evidence) isSound(now time.Time, p Part) bool {
+func (e *Evidence) hasAnswer(now time.Time, p Part) bool {
 	at, ok := e.answeredAt[p]
 	return ok && now.Sub(at) <= evidenceWindow
 }
@@ -115,21 +121,15 @@
 	e.forgetCrashes(now)
 	r := &Report{}
 	for _, c := range e.crashes {
-		var parts []Part
-		for _, p := range slices.Sorted(maps.Keys(c.parts)) {
-			if !e.isSound(now, p) {
-				parts = append(parts, p)
-			}
-		}
-		if len(parts) > 0 {
+		if parts := e.withoutAnswered(now, slices.Sorted(maps.Keys(c.parts))); len(parts) > 0 {
 			r.Crashes = append(r.Crashes, Crash{Runner: c.runner, Parts: parts})
 		}
 	}
 	for p := range quarantined {
-		e.disputed[p] = true
+		e.contested[p] = true
 	}
-	maps.DeleteFunc(e.disputed, func(p Part, _ bool) bool { return !e.isSound(now, p) })
-	r.Sound = slices.Sorted(maps.Keys(e.disputed))
+	maps.DeleteFunc(e.contested, func(p Part, _ bool) bool { return !e.hasAnswer(now, p) })
+	r.Answered = slices.Sorted(maps.Keys(e.contested))
 	r.Quarantined = slices.Sorted(maps.Keys(quarantined))
 	return r
 }
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -22,25 +22,38 @@
 		Expect(e.Report(start, nil).Crashes[0].Parts).To(Equal([]Part{bad}))
 	})
 
+	// Guards against a bad part that finds no place among the parts of the many
+	// requests that were lost with it.
+	ginkgo.It("has room for the part without answers when many requests are lost with a runner", func() {
+		e := NewEvidence()
+		for i := range 3 * maxParts {
+			e.RecordAnswer(start, []Part{Part(100 + i)})
+			e.RecordLoss(start, "r1", []Part{Part(100 + i)})
+		}
+		Expect(e.Report(start, nil).IsEmpty()).To(BeTrue())
+		e.RecordLoss(start, "r1", []Part{bad})
+		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}}}))
+	})
+
 	ginkgo.It("forgets crashes and answers after the window", func() {
 		e := NewEvidence()
 		e.RecordLoss(start, "r1", []Part{bad})
 		e.RecordAnswer(start, []Part{shared})
 		later := start.Add(evidenceWindow + time.Second)
 		Expect(e.Report(later, nil).IsEmpty()).To(BeTrue())
-		Expect(e.IsSound(start.Add(evidenceWindow), shared)).To(BeTrue())
-		Expect(e.IsSound(later, shared)).To(BeFalse())
+		Expect(e.HasAnswer(start.Add(evidenceWindow), shared)).To(BeTrue())
+		Expect(e.HasAnswer(later, shared)).To(BeFalse())
 	})
 
 	// Guards against a part that is quarantined and freed in turn.
-	ginkgo.It("disputes the quarantine of a part that was answered, as long as the answer counts", func() {
+	ginkgo.It("contests the quarantine of a part that was answered, as long as the answer counts", func() {
 		e := NewEvidence()
 		e.RecordAnswer(start, []Part{shared})
 		report := e.Report(start, Set{bad: true, shared: true})
-		Expect(report.Sound).To(Equal([]Part{shared}))
+		Expect(report.Answered).To(Equal([]Part{shared}))
 		Expect(report.Quarantined).To(Equal([]Part{bad, shared}))
-		Expect(e.Report(start.Add(time.Second), nil).Sound).To(Equal([]Part{shared}))
-		Expect(e.Report(start.Add(evidenceWindow+time.Second), Set{shared: true}).Sound).To(BeEmpty())
+		Expect(e.Report(start.Add(time.Second), nil).Answered).To(Equal([]Part{shared}))
+		Expect(e.Report(start.Add(evidenceWindow+time.Second), Set{shared: true}).Answered).To(BeEmpty())
 	})
 
 	ginkgo.It("stays bounded", func() {
@@ -65,7 +78,7 @@
 		Expect(a.Equal(nil)).To(BeFalse())
 		b.Crashes[0].Parts = []Part{shared}
 		Expect(a.Equal(b)).To(BeFalse())
-		Expect(a.Equal(&Report{Crashes: a.Crashes, Sound: []Part{bad}})).To(BeFalse())
+		Expect(a.Equal(&Report{Crashes: a.Crashes, Answered: []Part{bad}})).To(BeFalse())
 		Expect(a.Equal(&Report{Crashes: a.Crashes, Quarantined: []Part{bad}})).To(BeFalse())
 		Expect((&Report{Quarantined: []Part{bad}}).IsEmpty()).To(BeFalse())
 	})
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against a bad part that stays free, and against a sound one that stays
+// Guards against a bad part that stays free, and against a normal one that stays
 // quarantined, whichever requests meet at the runners that the bad one ends.
 func TestOnlyTheBadPartStaysQuarantined(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -21,16 +21,16 @@
 			return rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Part { return Part(rapid.IntRange(1, 6).Draw(t, "part")) }), 1, 3, rapid.ID[Part]).Draw(t, "parts")
 		}
 		answered := Set{}
-		j := NewJudge(now, nil)
+		d := NewDetector(now, nil)
 		known := Set{}
 		exchange := func() {
 			var reports []*Report
 			for _, e := range vms {
 				reports = append(reports, e.Report(now, known))
 			}
-			j.Decide(now, reports)
+			d.Update(now, reports)
 			known = Set{}
-			for _, p := range j.Quarantined() {
+			for _, p := range d.Quarantined() {
 				known[p] = true
 			}
 		}
@@ -42,7 +42,7 @@
 			for range rapid.IntRange(0, 3).Draw(t, "beside") {
 				pickVM("lost at").RecordLoss(now, runner, pickParts())
 			}
-			for range rapid.IntRange(0, 3).Draw(t, "sound") {
+			for range rapid.IntRange(0, 3).Draw(t, "normal") {
 				parts := pickParts()
 				pickVM("answered at").RecordAnswer(now, parts)
 				for _, p := range parts {
@@ -53,10 +53,10 @@
 				exchange()
 			}
 		}
-		// The first exchange may quarantine parts that the second one disputes.
+		// The first exchange may quarantine parts that the second one contests.
 		exchange()
 		exchange()
-		quarantined := j.Quarantined()
+		quarantined := d.Quarantined()
 		if want := crashes >= minCrashes; slices.Contains(quarantined, bad) != want {
 			t.Fatalf("after %d crashes the bad part is quarantined: %v", crashes, !want)
 		}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -5,9 +5,9 @@
 // Report is what an entry VM has observed within the evidence window.
 type Report struct {
 	Crashes []Crash `cbor:"1,keyasint,omitempty"`
-	// Sound are parts that are or were quarantined although this VM has had an
+	// Answered are parts that are or were quarantined although this VM has had an
 	// answer with them.
-	Sound []Part `cbor:"2,keyasint,omitempty"`
+	Answered []Part `cbor:"2,keyasint,omitempty"`
 	// Quarantined are the parts that are quarantined at this VM, from which a
 	// control VM learns them that knows of none.
 	Quarantined []Part `cbor:"3,keyasint,omitempty"`
@@ -23,7 +23,7 @@
 
 // IsEmpty reports whether there is nothing to report.
 func (r *Report) IsEmpty() bool {
-	return r == nil || len(r.Crashes) == 0 && len(r.Sound) == 0 && len(r.Quarantined) == 0
+	return r == nil || len(r.Crashes) == 0 && len(r.Answered) == 0 && len(r.Quarantined) == 0
 }
 
 // Equal reports whether two reports have the same content.
@@ -32,6 +32,6 @@
 		return r.IsEmpty() == other.IsEmpty()
 	}
 	sameCrash := func(a, b Crash) bool { return a.Runner == b.Runner && slices.Equal(a.Parts, b.Parts) }
-	return slices.EqualFunc(r.Crashes, other.Crashes, sameCrash) && slices.Equal(r.Sound, other.Sound) &&
+	return slices.EqualFunc(r.Crashes, other.Crashes, sameCrash) && slices.Equal(r.Answered, other.Answered) &&
 		slices.Equal(r.Quarantined, other.Quarantined)
 }
