--- a/e2e/system.go
+++ b/e2e/system.go
@@ -68,6 +68,7 @@
 		s.links = newLinks()
 	}
 	if err := s.start(ctx); err != nil {
+		err = fmt.Errorf("%w\n%s", err, s.logTails())
 		s.Close()
 		return nil, err
 	}
