quarantine: a runner that answers again has not crashed

Callers would have seen: prompts refused for ten minutes whose part was in flight at three runners that only broke off answers. Cause: every answer that was broken off counted as the end of its runner, also where the runner lived on (a reset connection, a spoilt answer). Change: an entry VM withdraws the loss of a runner once the same start of it answers, in whatever way, a request that was sent after the loss. A 421 comes from another runner and does not count. Result: the gateway's test (answers again in the same start) failed before the change of send, with the loss still reported after 20 s; go test -race ./quarantine ./gateway ./directory passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -80,10 +80,12 @@
 // send dispatches d. It returns a nil Answer if the request failed or the
 // runner did not execute it.
 func (r *request) send(ctx context.Context, runner *placement.RunnerState, d *Dispatch) (*Response, sendResult) {
+	sentAt := time.Now()
 	response, err := r.g.opts.Upstreams.Send(ctx, d)
 	if err != nil {
 		return nil, r.failedSend(ctx, runner, err)
 	}
+	r.recordAlive(runner, sentAt, response)
 	r.g.runners.updateLoad(runner, response.Load)
 	if !response.NotExecuted {
 		return response, sendResult{}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// recordAlive records that a runner, and not another one at its address, answered
+// a request that was sent at the given time.
+func (r *request) recordAlive(runner *placement.RunnerState, sentAt time.Time, response *Response) {
+	if !response.Misdirected {
+		r.g.evidence.RecordAlive(r.g.runners.startOf(runner), sentAt)
+	}
+}
+
 // recordAnswer records a complete answer. An answer that ends with its connection
 // may also be one that a crash has cut short.
 func (r *request) recordAnswer(response *Response) {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -90,6 +90,25 @@
 		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Answered).To(Equal([]quarantine.Part{bad}))
 	})
 
+	// Guards against a runner that breaks off answers and is taken for one that ended.
+	ginkgo.It("is no longer reported for a runner that answers again in the same start", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{lost: true}}
+		crashes := func() []quarantine.Crash { return g.CrashReport(time.Now(), nil).Crashes }
+		for range 12 {
+			serve(g, withPart(call("stream"), "bad"))
+		}
+		Expect(crashes()).NotTo(BeEmpty())
+		f.any = []reply{{status: 421, misdirected: true, notExecuted: true}}
+		serve(g, withPart(call("stream"), "other"))
+		Expect(crashes()).NotTo(BeEmpty())
+		f.any = []reply{{status: 503, notExecuted: true}}
+		Eventually(func() []quarantine.Crash {
+			serve(g, withPart(call("stream"), "other"))
+			return crashes()
+		}).WithTimeout(20 * time.Second).Should(BeEmpty())
+	})
+
 	// Guards against a crash that looks like the end of an answer without a length.
 	ginkgo.It("is not freed by an answer that ends with its connection, nor by one with an error status", func() {
 		g, f := newTestGateway()
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -19,7 +19,8 @@
 // Evidence collects what one entry VM observes. It is safe for concurrent use.
 type Evidence struct {
 	mu sync.Mutex
-	// crashes are the runners lost within the window, oldest first.
+	// crashes are the runners lost within the window, in the order of their first
+	// loss.
 	crashes []lostRunner
 	// answeredAt holds when a request with a part was last answered completely.
 	answeredAt map[Part]time.Time
@@ -33,8 +34,9 @@
 // in flight there.
 type lostRunner struct {
 	runner string
-	at     time.Time
-	parts  map[Part]bool
+	// at is when the newest of these requests was lost.
+	at    time.Time
+	parts map[Part]bool
 }
 
 // NewEvidence returns empty evidence.
@@ -82,8 +84,9 @@
 			e.crashes = slices.Delete(e.crashes, 0, 1)
 		}
 		i = len(e.crashes)
-		e.crashes = append(e.crashes, lostRunner{runner: runner, at: now, parts: map[Part]bool{}})
+		e.crashes = append(e.crashes, lostRunner{runner: runner, parts: map[Part]bool{}})
 	}
+	e.crashes[i].at = now
 	for _, p := range parts {
 		if len(e.crashes[i].parts) < maxParts {
 			e.crashes[i].parts[p] = true
@@ -91,6 +94,15 @@
 	}
 }
 
+// RecordAlive records that a runner answered, in whatever way, a request that was
+// sent at the given time. If requests were lost with it before, it had only broken
+// off their answers.
+func (e *Evidence) RecordAlive(runner string, sentAt time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes = slices.DeleteFunc(e.crashes, func(c lostRunner) bool { return c.runner == runner && c.at.Before(sentAt) })
+}
+
 // withoutAnswered returns the parts without an answer within the window.
 func (e *Evidence) withoutAnswered(now time.Time, parts []Part) []Part {
 	return slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return e.hasAnswer(now, p) })
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -35,6 +35,22 @@
 		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}}}))
 	})
 
+	// Guards against a runner that breaks off answers and is taken for one that ended.
+	ginkgo.It("withdraws a loss when the same start of the runner answers a later request", func() {
+		e := NewEvidence()
+		sentAt := start.Add(time.Second)
+		e.RecordLoss(sentAt, "r1", []Part{bad})
+		e.RecordAlive("r1", start)
+		e.RecordAlive("r1", sentAt)
+		e.RecordAlive("r2", sentAt.Add(time.Second))
+		Expect(e.Report(sentAt, nil).Crashes).To(HaveLen(1))
+		e.RecordLoss(sentAt.Add(2*time.Second), "r1", []Part{3})
+		e.RecordAlive("r1", sentAt.Add(time.Second))
+		Expect(e.Report(sentAt, nil).Crashes).To(HaveLen(1))
+		e.RecordAlive("r1", sentAt.Add(3*time.Second))
+		Expect(e.Report(sentAt, nil).IsEmpty()).To(BeTrue())
+	})
+
 	ginkgo.It("forgets crashes and answers after the window", func() {
 		e := NewEvidence()
 		e.RecordLoss(start, "r1", []Part{bad})
