quarantine: a quarantined part is tried again with one request at a time

Callers would have seen: after an outage of more than a minute in which every request failed, prompts refused for ten minutes although all runners were back. All parts in flight look alike then: several runners were lost with them and nobody had an answer. Cause: only an answer frees a part, and a quarantined part could have none. Change: half a minute after a part was quarantined or last ended a runner, the leading control VM gives the entry VMs turns of 5 s; the one whose turn it is sends one request with the part, once. An answer frees the part, another lost runner ends the trial and doubles the wait, up to ten minutes. Numbers of trials go on under a new leader. Result: go test -race ./quarantine ./directory ./gateway and the specs of ./platform pass.

--- a/directory/client_apply.go
+++ b/directory/client_apply.go
@@ -65,17 +65,23 @@
 // applyQuarantine puts the quarantined parts of prompts in force.
 func (c *Client) applyQuarantine(next *State) {
 	set, _ := c.store.Get(quarantineName)
-	list, err := decodeSet[quarantinedPart](set)
+	list, err := decodeSet[quarantine.Quarantined](set)
 	if err != nil {
 		c.opts.Logger.Error().Err(err).Msg("directory: quarantined prompt parts")
 		return
 	}
 	parts := quarantine.Set{}
-	for _, p := range list {
-		parts[p.Part] = true
+	trials := map[quarantine.Part]uint32{}
+	for _, q := range list {
+		parts[q.Part] = true
+		if q.Trial.VM == c.opts.Self.Addr {
+			trials[q.Part] = q.Trial.Number
+		}
+	}
+	if !maps.Equal(parts, next.Quarantined) {
+		c.opts.Logger.Info().Int("parts", len(parts)).Str("control", c.current).Msg("directory: quarantined prompt parts in force")
 	}
-	next.Quarantined = parts
-	c.opts.Logger.Info().Int("parts", len(parts)).Str("control", c.current).Msg("directory: quarantined prompt parts in force")
+	next.Quarantined, next.Trials = parts, trials
 }
 
 // decodeRunners decodes a set of runners that has changed.
--- a/directory/crashes.go
+++ b/directory/crashes.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/phuslu/log"
+
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
@@ -12,11 +14,6 @@
 	Report quarantine.Report `cbor:"2,keyasint"`
 }
 
-// quarantinedPart is a part of prompts that is kept away from runners.
-type quarantinedPart struct {
-	Part quarantine.Part `cbor:"1,keyasint"`
-}
-
 // detectBadParts decides about the quarantine while this control VM leads. A new
 // leader continues its predecessor's quarantine. It belongs to the goroutine of
 // runRoster.
@@ -24,20 +21,26 @@
 	if s.detector == nil {
 		s.detector = quarantine.NewDetector(now, s.lists.quarantined())
 	}
-	changes := s.detector.Update(now, s.lists.crashReports(now.Add(-rosterExpiry)))
+	changes := s.detector.Update(now, s.lists.crashReports(now.Add(-rosterExpiry)), s.lists.servingEntries())
 	for _, c := range changes {
-		s.opts.Logger.Warn().Uint64("part", uint64(c.Part)).Bool("quarantined", c.Quarantined).Int("crashes", c.Crashes).
-			Msg("directory: quarantine of a prompt part")
-	}
-	var list []quarantinedPart
-	for _, p := range s.detector.Quarantined() {
-		list = append(list, quarantinedPart{Part: p})
+		logQuarantine(s.opts.Logger, &c)
 	}
+	list := s.detector.Quarantined()
 	if len(list) > 0 || s.lists.has(quarantineName) {
 		s.lists.put(quarantineName, now, encodeSet(list))
 	}
 }
 
+func logQuarantine(logger *log.Logger, c *quarantine.Change) {
+	if c.Trial.VM != "" {
+		logger.Info().Uint64("part", uint64(c.Part)).Uint32("number", c.Trial.Number).Str("vm", c.Trial.VM).Int("crashes", c.Crashes).
+			Msg("directory: trial of a quarantined prompt part")
+		return
+	}
+	logger.Warn().Uint64("part", uint64(c.Part)).Bool("quarantined", c.Quarantined).Int("crashes", c.Crashes).
+		Msg("directory: quarantine of a prompt part")
+}
+
 // crashReports returns the reports of the entry VMs that control VMs have
 // confirmed since a time.
 func (l *lists) crashReports(since time.Time) []*quarantine.Report {
@@ -62,18 +65,25 @@
 }
 
 // quarantined returns the quarantined parts.
-func (l *lists) quarantined() []quarantine.Part {
+func (l *lists) quarantined() []quarantine.Quarantined {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	set, _ := l.store.Get(quarantineName)
-	list, err := decodeSet[quarantinedPart](set)
+	list, err := decodeSet[quarantine.Quarantined](set)
 	if err != nil {
 		// The set comes from a later release, which decides again.
 		return nil
 	}
-	parts := make([]quarantine.Part, 0, len(list))
-	for _, p := range list {
-		parts = append(parts, p.Part)
+	return list
+}
+
+// servingEntries returns the addresses of the entry VMs that take requests, sorted.
+func (l *lists) servingEntries() []string {
+	var addrs []string
+	for _, vm := range l.entries() {
+		if !vm.Draining {
+			addrs = append(addrs, vm.Addr)
+		}
 	}
-	return parts
+	return addrs
 }
--- a/directory/crashes_test.go
+++ b/directory/crashes_test.go
@@ -62,7 +62,7 @@
 		now := time.Now()
 		server.touchWatcher(now, entry("a", crashes(1, 2, 3)))
 		server.updateRoster(now)
-		Expect(server.lists.quarantined()).To(Equal([]quarantine.Part{bad}))
+		Expect(server.lists.quarantined()).To(Equal([]quarantine.Quarantined{{Part: bad}}))
 		control := server.opts.Control.(*fakeControl)
 		control.leader = "another"
 		server.updateRoster(now.Add(time.Second))
@@ -70,7 +70,7 @@
 		now = now.Add(2 * rosterExpiry)
 		server.updateRoster(now)
 		Expect(server.lists.crashReports(now.Add(-rosterExpiry))).To(BeEmpty())
-		Expect(server.lists.quarantined()).To(Equal([]quarantine.Part{bad}))
+		Expect(server.lists.quarantined()).To(Equal([]quarantine.Quarantined{{Part: bad}}))
 	})
 
 	ginkgo.It("is taken from the last leader, not from an earlier term", func() {
@@ -82,10 +82,37 @@
 		control.leader = "another"
 		now = now.Add(2 * rosterExpiry)
 		server.updateRoster(now)
-		server.lists.put(quarantineName, now, encodeSet([]quarantinedPart{{Part: 8}}))
+		server.lists.put(quarantineName, now, encodeSet([]quarantine.Quarantined{{Part: 8}}))
 		control.leader = ""
 		server.updateRoster(now)
-		Expect(server.lists.quarantined()).To(Equal([]quarantine.Part{8}))
+		Expect(server.lists.quarantined()).To(Equal([]quarantine.Quarantined{{Part: 8}}))
+	})
+
+	ginkgo.It("gives each VM that takes requests a turn to try a part, and the other VMs none", func() {
+		server := newTestServer(newFakeLister())
+		now := time.Now()
+		vms := []EntryVM{{Addr: "a", Zone: "z"}, {Addr: "b", Zone: "z"}, {Addr: "c", Zone: "z", Draining: true}}
+		turns := map[string]bool{}
+		for range 60 {
+			for i, vm := range vms {
+				server.touchWatcher(now, &watchCall{From: vm, Report: crashes(i + 1)})
+			}
+			server.updateRoster(now)
+			now = now.Add(time.Second)
+			for _, q := range server.lists.quarantined() {
+				turns[q.Trial.VM] = true
+			}
+		}
+		Expect(turns).To(Equal(map[string]bool{"": true, "a": true, "b": true}))
+
+		trial := &State{Quarantined: quarantine.Set{}}
+		for _, self := range []string{"a", "b"} {
+			client := NewClient(ClientOptions{Self: EntryVM{Addr: self}, Logger: discardLogger})
+			client.store.Put(quarantineName, now, encodeSet([]quarantine.Quarantined{{Part: bad, Trial: quarantine.Trial{VM: "a", Number: 4}}}))
+			client.applyQuarantine(trial)
+			Expect(trial.Quarantined).To(HaveKey(bad))
+			Expect(trial.Trials[bad]).To(Equal(map[string]uint32{"a": 4}[self]))
+		}
 	})
 
 	// Guards against a report of crashes that waits for the next regular update.
--- a/directory/sets.go
+++ b/directory/sets.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/delta"
+	"damaskbridge.example/damaskbridge/quarantine"
 	"damaskbridge.example/damaskbridge/wire"
 )
 
@@ -38,7 +39,7 @@
 
 // member is a value of a set.
 type member interface {
-	Runner | EntryVM | controlVM | crashReport | quarantinedPart
+	Runner | EntryVM | controlVM | crashReport | quarantine.Quarantined
 }
 
 func runnerZone(r Runner) string { return r.Zone }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
@@ -16,19 +17,41 @@
 // runners. Parts with which this VM has had an answer are not refused: it
 // contests their quarantine.
 func (r *request) refuseQuarantined(now time.Time) *Refusal {
-	parts := r.g.state.Load().Quarantined
-	if len(parts) == 0 {
+	state := r.g.state.Load()
+	if len(state.Quarantined) == 0 {
 		return nil
 	}
 	for _, id := range r.call.Prompt.SharedIDs() {
 		part := quarantine.PartOf(id)
-		if parts[part] && !r.g.evidence.HasAnswer(now, part) {
+		if state.Quarantined[part] && !r.g.evidence.HasAnswer(now, part) && !r.mayTry(state, part) {
 			return &Refusal{Reason: PromptQuarantined, RetryAfter: quarantineRetryDelay, Detail: "prompt part " + id + " crashes runners"}
 		}
 	}
 	return nil
 }
 
+// mayTry reports whether the request may be sent in spite of a quarantined part.
+// It claims this VM's trial of the part, which is for one send.
+func (r *request) mayTry(state *directory.State, part quarantine.Part) bool {
+	if r.sends > 0 {
+		return false
+	}
+	if r.trials[part] {
+		return true
+	}
+	number, ok := state.Trials[part]
+	if !ok || !r.g.evidence.ClaimTrial(part, number) {
+		return false
+	}
+	if r.trials == nil {
+		r.trials = quarantine.Set{}
+	}
+	r.trials[part] = true
+	r.g.log.Info().Str("id", r.call.ID).Uint64("part", uint64(part)).Uint32("number", number).
+		Msg("gateway: trial of a quarantined prompt part")
+	return true
+}
+
 // recordLoss records that a runner was lost while it may have executed the
 // request, unless the request was given up here.
 func (r *request) recordLoss(ctx context.Context, runner *placement.RunnerState) {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -109,6 +109,36 @@
 		}).WithTimeout(20 * time.Second).Should(BeEmpty())
 	})
 
+	// Guards against a trial that more than one send makes use of.
+	ginkgo.It("is sent once if this VM may try it, and not at a second runner", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1), cut: true}, {status: 200, body: events(2, 2)}}
+		setQuarantine(g, bad)
+		try := func(number uint32) {
+			next := *g.state.Load()
+			next.Trials = map[quarantine.Part]uint32{bad: number}
+			g.Update(&next)
+		}
+		try(1)
+		Expect(serve(g, withPart(call("resume"), "bad")).aborted).To(BeTrue())
+		Expect(f.sends()).To(HaveLen(1))
+		Expect(serve(g, withPart(call("stream"), "bad")).refusal.Reason).To(Equal(PromptQuarantined))
+		try(2)
+		f.any = []reply{{status: 200, body: events(1, 1)}}
+		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
+		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Answered).To(Equal([]quarantine.Part{bad}))
+	})
+
+	ginkgo.It("may be tried by a request with stages", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 1)}}
+		setQuarantine(g, bad)
+		next := *g.state.Load()
+		next.Trials = map[quarantine.Part]uint32{bad: 1}
+		g.Update(&next)
+		Expect(serve(g, withPart(stagedCallWithID("a"), "bad")).status).To(Equal(200))
+	})
+
 	// Guards against a crash that looks like the end of an answer without a length.
 	ginkgo.It("is not freed by an answer that ends with its connection, nor by one with an error status", func() {
 		g, f := newTestGateway()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/quarantine"
 )
 
 const (
@@ -38,6 +39,8 @@
 	// attempts.
 	priorWait time.Duration
 
+	// trials are the quarantined parts of the prompt that this request tries.
+	trials quarantine.Set
 	stages *stageRun
 	// cacheAddr is the address of a runner that may cache shared parts of the
 	// prompt.
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -11,69 +11,107 @@
 	// is quarantined. A prompt may be in flight at one or two runners that end for
 	// other reasons.
 	minCrashes = 3
-	// quarantineTime is how long a part stays quarantined. Then it is tried again,
-	// at the price of up to minCrashes runners.
-	quarantineTime = 10 * time.Minute
+	// quarantineTime is how long a part stays quarantined after the last loss of a
+	// runner with it. A part that is still in use is tried again before that.
+	quarantineTime = 30 * time.Minute
 	// adoptionTime is how long a new detector adopts the parts that are quarantined at
 	// entry VMs: all control VMs may have been restarted.
 	adoptionTime = 5 * time.Second
 )
 
-// Change is the beginning or end of the quarantine of a part.
+// Change is the beginning or end of the quarantine of a part, or a trial of it.
 type Change struct {
 	Part        Part
 	Quarantined bool
 	// Crashes is the number of runners lost with the part, 0 at the end.
 	Crashes int
+	// Trial is the trial that begins.
+	Trial Trial
 }
 
 // Detector decides which parts are quarantined. It is not safe for concurrent use.
 type Detector struct {
-	// since holds when each quarantined part was quarantined.
-	since map[Part]time.Time
+	parts map[Part]*confinement
 	// adoptUntil is the end of the adoption time.
 	adoptUntil time.Time
 }
 
-// NewDetector returns a detector that continues the quarantine of the given parts.
-func NewDetector(now time.Time, quarantined []Part) *Detector {
-	d := &Detector{since: map[Part]time.Time{}, adoptUntil: now.Add(adoptionTime)}
-	for _, p := range quarantined {
-		d.since[p] = now
+// NewDetector returns a detector that continues the given quarantine.
+func NewDetector(now time.Time, quarantined []Quarantined) *Detector {
+	d := &Detector{parts: map[Part]*confinement{}, adoptUntil: now.Add(adoptionTime)}
+	for _, q := range quarantined {
+		d.parts[q.Part] = newConfinement(now)
+		d.parts[q.Part].trial.Number = q.Trial.Number
 	}
 	return d
 }
 
 // Quarantined returns the quarantined parts, sorted.
-func (d *Detector) Quarantined() []Part { return slices.Sorted(maps.Keys(d.since)) }
+func (d *Detector) Quarantined() []Quarantined {
+	var list []Quarantined
+	for _, p := range d.sortedParts() {
+		list = append(list, Quarantined{Part: p, Trial: d.parts[p].trial})
+	}
+	return list
+}
+
+func (d *Detector) sortedParts() []Part { return slices.Sorted(maps.Keys(d.parts)) }
 
 // Update updates the quarantine with the current reports of all entry VMs and
-// returns what has changed.
-func (d *Detector) Update(now time.Time, reports []*Report) []Change {
+// returns what has changed. vms are the addresses of the entry VMs that may try a
+// quarantined part, in a stable order.
+func (d *Detector) Update(now time.Time, reports []*Report, vms []string) []Change {
 	answered := answeredParts(reports)
 	if now.Before(d.adoptUntil) {
 		d.adopt(now, reports)
 	}
+	changes := d.free(now, answered)
+	crashes := joinCrashes(reports, answered)
+	for p, c := range d.parts {
+		c.recordLosses(now, runnersLostWith(crashes, p))
+	}
+	for p := range d.parts {
+		removeExplained(crashes, p)
+	}
+	changes = append(changes, d.quarantine(now, crashes)...)
+	return append(changes, d.updateTrials(now, vms)...)
+}
+
+// adopt continues the quarantines that entry VMs know.
+func (d *Detector) adopt(now time.Time, reports []*Report) {
+	for _, r := range reports {
+		for _, p := range r.Quarantined {
+			if d.parts[p] == nil {
+				d.parts[p] = newConfinement(now)
+			}
+		}
+	}
+}
+
+// free ends the quarantine of parts with an answer and of those whose time is over.
+func (d *Detector) free(now time.Time, answered Set) []Change {
 	var changes []Change
-	for _, p := range d.Quarantined() {
-		if answered[p] || now.Sub(d.since[p]) > quarantineTime {
-			delete(d.since, p)
+	for _, p := range d.sortedParts() {
+		if answered[p] || now.Sub(d.parts[p].since) > quarantineTime {
+			delete(d.parts, p)
 			changes = append(changes, Change{Part: p})
 		}
 	}
-	crashes := joinCrashes(reports, answered)
-	for _, p := range d.Quarantined() {
-		removeExplained(crashes, p)
-	}
-	// The part with the most crashes comes first: the others may only have been in
-	// flight beside it.
+	return changes
+}
+
+// quarantine quarantines the parts with the most crashes as long as these are
+// enough. The part with the most crashes comes first: the others may only have
+// been in flight beside it.
+func (d *Detector) quarantine(now time.Time, crashes map[string]Set) []Change {
+	var changes []Change
 	for {
 		worst, count := mostFrequent(crashes)
 		if count < minCrashes {
 			return changes
 		}
 		for _, p := range worst {
-			d.since[p] = now
+			d.parts[p] = newConfinement(now)
 			changes = append(changes, Change{Part: p, Quarantined: true, Crashes: count})
 		}
 		for _, p := range worst {
@@ -82,15 +120,15 @@
 	}
 }
 
-// adopt continues the quarantines that entry VMs know.
-func (d *Detector) adopt(now time.Time, reports []*Report) {
-	for _, r := range reports {
-		for _, p := range r.Quarantined {
-			if _, known := d.since[p]; !known {
-				d.since[p] = now
-			}
+// updateTrials begins the trials that are due.
+func (d *Detector) updateTrials(now time.Time, vms []string) []Change {
+	var changes []Change
+	for _, p := range d.sortedParts() {
+		if c := d.parts[p]; c.updateTrial(now, vms) {
+			changes = append(changes, Change{Part: p, Quarantined: true, Crashes: len(c.lost), Trial: c.trial})
 		}
 	}
+	return changes
 }
 
 // answeredParts returns the parts with which an entry VM has had an answer.
@@ -123,6 +161,17 @@
 	return crashes
 }
 
+// runnersLostWith returns the runners that were lost with a part.
+func runnersLostWith(crashes map[string]Set, p Part) []string {
+	var runners []string
+	for runner, parts := range crashes {
+		if parts[p] {
+			runners = append(runners, runner)
+		}
+	}
+	return runners
+}
+
 // removeExplained removes the crashes that a quarantined part explains.
 func removeExplained(crashes map[string]Set, p Part) {
 	maps.DeleteFunc(crashes, func(_ string, parts Set) bool { return parts[p] })
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -20,10 +20,10 @@
 	ginkgo.It("quarantines a part once three runners were lost with it, whichever entry VMs saw them", func() {
 		d := NewDetector(start, nil)
 		reports := []*Report{{Crashes: []Crash{crash(1, bad), crash(2, bad)}}, {Crashes: []Crash{crash(2, bad)}}}
-		Expect(d.Update(start, reports)).To(BeEmpty())
+		Expect(d.Update(start, reports, nil)).To(BeEmpty())
 		reports = append(reports, &Report{Crashes: []Crash{crash(3, bad)}})
-		Expect(d.Update(start, reports)).To(Equal([]Change{{Part: bad, Quarantined: true, Crashes: 3}}))
-		Expect(d.Update(start, reports)).To(BeEmpty())
+		Expect(d.Update(start, reports, nil)).To(Equal([]Change{{Part: bad, Quarantined: true, Crashes: 3}}))
+		Expect(d.Update(start, reports, nil)).To(BeEmpty())
 	})
 
 	// Guards against a quarantine of all parts that were in flight at lost runners.
@@ -33,36 +33,36 @@
 			{Crashes: []Crash{crash(1, bad, beside), crash(2, bad, beside), crash(3, bad, beside), crash(4, bad)}},
 			{Crashes: []Crash{crash(1, other), crash(2, other), crash(4, other)}},
 		}
-		d.Update(start, reports)
-		Expect(d.Quarantined()).To(Equal([]Part{bad}))
+		d.Update(start, reports, nil)
+		Expect(d.sortedParts()).To(Equal([]Part{bad}))
 		reports[0].Crashes = append(reports[0].Crashes, crash(5, bad, beside))
-		Expect(d.Update(start, reports)).To(BeEmpty())
+		Expect(d.Update(start, reports, nil)).To(BeEmpty())
 	})
 
 	ginkgo.It("frees a part with which an entry VM has had an answer, and does not quarantine it again meanwhile", func() {
 		d := NewDetector(start, nil)
 		crashes := &Report{Crashes: []Crash{crash(1, bad), crash(2, bad), crash(3, bad)}}
-		d.Update(start, []*Report{crashes})
+		d.Update(start, []*Report{crashes}, nil)
 		contested := &Report{Answered: []Part{bad}}
-		Expect(d.Update(start, []*Report{crashes, contested})).To(Equal([]Change{{Part: bad}}))
-		Expect(d.Update(start, []*Report{crashes, contested})).To(BeEmpty())
+		Expect(d.Update(start, []*Report{crashes, contested}, nil)).To(Equal([]Change{{Part: bad}}))
+		Expect(d.Update(start, []*Report{crashes, contested}, nil)).To(BeEmpty())
 	})
 
 	// Guards against a quarantine that is lost with all control VMs.
 	ginkgo.It("adopts at first what is quarantined at entry VMs, unless that is contested", func() {
 		d := NewDetector(start, nil)
 		known := &Report{Quarantined: []Part{bad, other}}
-		d.Update(start, []*Report{known, {Answered: []Part{other}}})
-		Expect(d.Quarantined()).To(Equal([]Part{bad}))
-		d.Update(start.Add(adoptionTime), []*Report{known})
-		Expect(d.Quarantined()).To(Equal([]Part{bad}))
+		d.Update(start, []*Report{known, {Answered: []Part{other}}}, nil)
+		Expect(d.sortedParts()).To(Equal([]Part{bad}))
+		d.Update(start.Add(adoptionTime), []*Report{known}, nil)
+		Expect(d.sortedParts()).To(Equal([]Part{bad}))
 	})
 
 	ginkgo.It("ends a quarantine after its time, and continues that of a detector before it", func() {
-		d := NewDetector(start, []Part{bad})
-		Expect(d.Update(start.Add(quarantineTime), nil)).To(BeEmpty())
-		Expect(d.Quarantined()).To(Equal([]Part{bad}))
-		Expect(d.Update(start.Add(quarantineTime+time.Second), nil)).To(Equal([]Change{{Part: bad}}))
+		d := NewDetector(start, []Quarantined{{Part: bad}})
+		Expect(d.Update(start.Add(quarantineTime), nil, nil)).To(BeEmpty())
+		Expect(d.sortedParts()).To(Equal([]Part{bad}))
+		Expect(d.Update(start.Add(quarantineTime+time.Second), nil, nil)).To(Equal([]Change{{Part: bad}}))
 		Expect(d.Quarantined()).To(BeEmpty())
 	})
 })
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -28,6 +28,9 @@
 	// answer with them. It goes on to report them: otherwise they would be
 	// quarantined again for the same crashes.
 	contested map[Part]bool
+	// claimed holds the number of the last trial that a request has claimed, for
+	// each quarantined part.
+	claimed map[Part]uint32
 }
 
 // lostRunner is a runner that was lost, with the parts of the requests that were
@@ -41,7 +44,7 @@
 
 // NewEvidence returns empty evidence.
 func NewEvidence() *Evidence {
-	return &Evidence{answeredAt: map[Part]time.Time{}, contested: map[Part]bool{}}
+	return &Evidence{answeredAt: map[Part]time.Time{}, contested: map[Part]bool{}, claimed: map[Part]uint32{}}
 }
 
 // RecordAnswer records the complete answer to a request with these parts.
@@ -125,6 +128,18 @@
 	return ok && now.Sub(at) <= evidenceWindow
 }
 
+// ClaimTrial reports whether a request may be the one of this VM's trial of a part.
+// Only one request may.
+func (e *Evidence) ClaimTrial(p Part, number uint32) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.claimed[p] == number {
+		return false
+	}
+	e.claimed[p] = number
+	return true
+}
+
 // Report returns the report of this VM, to which the given parts are known as
 // quarantined.
 func (e *Evidence) Report(now time.Time, quarantined Set) *Report {
@@ -141,6 +156,7 @@
 		e.contested[p] = true
 	}
 	maps.DeleteFunc(e.contested, func(p Part, _ bool) bool { return !e.hasAnswer(now, p) })
+	maps.DeleteFunc(e.claimed, func(p Part, _ uint32) bool { return !quarantined[p] })
 	r.Answered = slices.Sorted(maps.Keys(e.contested))
 	r.Quarantined = slices.Sorted(maps.Keys(quarantined))
 	return r
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -72,6 +72,17 @@
 		Expect(e.Report(start.Add(evidenceWindow+time.Second), Set{shared: true}).Answered).To(BeEmpty())
 	})
 
+	ginkgo.It("lets one request claim each trial of a part", func() {
+		e := NewEvidence()
+		Expect(e.ClaimTrial(bad, 1)).To(BeTrue())
+		Expect(e.ClaimTrial(bad, 1)).To(BeFalse())
+		Expect(e.ClaimTrial(bad, 2)).To(BeTrue())
+		e.Report(start, Set{bad: true})
+		Expect(e.ClaimTrial(bad, 2)).To(BeFalse())
+		e.Report(start, Set{})
+		Expect(e.claimed).To(BeEmpty())
+	})
+
 	ginkgo.It("stays bounded", func() {
 		e := NewEvidence()
 		for i := range 3 * maxAnswered {
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -28,9 +28,9 @@
 			for _, e := range vms {
 				reports = append(reports, e.Report(now, known))
 			}
-			d.Update(now, reports)
+			d.Update(now, reports, nil)
 			known = Set{}
-			for _, p := range d.Quarantined() {
+			for _, p := range d.sortedParts() {
 				known[p] = true
 			}
 		}
@@ -56,7 +56,7 @@
 		// The first exchange may quarantine parts that the second one contests.
 		exchange()
 		exchange()
-		quarantined := d.Quarantined()
+		quarantined := d.sortedParts()
 		if want := crashes >= minCrashes; slices.Contains(quarantined, bad) != want {
 			t.Fatalf("after %d crashes the bad part is quarantined: %v", crashes, !want)
 		}
