quarantine: an answer that has gone on for a second counts as one

Cause: only complete answers freed a part. Change: an answer whose events still come a second after its first one counts: an engine that a prompt ends does so as it begins to answer. That holds also for answers that end with their connection. Result: the new test failed before (no answer counted in 4 s); go test ./gateway passes.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// soundAnswerTime is how long after its first event an answer must still go on to
+// show that its prompt does not crash engines: these end as they begin to answer.
+const soundAnswerTime = time.Second
+
+// streamProgress tells when an answer has gone on for soundAnswerTime.
+type streamProgress struct {
+	firstEventAt time.Time
+	sound        bool
+}
+
+// event records an event. It reports whether the answer has turned out sound with
+// it.
+func (p *streamProgress) event(now time.Time) bool {
+	if p.firstEventAt.IsZero() {
+		p.firstEventAt = now
+	}
+	if p.sound || now.Sub(p.firstEventAt) < soundAnswerTime {
+		return false
+	}
+	p.sound = true
+	return true
+}
+
 func (r *request) sharedParts() []quarantine.Part {
 	return quarantine.PartsOf(r.call.Prompt.SharedIDs())
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -129,6 +129,24 @@
 		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Answered).To(Equal([]quarantine.Part{bad}))
 	})
 
+	// Guards against sound parts of long answers that are quarantined in an outage
+	// because none of these answers has ended yet.
+	ginkgo.It("is contested by an answer that goes on, before its end", func() {
+		g, f := newTestGateway()
+		answered := func() []quarantine.Part { return g.CrashReport(time.Now(), quarantine.Set{bad: true}).Answered }
+		f.any = []reply{{status: 200, body: events(1, 2), endless: &repeating{text: "data: x\n\n"}, pause: 20 * time.Millisecond}}
+		ctx, leave := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			g.Serve(ctx, withPart(call("stream"), "bad"), &fakeResponder{})
+		}()
+		Eventually(answered).WithTimeout(4 * time.Second).Should(Equal([]quarantine.Part{bad}))
+		Expect(ended).NotTo(BeClosed())
+		leave()
+		Eventually(ended).WithTimeout(10 * time.Second).Should(BeClosed())
+	})
+
 	ginkgo.It("may be tried by a request with stages", func() {
 		g, f := newTestGateway()
 		f.any = []reply{{status: 200, body: events(1, 1)}}
@@ -186,3 +204,14 @@
 		Expect(starts).To(ContainElements("engines1 engines1:80 1", "engines1 engines1:80 2"))
 	})
 })
+
+var _ = ginkgo.Describe("the progress of a stream", func() {
+	ginkgo.It("shows once that its answer is sound, some time after the first event", func() {
+		var p streamProgress
+		now := time.Now()
+		Expect(p.event(now)).To(BeFalse())
+		Expect(p.event(now.Add(soundAnswerTime - 1))).To(BeFalse())
+		Expect(p.event(now.Add(soundAnswerTime))).To(BeTrue())
+		Expect(p.event(now.Add(2 * soundAnswerTime))).To(BeFalse())
+	})
+})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -165,6 +165,7 @@
 	s.splitter.dropPartial()
 	stallTimer := r.newStallTimer(cancel, s)
 	defer stallTimer.Stop()
+	var progress streamProgress
 	buffer := make([]byte, streamReadBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -173,6 +174,9 @@
 			onFirstEvent()
 			r.freeInputs()
 			stallTimer.Stop()
+			if now := time.Now(); progress.event(now) {
+				r.g.evidence.RecordAnswer(now, r.sharedParts())
+			}
 		}
 		if len(events) > 0 {
 			if writeErr := r.writeEvents(response, s, events); writeErr != nil {
