quarantine: the first trial of a part comes after eight seconds

Cause: the first trial came after 30 s. Until the fifth runner has ended a trial costs no more than finding the part did, and a sound part is refused that long. Change: trials 8 s, 40 s and 168 s after the quarantine, up to every ten minutes; as many within a minute and a half as before.

--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -4,9 +4,11 @@
 
 const (
 	// firstTrialWait is the time from the quarantine of a part to its first trial.
-	// It doubles with each trial that ends another runner, up to maxTrialWait.
-	firstTrialWait = 30 * time.Second
-	maxTrialWait   = 10 * time.Minute
+	// Each trial that ends another runner multiplies it by trialWaitFactor, up to
+	// maxTrialWait.
+	firstTrialWait  = 8 * time.Second
+	trialWaitFactor = 4
+	maxTrialWait    = 10 * time.Minute
 	// trialTurn is how long one entry VM may start a trial, before it is another
 	// one's turn: an entry VM may get no request with the part. It covers the way
 	// of the turn to the entry VM and that of a crash back.
@@ -58,7 +60,7 @@
 	}
 	c.since = now
 	if !c.turnEnds.IsZero() {
-		c.wait = min(2*c.wait, maxTrialWait)
+		c.wait = min(trialWaitFactor*c.wait, maxTrialWait)
 		c.trial.VM, c.turnEnds = "", time.Time{}
 	}
 }
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -90,7 +90,7 @@
 	// Guards against trials that end one runner after the other.
 	ginkgo.It("is tried with one request at a time, ever more seldom", func() {
 		s := newTestVMs("a", "b", "c")
-		Expect(s.lose(part, 10*time.Second)).To(BeNumerically("<=", minCrashes))
+		Expect(s.lose(part, 5*time.Second)).To(BeNumerically("<=", minCrashes))
 		var tried []time.Duration
 		for range 3600 {
 			if s.lose(part, time.Second) > 0 {
@@ -98,10 +98,10 @@
 				Expect(s.known[part].VM).To(BeEmpty())
 			}
 		}
-		Expect(tried).To(HaveLen(9))
+		Expect(tried).To(HaveLen(8))
 		wait := firstTrialWait
 		for i, at := range tried[1:] {
-			wait = min(2*wait, maxTrialWait)
+			wait = min(trialWaitFactor*wait, maxTrialWait)
 			Expect(at-tried[i]).To(BeNumerically("~", wait, 2*time.Second), "trial %d", i)
 		}
 	})
@@ -126,7 +126,7 @@
 		}
 		s.evidence["a"].RecordLoss(s.now, "late", []Part{part})
 		s.pass()
-		Expect(s.lose(part, 2*firstTrialWait+2*time.Second)).To(Equal(1))
+		Expect(s.lose(part, trialWaitFactor*firstTrialWait+2*time.Second)).To(Equal(1))
 	})
 
 	ginkgo.It("keeps the numbers of its trials with a new detector, and waits again", func() {
