internal/atomicfile: one copy of the durable replacement of a file

Cause: audit, controlvm and keys each had their own copy of writing a file beside the old one, syncing and renaming it, and two had their own sync of a folder.

--- a/audit/anchor.go
+++ b/audit/anchor.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+
+	"damaskbridge.example/damaskbridge/internal/atomicfile"
 )
 
 const anchorName = "anchor"
@@ -47,26 +49,7 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(dir, anchorName)
-	if err := writeFileSynced(path+".new", b); err != nil {
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return err
-	}
-	return syncDir(dir)
-}
-
-func writeFileSynced(path string, b []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(b)
-	if err == nil {
-		err = f.Sync()
-	}
-	return errors.Join(err, f.Close())
+	return atomicfile.Write(filepath.Join(dir, anchorName), b, fileMode)
 }
 
 // readAnchor returns the anchor of dir, or initialAnchor if there is no anchor
--- a/audit/commit.go
+++ b/audit/commit.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/atomicfile"
 )
 
 // pendingAppend is an append that waits to be written to disk.
@@ -253,7 +254,7 @@
 	if err := s.write(buf.Bytes()); err != nil {
 		return fmt.Errorf("audit: write segment header: %w", err)
 	}
-	if err := syncDir(s.dir); err != nil {
+	if err := atomicfile.SyncDir(s.dir); err != nil {
 		return fmt.Errorf("audit: sync folder: %w", err)
 	}
 	seg := &segment{number: number, path: path, header: header, size: s.active.size, chainHead: head, index: newSparseIndex(), batches: make(map[ids.SessionID]*numberSet)}
--- a/audit/copy.go
+++ b/audit/copy.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/atomicfile"
 	"damaskbridge.example/damaskbridge/transport"
 )
 
@@ -209,7 +210,7 @@
 		err = closeErr
 	}
 	if err == nil && c.Offset == 0 {
-		err = errors.Join(syncDir(dir), syncDir(d.dir))
+		err = errors.Join(atomicfile.SyncDir(dir), atomicfile.SyncDir(d.dir))
 	}
 	return err
 }
--- a/audit/copyretention.go
+++ b/audit/copyretention.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/atomicfile"
 )
 
 // initCopyAnchor writes the anchor of a new copy whose source had already
@@ -112,5 +114,5 @@
 			return 0, err
 		}
 	}
-	return expired, syncDir(dir)
+	return expired, atomicfile.SyncDir(dir)
 }
--- a/audit/options.go
+++ b/audit/options.go
@@ -82,16 +82,3 @@
 	fileMode = 0o600
 	dirMode  = 0o700
 )
-
-// syncDir makes the creation, renaming and deletion of files in dir durable.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	err = d.Sync()
-	if closeErr := d.Close(); err == nil {
-		err = closeErr
-	}
-	return err
-}
--- a/audit/retention.go
+++ b/audit/retention.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/atomicfile"
 )
 
 func segmentDir(path string) string { return filepath.Dir(path) }
@@ -55,5 +57,5 @@
 			return 0, fmt.Errorf("audit: delete segment: %w", err)
 		}
 	}
-	return len(expired), syncDir(s.dir)
+	return len(expired), atomicfile.SyncDir(s.dir)
 }
--- a/controlvm/auditid.go
+++ b/controlvm/auditid.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/atomicfile"
 )
 
 // storeIDFile is the name of the file with the ID of an audit store, in the
@@ -24,7 +25,7 @@
 	path := filepath.Join(dir, storeIDFile)
 	raw, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		raw, err = createStoreID(dir, path)
+		raw, err = createStoreID(path)
 	}
 	if err != nil {
 		return "", fmt.Errorf("controlvm: ID of the audit store: %w", err)
@@ -33,29 +34,11 @@
 }
 
 // createStoreID creates a random store ID and syncs it to disk.
-func createStoreID(dir, path string) ([]byte, error) {
+func createStoreID(path string) ([]byte, error) {
 	const idBytes = 8
 	id := make([]byte, idBytes)
 	// rand.Read never returns an error.
 	_, _ = rand.Read(id)
 	raw := []byte(hex.EncodeToString(id))
-	temporary := path + ".new"
-	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return nil, err
-	}
-	_, err = f.Write(raw)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err != nil {
-		return nil, err
-	}
-	if err := os.Rename(temporary, path); err != nil {
-		return nil, err
-	}
-	dirFile, err := os.Open(dir)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = dirFile.Close() }()
-	return raw, dirFile.Sync()
+	return raw, atomicfile.Write(path, raw, 0o600)
 }
--- a/keys/cadir.go
+++ b/keys/cadir.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/atomicfile"
 	"damaskbridge.example/damaskbridge/transport"
 )
 
@@ -105,7 +106,7 @@
 }
 
 func (c *caDir) writeTrustFile(vmDir string) error {
-	if err := writeFile(filepath.Join(vmDir, trustFile), encodeCerts(c.trustedCerts())); err != nil {
+	if err := atomicfile.Write(filepath.Join(vmDir, trustFile), encodeCerts(c.trustedCerts()), fileMode); err != nil {
 		return fmt.Errorf("keys: write trust file: %w", err)
 	}
 	return nil
@@ -135,7 +136,7 @@
 	if err != nil {
 		return fmt.Errorf("keys: encode %s: %w", path, err)
 	}
-	if err := writeFile(path, b); err != nil {
+	if err := atomicfile.Write(path, b, fileMode); err != nil {
 		return fmt.Errorf("keys: write %s: %w", path, err)
 	}
 	return nil
--- a/keys/pem.go
+++ b/keys/pem.go
@@ -7,8 +7,6 @@
 	"encoding/pem"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
 )
 
 const (
@@ -97,35 +95,3 @@
 	}
 	return &identity{cert: certs[0], key: key}, nil
 }
-
-// writeFile replaces a file atomically, so that a reader never sees partial
-// content. The new file is on disk when writeFile returns.
-func writeFile(path string, b []byte) error {
-	tmp, err := os.CreateTemp(filepath.Dir(path), ".new-*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(tmp.Name()) //nolint:errcheck // gone after the rename
-	_, err = tmp.Write(b)
-	if err == nil {
-		err = tmp.Chmod(fileMode)
-	}
-	if err == nil {
-		err = tmp.Sync()
-	}
-	if err = errors.Join(err, tmp.Close()); err != nil {
-		return err
-	}
-	if err := os.Rename(tmp.Name(), path); err != nil {
-		return err
-	}
-	return syncDir(filepath.Dir(path))
-}
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
-}
--- a/keys/rotate.go
+++ b/keys/rotate.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/atomicfile"
 	"damaskbridge.example/damaskbridge/transport"
 )
 
@@ -89,7 +90,7 @@
 	if err := os.Rename(filepath.Join(dir, nextCAFile), filepath.Join(dir, caFile)); err != nil {
 		return fmt.Errorf("keys: replace CA: %w", err)
 	}
-	if err := syncDir(dir); err != nil {
+	if err := atomicfile.SyncDir(dir); err != nil {
 		return fmt.Errorf("keys: sync folder: %w", err)
 	}
 	ca.current, ca.next = ca.next, nil
