directory: the quarantine of prompt parts outlives the loss of all VMs

Callers would have seen: after all control and entry VMs were lost, a part that was quarantined ends three more engines, with all requests at them, until it is found again. Cause: the quarantine was in the memory of control and entry VMs alone. Change: each control VM keeps the quarantined parts in a file, written by a goroutine that nothing waits for, and reports them for half a minute after its start; a leader without a quarantine takes them over as it does from entry VMs.

--- a/directory/crashes.go
+++ b/directory/crashes.go
@@ -8,7 +8,8 @@
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
-// crashReport is what one entry VM has observed of crashed runners.
+// crashReport is what one entry VM has observed of crashed runners, or which parts
+// a control VM has kept as quarantined.
 type crashReport struct {
 	VM     string            `cbor:"1,keyasint"`
 	Report quarantine.Report `cbor:"2,keyasint"`
@@ -77,6 +78,15 @@
 	return list
 }
 
+// quarantinedParts returns the quarantined parts, in the order of their encodings.
+func (l *lists) quarantinedParts() []quarantine.Part {
+	var parts []quarantine.Part
+	for _, q := range l.quarantined() {
+		parts = append(parts, q.Part)
+	}
+	return parts
+}
+
 // servingEntries returns the addresses of the entry VMs that take requests, sorted.
 func (l *lists) servingEntries() []string {
 	var addrs []string
--- a/directory/roster.go
+++ b/directory/roster.go
@@ -119,6 +119,9 @@
 	}
 	leadsSince := s.leadsSince
 	s.mu.Unlock()
+	if recalled := s.recalledReport(now); recalled != nil {
+		crashes = append(crashes, *recalled)
+	}
 	s.lists.put(watchersPrefix+s.opts.Self, now, encodeSet(own))
 	s.lists.put(crashesPrefix+s.opts.Self, now, encodeSet(crashes))
 	if leads {
--- a/directory/server.go
+++ b/directory/server.go
@@ -50,6 +50,9 @@
 	Caller  transport.Caller
 	Lister  Lister
 	Logger  *log.Logger
+	// QuarantineFile is the file in which the quarantined parts of prompts outlive a
+	// loss of all VMs. Empty, they are not kept.
+	QuarantineFile string
 }
 
 // Server serves the directory on a control VM. It is safe for concurrent use.
@@ -66,6 +69,10 @@
 	// detector decides about the quarantine of prompt parts, nil if this VM does not
 	// lead. It belongs to the goroutine of runRoster.
 	detector *quarantine.Detector
+	// recalled are the parts that were quarantined when this VM last ran. They are
+	// reported until recallUntil.
+	recalled    []quarantine.Part
+	recallUntil time.Time
 
 	mu sync.Mutex
 	// watchers holds the entry VMs that watch this control VM.
@@ -81,12 +88,17 @@
 	}
 	s := &Server{opts: o, lists: newLists(), documents: newDocuments(), legacySeed: rand.Uint64(), rosterChanged: make(chan struct{}, 1), watchers: newRoster()}
 	s.reader = newReader(&s.opts, s.lists)
+	s.recalled, s.recallUntil = s.recallQuarantine(), time.Now().Add(recallTime)
 	return s
 }
 
 // Run reads the runner list and exchanges the lists with other control VMs until
 // ctx ends.
 func (s *Server) Run(ctx context.Context) {
+	if s.opts.QuarantineFile != "" {
+		// A disk that stands still must not hold up the end of Run.
+		go s.keepQuarantine(ctx)
+	}
 	var loops sync.WaitGroup
 	loops.Go(func() { s.reader.run(ctx) })
 	loops.Go(func() { s.runRoster(ctx) })
