--- a/e2e/ports.go
+++ b/e2e/ports.go
@@ -14,24 +14,41 @@
 	portCount = 20_000
 )
 
-// freePort finds a port of host that is free for TCP and UDP. The programs
-// must know each other's addresses before they start, so the port is given up
-// again and taken by the program.
-func freePort(host string) (string, error) {
-	const tries = 20
-	for range tries {
-		addr := net.JoinHostPort(host, fmt.Sprint(firstPort+rand.IntN(portCount)))
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		u, err := net.ListenPacket("udp", addr)
-		_ = l.Close()
-		if err != nil {
-			continue
+// portPicker finds ports for programs. These must know each other's addresses
+// before they start, so that a port is free for some time after it was found.
+type portPicker struct {
+	first, count int
+	// given holds the addresses that were found: no two programs get the same one.
+	given map[string]bool
+}
+
+func newPortPicker() *portPicker {
+	return &portPicker{first: firstPort, count: portCount, given: map[string]bool{}}
+}
+
+// pick returns an address of host whose port is free for TCP and UDP.
+func (p *portPicker) pick(host string) (string, error) {
+	start := rand.IntN(p.count)
+	for i := range p.count {
+		addr := net.JoinHostPort(host, fmt.Sprint(p.first+(start+i)%p.count))
+		if !p.given[addr] && isFree(addr) {
+			p.given[addr] = true
+			return addr, nil
 		}
-		_ = u.Close()
-		return addr, nil
 	}
-	return "", fmt.Errorf("e2e: no port of %s is free for TCP and UDP", host)
+	return "", fmt.Errorf("e2e: no port of %s from %d to %d is free for TCP and UDP", host, p.first, p.first+p.count-1)
+}
+
+func isFree(addr string) bool {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return false
+	}
+	_ = u.Close()
+	return true
 }
--- a/e2e/system.go
+++ b/e2e/system.go
@@ -39,6 +39,7 @@
 // System is a deployment of separate processes.
 type System struct {
 	opts     Options
+	ports    *portPicker
 	fleet    *process
 	admin    string
 	controls []*vm
@@ -63,7 +64,7 @@
 // Start starts all processes, applies the settings and waits until every VM is
 // ready.
 func Start(ctx context.Context, o Options) (*System, error) {
-	s := &System{opts: o}
+	s := &System{opts: o, ports: newPortPicker()}
 	if o.Links {
 		s.links = newLinks()
 	}
@@ -136,7 +137,7 @@
 		s.entries = append(s.entries, v)
 	}
 	var err error
-	if s.admin, err = freePort("127.0.0.1"); err != nil {
+	if s.admin, err = s.ports.pick("127.0.0.1"); err != nil {
 		return err
 	}
 	return s.writeSettings(ca)
@@ -144,11 +145,11 @@
 
 func (s *System) newVM(name, program string, i int) (*vm, error) {
 	region, host := s.regionOf(i)
-	listen, err := freePort(host)
+	listen, err := s.ports.pick(host)
 	if err != nil {
 		return nil, err
 	}
-	admin, err := freePort(host)
+	admin, err := s.ports.pick(host)
 	if err != nil {
 		return nil, err
 	}
