internal/cbormode: one copy of the CBOR modes of stored state

Cause: machine, settings, command and audit each built the deterministic mode, and the first two the mode that decodes long arrays, with the same options. The stored bytes are the same.

--- a/audit/codec.go
+++ b/audit/codec.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/cbormode"
 )
 
 const (
@@ -50,21 +51,14 @@
 }
 
 var (
-	encMode = mustMode(cbor.CoreDetEncOptions().EncMode())
-	decMode = mustMode(cbor.DecOptions{
+	encMode = cbormode.Deterministic
+	decMode = cbormode.Must(cbor.DecOptions{
 		MaxArrayElements: maxBatchRecords,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
 	}.DecMode())
 )
 
-func mustMode[T any](mode T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 func encodeRecord(r *Record) (cbor.RawMessage, error) {
 	b, err := encMode.Marshal(storedRecord{Seq: r.Request.Seq, Record: *r})
 	if err != nil {
--- a/command/codec.go
+++ b/command/codec.go
@@ -4,21 +4,13 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
-)
-
-var encMode = mustEncMode()
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+	"damaskbridge.example/damaskbridge/internal/cbormode"
+)
 
 // Encode returns the command as deterministic CBOR.
 func Encode(c *Command) ([]byte, error) {
-	b, err := encMode.Marshal(c)
+	b, err := cbormode.Deterministic.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("command: encode: %w", err)
 	}
--- a/machine/snapshot.go
+++ b/machine/snapshot.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"math"
-
-	"github.com/fxamacker/cbor/v2"
 
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/fence"
+	"damaskbridge.example/damaskbridge/internal/cbormode"
 	"damaskbridge.example/damaskbridge/ledger"
 	"damaskbridge.example/damaskbridge/session"
 	"damaskbridge.example/damaskbridge/settings"
@@ -30,30 +28,6 @@
 	Document *catalog.Document `cbor:"9,keyasint,omitempty"`
 }
 
-var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
-)
-
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// mustDecMode returns a decoding mode without the default limit on array
-// lengths, because hundreds of thousands of ended sessions are within the target
-// size.
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Frozen is a point-in-time copy of the state. It is immutable and may be
 // encoded on another goroutine while the machine applies further commands.
 type Frozen struct {
@@ -94,7 +68,7 @@
 	out := f.header
 	out.Tree = tree
 	out.Ledger = f.ledger.Encode()
-	b, err := encMode.Marshal(&out)
+	b, err := cbormode.Deterministic.Marshal(&out)
 	if err != nil {
 		return nil, fmt.Errorf("machine: snapshot at index %d: %w", out.Applied, err)
 	}
@@ -110,7 +84,7 @@
 // the state is unchanged.
 func (m *Machine) Restore(b []byte) error {
 	var f snapshotFile
-	if err := decMode.Unmarshal(b, &f); err != nil {
+	if err := cbormode.Large.Unmarshal(b, &f); err != nil {
 		return fmt.Errorf("machine: restore: %w; fetch another snapshot", err)
 	}
 	if f.Format != snapshotFormat {
--- a/settings/bench_test.go
+++ b/settings/bench_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"damaskbridge.example/damaskbridge/internal/cbormode"
 )
 
 const (
@@ -72,7 +74,7 @@
 				}
 				t = next
 			}
-			delta, err := encMode.Marshal(t.History(0, 1)[0])
+			delta, err := cbormode.Deterministic.Marshal(t.History(0, 1)[0])
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/settings/encode.go
+++ b/settings/encode.go
@@ -2,9 +2,8 @@
 
 import (
 	"fmt"
-	"math"
 
-	"github.com/fxamacker/cbor/v2"
+	"damaskbridge.example/damaskbridge/internal/cbormode"
 )
 
 // treeFormat is the format version of an encoded tree.
@@ -49,29 +48,6 @@
 	AtUnixMS int64
 }
 
-var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
-)
-
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// mustDecMode raises the decoder's limit on array elements: a tree of the
-// target size holds 19,000 workspaces and 330,000 results of change ids.
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode returns the encoded settings for entry VMs, without the history and
 // the results of change ids. Equal settings are encoded as equal bytes. The
 // slice is shared by all callers and must not be modified.
@@ -99,7 +75,7 @@
 }
 
 func (t *Tree) encode(f *treeFile) ([]byte, error) {
-	b, err := encMode.Marshal(f)
+	b, err := cbormode.Deterministic.Marshal(f)
 	if err != nil {
 		return nil, fmt.Errorf("settings: encode version %d: %w", t.version, err)
 	}
@@ -131,7 +107,7 @@
 // DecodeTree decodes a tree that Encode or EncodeAll encoded.
 func DecodeTree(b []byte) (*Tree, error) {
 	var f treeFile
-	if err := decMode.Unmarshal(b, &f); err != nil {
+	if err := cbormode.Large.Unmarshal(b, &f); err != nil {
 		return nil, fmt.Errorf("settings: decode tree: %w", err)
 	}
 	if f.Format != treeFormat {
