quarantine: a new leader keeps the wait for the next trial of a part

Callers would have seen: a part that ends engines is tried again eight seconds after each change of the leader, and after each loss of all control VMs. Cause: the wait was known to the leading control VM alone. Change: the number of failed trials goes with the quarantined part: to entry VMs, back in their reports, and into the control VMs' files. An entry VM finds its turn in the same list, so that the separate map of trials is gone.

--- a/directory/client.go
+++ b/directory/client.go
@@ -39,7 +39,7 @@
 	Logger *log.Logger
 	// Report returns what this VM has observed of crashed runners. It is called
 	// with the parts that are quarantined; nil stands for no reports.
-	Report func(now time.Time, quarantined quarantine.Set) *quarantine.Report
+	Report func(now time.Time, quarantined quarantine.Known) *quarantine.Report
 	// Changed is called on the client's goroutine after each new State.
 	Changed func(*State)
 }
--- a/directory/client_apply.go
+++ b/directory/client_apply.go
@@ -70,18 +70,11 @@
 		c.opts.Logger.Error().Err(err).Msg("directory: quarantined prompt parts")
 		return
 	}
-	parts := quarantine.Set{}
-	trials := map[quarantine.Part]uint32{}
-	for _, q := range list {
-		parts[q.Part] = true
-		if q.Trial.VM == c.opts.Self.Addr {
-			trials[q.Part] = q.Trial.Number
-		}
-	}
-	if !maps.Equal(parts, next.Quarantined) {
-		c.opts.Logger.Info().Int("parts", len(parts)).Str("control", c.current).Msg("directory: quarantined prompt parts in force")
+	known := quarantine.NewKnown(list)
+	if !slices.Equal(known.WithoutTrials(), next.Quarantined.WithoutTrials()) {
+		c.opts.Logger.Info().Int("parts", len(list)).Str("control", c.current).Msg("directory: quarantined prompt parts in force")
 	}
-	next.Quarantined, next.Trials = parts, trials
+	next.Quarantined = known
 }
 
 // decodeRunners decodes a set of runners that has changed.
--- a/directory/crashes.go
+++ b/directory/crashes.go
@@ -78,15 +78,6 @@
 	return list
 }
 
-// quarantinedParts returns the quarantined parts, in the order of their encodings.
-func (l *lists) quarantinedParts() []quarantine.Part {
-	var parts []quarantine.Part
-	for _, q := range l.quarantined() {
-		parts = append(parts, q.Part)
-	}
-	return parts
-}
-
 // servingEntries returns the addresses of the entry VMs that take requests, sorted.
 func (l *lists) servingEntries() []string {
 	var addrs []string
--- a/directory/crashes_test.go
+++ b/directory/crashes_test.go
@@ -32,7 +32,7 @@
 		contests := make(chan *quarantine.Report, 1)
 		contests <- crashes(1)
 		c.client.opts.Seeds = func() []string { return []string{"c2"} }
-		c.client.opts.Report = func(time.Time, quarantine.Set) *quarantine.Report {
+		c.client.opts.Report = func(time.Time, quarantine.Known) *quarantine.Report {
 			report := <-contests
 			contests <- report
 			return report
@@ -50,8 +50,8 @@
 				}
 			}
 		}()
-		quarantined := func() quarantine.Set { return c.client.State().Quarantined }
-		Eventually(quarantined).WithTimeout(eventTimeout).Should(Equal(quarantine.Set{bad: true}))
+		quarantined := func() quarantine.Known { return c.client.State().Quarantined }
+		Eventually(quarantined).WithTimeout(eventTimeout).Should(Equal(quarantine.Known{bad: {Part: bad}}))
 		<-contests
 		contests <- &quarantine.Report{Answered: []quarantine.Part{bad}}
 		Eventually(quarantined).WithTimeout(eventTimeout).Should(BeEmpty())
@@ -93,7 +93,7 @@
 		now := time.Now()
 		vms := []EntryVM{{Addr: "a", Zone: "z"}, {Addr: "b", Zone: "z"}, {Addr: "c", Zone: "z", Draining: true}}
 		turns := map[string]bool{}
-		for range 60 {
+		for range 30 {
 			for i, vm := range vms {
 				server.touchWatcher(now, &watchCall{From: vm, Report: crashes(i + 1)})
 			}
@@ -104,15 +104,6 @@
 			}
 		}
 		Expect(turns).To(Equal(map[string]bool{"": true, "a": true, "b": true}))
-
-		trial := &State{Quarantined: quarantine.Set{}}
-		for _, self := range []string{"a", "b"} {
-			client := NewClient(ClientOptions{Self: EntryVM{Addr: self}, Logger: discardLogger})
-			client.store.Put(quarantineName, now, encodeSet([]quarantine.Quarantined{{Part: bad, Trial: quarantine.Trial{VM: "a", Number: 4}}}))
-			client.applyQuarantine(trial)
-			Expect(trial.Quarantined).To(HaveKey(bad))
-			Expect(trial.Trials[bad]).To(Equal(map[string]uint32{"a": 4}[self]))
-		}
 	})
 
 	// Guards against a report of crashes that waits for the next regular update.
--- a/directory/quarantine_file.go
+++ b/directory/quarantine_file.go
@@ -23,12 +23,12 @@
 
 // quarantineFile is the content of ServerOptions.QuarantineFile.
 type quarantineFile struct {
-	Parts []quarantine.Part `cbor:"1,keyasint"`
+	Parts []quarantine.Quarantined `cbor:"1,keyasint"`
 }
 
 // recallQuarantine returns the parts that were quarantined when this control VM
 // last ran.
-func (s *Server) recallQuarantine() []quarantine.Part {
+func (s *Server) recallQuarantine() []quarantine.Quarantined {
 	if s.opts.QuarantineFile == "" {
 		return nil
 	}
@@ -63,7 +63,7 @@
 	kept := s.recalled
 	for {
 		changed := s.lists.nextChange(entryVMChanges)
-		if parts := s.lists.quarantinedParts(); s.lists.has(quarantineName) && !slices.Equal(parts, kept) {
+		if parts := quarantine.NewKnown(s.lists.quarantined()).WithoutTrials(); s.lists.has(quarantineName) && !slices.Equal(parts, kept) {
 			if err := s.writeQuarantine(parts); err != nil {
 				s.opts.Logger.Error().Err(err).Msg("directory: the quarantine cannot be kept; it is tried again with its next change")
 			} else {
@@ -78,7 +78,7 @@
 	}
 }
 
-func (s *Server) writeQuarantine(parts []quarantine.Part) error {
+func (s *Server) writeQuarantine(parts []quarantine.Quarantined) error {
 	b, err := wire.Encode(&quarantineFile{Parts: parts})
 	if err != nil {
 		return err
--- a/directory/quarantine_file_test.go
+++ b/directory/quarantine_file_test.go
@@ -38,7 +38,7 @@
 		s.touchWatcher(time.Now(), &watchCall{From: EntryVM{Addr: "e", Zone: "z"}, Report: &r})
 		s.updateRoster(time.Now())
 	}
-	recalled := func() []quarantine.Part { return start().recalled }
+	recalled := func() []quarantine.Quarantined { return start().recalled }
 
 	// Guards against a part that ends several engines again after all VMs were lost.
 	ginkgo.It("lets the quarantine go on after the loss of all VMs, and its end too", func() {
@@ -48,28 +48,28 @@
 			r.Crashes = append(r.Crashes, quarantine.Crash{Runner: runner, Parts: []quarantine.Part{9, 4}})
 		}
 		report(s, r)
-		Eventually(recalled).WithTimeout(eventTimeout).Should(Equal([]quarantine.Part{4, 9}))
+		Eventually(recalled).WithTimeout(eventTimeout).Should(Equal([]quarantine.Quarantined{{Part: 4}, {Part: 9}}))
 
 		s = start()
 		s.updateRoster(time.Now())
-		Expect(s.lists.quarantinedParts()).To(Equal([]quarantine.Part{4, 9}))
+		Expect(s.lists.quarantined()).To(Equal([]quarantine.Quarantined{{Part: 4}, {Part: 9}}))
 		report(s, quarantine.Report{Answered: []quarantine.Part{4, 9}})
 		Eventually(recalled).WithTimeout(eventTimeout).Should(BeEmpty())
 	})
 
 	ginkgo.It("is reported for some time after a start only", func() {
-		Expect((&Server{opts: ServerOptions{QuarantineFile: path}}).writeQuarantine([]quarantine.Part{4})).To(Succeed())
+		Expect((&Server{opts: ServerOptions{QuarantineFile: path}}).writeQuarantine([]quarantine.Quarantined{{Part: 4, Failed: 2}})).To(Succeed())
 		s := start()
 		s.updateRoster(s.recallUntil.Add(time.Millisecond))
-		Expect(s.lists.quarantinedParts()).To(BeEmpty())
+		Expect(s.lists.quarantined()).To(BeEmpty())
 	})
 
 	// Guards against a control VM that starts alone and forgets what it had kept.
 	ginkgo.It("stays as it is until a leader has published its quarantine", func() {
-		Expect((&Server{opts: ServerOptions{QuarantineFile: path}}).writeQuarantine([]quarantine.Part{4})).To(Succeed())
+		Expect((&Server{opts: ServerOptions{QuarantineFile: path}}).writeQuarantine([]quarantine.Quarantined{{Part: 4, Failed: 2}})).To(Succeed())
 		s := start()
 		s.lists.putEntries(time.Now(), []EntryVM{{Addr: "e", Zone: "z"}})
-		Consistently(recalled).WithTimeout(300 * time.Millisecond).Should(Equal([]quarantine.Part{4}))
+		Consistently(recalled).WithTimeout(300 * time.Millisecond).Should(Equal([]quarantine.Quarantined{{Part: 4, Failed: 2}}))
 	})
 
 	ginkgo.It("does not keep a control VM from starting when it is damaged or cannot be written", func() {
@@ -78,7 +78,7 @@
 		Expect(s.recalled).To(BeEmpty())
 		path = filepath.Join(path, "no folder")
 		s = start()
-		report(s, quarantine.Report{Quarantined: []quarantine.Part{4}})
-		Expect(s.lists.quarantinedParts()).To(Equal([]quarantine.Part{4}))
+		report(s, quarantine.Report{Quarantined: []quarantine.Quarantined{{Part: 4, Failed: 2}}})
+		Expect(s.lists.quarantined()).To(Equal([]quarantine.Quarantined{{Part: 4, Failed: 2}}))
 	})
 })
--- a/directory/server.go
+++ b/directory/server.go
@@ -71,7 +71,7 @@
 	detector *quarantine.Detector
 	// recalled are the parts that were quarantined when this VM last ran. They are
 	// reported until recallUntil.
-	recalled    []quarantine.Part
+	recalled    []quarantine.Quarantined
 	recallUntil time.Time
 
 	mu sync.Mutex
--- a/directory/state.go
+++ b/directory/state.go
@@ -15,10 +15,7 @@
 	List    *RunnerList
 	Entries []EntryVM
 	// Quarantined are the parts of prompts that are kept away from runners.
-	Quarantined quarantine.Set
-	// Trials holds those of them that this VM may try once more, with the number
-	// of the trial.
-	Trials map[quarantine.Part]uint32
+	Quarantined quarantine.Known
 	// LastContactAt is when a control VM in contact with the leader last
 	// answered.
 	LastContactAt time.Time
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
@@ -23,7 +22,8 @@
 	}
 	for _, id := range r.call.Prompt.SharedIDs() {
 		part := quarantine.PartOf(id)
-		if state.Quarantined[part] && !r.g.evidence.HasAnswer(now, part) && !r.mayTry(state, part) {
+		q, quarantined := state.Quarantined[part]
+		if quarantined && !r.g.evidence.HasAnswer(now, part) && !r.mayTry(&q) {
 			return &Refusal{Reason: PromptQuarantined, RetryAfter: quarantineRetryDelay, Detail: "prompt part " + id + " crashes runners"}
 		}
 	}
@@ -32,22 +32,21 @@
 
 // mayTry reports whether the request may be sent in spite of a quarantined part.
 // It claims this VM's trial of the part, which is for one send.
-func (r *request) mayTry(state *directory.State, part quarantine.Part) bool {
+func (r *request) mayTry(q *quarantine.Quarantined) bool {
 	if r.sends > 0 {
 		return false
 	}
-	if r.trials[part] {
+	if r.trials[q.Part] {
 		return true
 	}
-	number, ok := state.Trials[part]
-	if !ok || !r.g.evidence.ClaimTrial(part, number) {
+	if q.Trial.VM == "" || q.Trial.VM != r.g.opts.Self || !r.g.evidence.ClaimTrial(q.Part, q.Trial.Number) {
 		return false
 	}
 	if r.trials == nil {
 		r.trials = quarantine.Set{}
 	}
-	r.trials[part] = true
-	r.g.log.Info().Str("id", r.call.ID).Uint64("part", uint64(part)).Uint32("number", number).
+	r.trials[q.Part] = true
+	r.g.log.Info().Str("id", r.call.ID).Uint64("part", uint64(q.Part)).Uint32("number", q.Trial.Number).
 		Msg("gateway: trial of a quarantined prompt part")
 	return true
 }
@@ -105,6 +104,6 @@
 
 // CrashReport returns what this VM has observed of crashed runners, given the
 // parts that are quarantined.
-func (g *Gateway) CrashReport(now time.Time, quarantined quarantine.Set) *quarantine.Report {
+func (g *Gateway) CrashReport(now time.Time, quarantined quarantine.Known) *quarantine.Report {
 	return g.evidence.Report(now, quarantined)
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -23,13 +23,19 @@
 	}
 	setQuarantine := func(g *Gateway, parts ...quarantine.Part) {
 		next := *g.state.Load()
-		next.Quarantined = quarantine.Set{}
+		next.Quarantined = quarantine.Known{}
 		for _, p := range parts {
-			next.Quarantined[p] = true
+			next.Quarantined[p] = quarantine.Quarantined{Part: p}
 		}
 		g.Update(&next)
 	}
 
+	setTrial := func(g *Gateway, vm string, number uint32) {
+		next := *g.state.Load()
+		next.Quarantined = quarantine.Known{bad: {Part: bad, Trial: quarantine.Trial{VM: vm, Number: number}}}
+		g.Update(&next)
+	}
+
 	ginkgo.It("is refused at once as not executed, unlike other prompts and a last part of that name", func() {
 		g, f := newTestGateway()
 		f.any = []reply{{status: 200, body: events(1, 1)}}
@@ -113,17 +119,13 @@
 	ginkgo.It("is sent once if this VM may try it, and not at a second runner", func() {
 		g, f := newTestGateway()
 		f.any = []reply{{status: 200, body: events(1, 1), cut: true}, {status: 200, body: events(2, 2)}}
-		setQuarantine(g, bad)
-		try := func(number uint32) {
-			next := *g.state.Load()
-			next.Trials = map[quarantine.Part]uint32{bad: number}
-			g.Update(&next)
-		}
-		try(1)
+		setTrial(g, "another", 1)
+		Expect(serve(g, withPart(call("stream"), "bad")).refusal.Reason).To(Equal(PromptQuarantined))
+		setTrial(g, "self", 2)
 		Expect(serve(g, withPart(call("resume"), "bad")).aborted).To(BeTrue())
 		Expect(f.sends()).To(HaveLen(1))
 		Expect(serve(g, withPart(call("stream"), "bad")).refusal.Reason).To(Equal(PromptQuarantined))
-		try(2)
+		setTrial(g, "self", 3)
 		f.any = []reply{{status: 200, body: events(1, 1)}}
 		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
 		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Answered).To(Equal([]quarantine.Part{bad}))
@@ -133,7 +135,7 @@
 	// because none of these answers has ended yet.
 	ginkgo.It("is contested by an answer that goes on, before its end", func() {
 		g, f := newTestGateway()
-		answered := func() []quarantine.Part { return g.CrashReport(time.Now(), quarantine.Set{bad: true}).Answered }
+		answered := func() []quarantine.Part { return g.CrashReport(time.Now(), quarantine.Known{bad: {}}).Answered }
 		f.any = []reply{{status: 200, body: events(1, 2), endless: &repeating{text: "data: x\n\n"}, pause: 20 * time.Millisecond}}
 		ctx, leave := context.WithCancel(context.Background())
 		ended := make(chan struct{})
@@ -150,10 +152,7 @@
 	ginkgo.It("may be tried by a request with stages", func() {
 		g, f := newTestGateway()
 		f.any = []reply{{status: 200, body: events(1, 1)}}
-		setQuarantine(g, bad)
-		next := *g.state.Load()
-		next.Trials = map[quarantine.Part]uint32{bad: 1}
-		g.Update(&next)
+		setTrial(g, "self", 1)
 		Expect(serve(g, withPart(stagedCallWithID("a"), "bad")).status).To(Equal(200))
 	})
 
@@ -163,7 +162,7 @@
 		f.any = []reply{{status: 200, body: events(1, 1), endsWithConnection: true}, {status: 500, body: "failed"}}
 		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(200))
 		Expect(serve(g, withPart(call("stream"), "bad")).status).To(Equal(500))
-		Expect(g.CrashReport(time.Now(), quarantine.Set{bad: true}).Answered).To(BeEmpty())
+		Expect(g.CrashReport(time.Now(), quarantine.Known{bad: {}}).Answered).To(BeEmpty())
 	})
 
 	ginkgo.It("is not reported for a request whose caller has left", func() {
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -40,17 +40,23 @@
 func NewDetector(now time.Time, quarantined []Quarantined) *Detector {
 	d := &Detector{parts: map[Part]*confinement{}, adoptUntil: now.Add(adoptionTime)}
 	for _, q := range quarantined {
-		d.parts[q.Part] = newConfinement(now)
-		d.parts[q.Part].trial.Number = q.Trial.Number
+		d.resume(now, &q)
 	}
 	return d
 }
 
+// resume continues the quarantine of a part.
+func (d *Detector) resume(now time.Time, q *Quarantined) {
+	c := newConfinement(now)
+	c.failed, c.trial.Number = q.Failed, q.Trial.Number
+	d.parts[q.Part] = c
+}
+
 // Quarantined returns the quarantined parts, sorted.
 func (d *Detector) Quarantined() []Quarantined {
 	var list []Quarantined
 	for _, p := range d.sortedParts() {
-		list = append(list, Quarantined{Part: p, Trial: d.parts[p].trial})
+		list = append(list, Quarantined{Part: p, Failed: d.parts[p].failed, Trial: d.parts[p].trial})
 	}
 	return list
 }
@@ -80,9 +86,9 @@
 // adopt continues the quarantines that entry VMs know.
 func (d *Detector) adopt(now time.Time, reports []*Report) {
 	for _, r := range reports {
-		for _, p := range r.Quarantined {
-			if d.parts[p] == nil {
-				d.parts[p] = newConfinement(now)
+		for _, q := range r.Quarantined {
+			if d.parts[q.Part] == nil {
+				d.resume(now, &q)
 			}
 		}
 	}
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -51,7 +51,7 @@
 	// Guards against a quarantine that is lost with all control VMs.
 	ginkgo.It("adopts at first what is quarantined at entry VMs, unless that is contested", func() {
 		d := NewDetector(start, nil)
-		known := &Report{Quarantined: []Part{bad, other}}
+		known := &Report{Quarantined: []Quarantined{{Part: bad}, {Part: other}}}
 		d.Update(start, []*Report{known, {Answered: []Part{other}}}, nil)
 		Expect(d.sortedParts()).To(Equal([]Part{bad}))
 		d.Update(start.Add(adoptionTime), []*Report{known}, nil)
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -142,7 +142,7 @@
 
 // Report returns the report of this VM, to which the given parts are known as
 // quarantined.
-func (e *Evidence) Report(now time.Time, quarantined Set) *Report {
+func (e *Evidence) Report(now time.Time, quarantined Known) *Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.forgetCrashes(now)
@@ -156,8 +156,8 @@
 		e.contested[p] = true
 	}
 	maps.DeleteFunc(e.contested, func(p Part, _ bool) bool { return !e.hasAnswer(now, p) })
-	maps.DeleteFunc(e.claimed, func(p Part, _ uint32) bool { return !quarantined[p] })
+	maps.DeleteFunc(e.claimed, func(p Part, _ uint32) bool { _, ok := quarantined[p]; return !ok })
 	r.Answered = slices.Sorted(maps.Keys(e.contested))
-	r.Quarantined = slices.Sorted(maps.Keys(quarantined))
+	r.Quarantined = quarantined.WithoutTrials()
 	return r
 }
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -65,11 +65,11 @@
 	ginkgo.It("contests the quarantine of a part that was answered, as long as the answer counts", func() {
 		e := NewEvidence()
 		e.RecordAnswer(start, []Part{shared})
-		report := e.Report(start, Set{bad: true, shared: true})
+		report := e.Report(start, NewKnown([]Quarantined{{Part: bad, Failed: 2, Trial: Trial{VM: "a", Number: 3}}, {Part: shared}}))
 		Expect(report.Answered).To(Equal([]Part{shared}))
-		Expect(report.Quarantined).To(Equal([]Part{bad, shared}))
+		Expect(report.Quarantined).To(Equal([]Quarantined{{Part: bad, Failed: 2}, {Part: shared}}))
 		Expect(e.Report(start.Add(time.Second), nil).Answered).To(Equal([]Part{shared}))
-		Expect(e.Report(start.Add(evidenceWindow+time.Second), Set{shared: true}).Answered).To(BeEmpty())
+		Expect(e.Report(start.Add(evidenceWindow+time.Second), Known{shared: {}}).Answered).To(BeEmpty())
 	})
 
 	ginkgo.It("lets one request claim each trial of a part", func() {
@@ -77,9 +77,9 @@
 		Expect(e.ClaimTrial(bad, 1)).To(BeTrue())
 		Expect(e.ClaimTrial(bad, 1)).To(BeFalse())
 		Expect(e.ClaimTrial(bad, 2)).To(BeTrue())
-		e.Report(start, Set{bad: true})
+		e.Report(start, Known{bad: {}})
 		Expect(e.ClaimTrial(bad, 2)).To(BeFalse())
-		e.Report(start, Set{})
+		e.Report(start, nil)
 		Expect(e.claimed).To(BeEmpty())
 	})
 
@@ -106,7 +106,7 @@
 		b.Crashes[0].Parts = []Part{shared}
 		Expect(a.Equal(b)).To(BeFalse())
 		Expect(a.Equal(&Report{Crashes: a.Crashes, Answered: []Part{bad}})).To(BeFalse())
-		Expect(a.Equal(&Report{Crashes: a.Crashes, Quarantined: []Part{bad}})).To(BeFalse())
-		Expect((&Report{Quarantined: []Part{bad}}).IsEmpty()).To(BeFalse())
+		Expect(a.Equal(&Report{Crashes: a.Crashes, Quarantined: []Quarantined{{Part: bad}}})).To(BeFalse())
+		Expect((&Report{Quarantined: []Quarantined{{Part: bad}}}).IsEmpty()).To(BeFalse())
 	})
 })
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -22,17 +22,14 @@
 		}
 		answered := Set{}
 		d := NewDetector(now, nil)
-		known := Set{}
+		known := Known{}
 		exchange := func() {
 			var reports []*Report
 			for _, e := range vms {
 				reports = append(reports, e.Report(now, known))
 			}
 			d.Update(now, reports, nil)
-			known = Set{}
-			for _, p := range d.sortedParts() {
-				known[p] = true
-			}
+			known = NewKnown(d.Quarantined())
 		}
 		crashes := rapid.IntRange(0, 8).Draw(t, "crashes")
 		for n := range crashes {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -10,7 +10,7 @@
 	Answered []Part `cbor:"2,keyasint,omitempty"`
 	// Quarantined are the parts that are quarantined at this VM, from which a
 	// control VM learns them that knows of none.
-	Quarantined []Part `cbor:"3,keyasint,omitempty"`
+	Quarantined []Quarantined `cbor:"3,keyasint,omitempty"`
 }
 
 // Crash is the loss of one runner with requests in flight.
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -1,10 +1,14 @@
 package quarantine
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// firstTrialWait is the time from the quarantine of a part to its first trial.
-	// Each trial that ends another runner multiplies it by trialWaitFactor, up to
+	// Each trial that has ended another runner multiplies it by trialWaitFactor, up to
 	// maxTrialWait.
 	firstTrialWait  = 8 * time.Second
 	trialWaitFactor = 4
@@ -26,8 +30,43 @@
 
 // Quarantined is a quarantined part, as the leading control VM publishes it.
 type Quarantined struct {
-	Part  Part  `cbor:"1,keyasint"`
-	Trial Trial `cbor:"2,keyasint"`
+	Part Part `cbor:"1,keyasint"`
+	// Failed is the number of trials that have ended another runner.
+	Failed uint32 `cbor:"2,keyasint,omitempty"`
+	Trial  Trial  `cbor:"3,keyasint"`
+}
+
+// Known holds the quarantined parts that an entry VM knows. It is immutable.
+type Known map[Part]Quarantined
+
+// NewKnown returns the index of the given parts.
+func NewKnown(list []Quarantined) Known {
+	k := make(Known, len(list))
+	for _, q := range list {
+		k[q.Part] = q
+	}
+	return k
+}
+
+// WithoutTrials returns the parts without their trials, sorted. This is what
+// outlives the leader that decides about the trials.
+func (k Known) WithoutTrials() []Quarantined {
+	var list []Quarantined
+	for _, p := range slices.Sorted(maps.Keys(k)) {
+		list = append(list, Quarantined{Part: p, Failed: k[p].Failed})
+	}
+	return list
+}
+
+// trialWait returns the time to the next trial after some have failed.
+func trialWait(failed uint32) time.Duration {
+	wait := firstTrialWait
+	for range failed {
+		if wait *= trialWaitFactor; wait >= maxTrialWait {
+			return maxTrialWait
+		}
+	}
+	return wait
 }
 
 // confinement is the quarantine of one part.
@@ -36,15 +75,15 @@
 	since time.Time
 	// lost holds the runners that were lost with the part.
 	lost map[string]bool
-	// wait is the time from since to the next trial.
-	wait  time.Duration
-	trial Trial
+	// failed is the number of trials that have ended another runner.
+	failed uint32
+	trial  Trial
 	// turnEnds is when the turn of the current trial ends, zero if there is none.
 	turnEnds time.Time
 }
 
 func newConfinement(now time.Time) *confinement {
-	return &confinement{since: now, lost: map[string]bool{}, wait: firstTrialWait}
+	return &confinement{since: now, lost: map[string]bool{}}
 }
 
 // recordLosses records the runners that were lost with the part by now. Another
@@ -60,7 +99,7 @@
 	}
 	c.since = now
 	if !c.turnEnds.IsZero() {
-		c.wait = min(trialWaitFactor*c.wait, maxTrialWait)
+		c.failed++
 		c.trial.VM, c.turnEnds = "", time.Time{}
 	}
 }
@@ -68,7 +107,7 @@
 // updateTrial begins a trial, or the next turn of one, if that is due. It reports
 // whether one has begun.
 func (c *confinement) updateTrial(now time.Time, vms []string) bool {
-	if len(vms) == 0 || now.Before(c.since.Add(c.wait)) || now.Before(c.turnEnds) {
+	if len(vms) == 0 || now.Before(c.since.Add(trialWait(c.failed))) || now.Before(c.turnEnds) {
 		return false
 	}
 	number := c.trial.Number + 1
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -14,12 +14,12 @@
 	names    []string
 	evidence map[string]*Evidence
 	detector *Detector
-	known    map[Part]Trial
+	known    Known
 	changes  []Change
 }
 
 func newTestVMs(names ...string) *testVMs {
-	s := &testVMs{now: start, names: names, evidence: map[string]*Evidence{}, detector: NewDetector(start, nil), known: map[Part]Trial{}}
+	s := &testVMs{now: start, names: names, evidence: map[string]*Evidence{}, detector: NewDetector(start, nil), known: Known{}}
 	for _, name := range names {
 		s.evidence[name] = NewEvidence()
 	}
@@ -30,28 +30,21 @@
 // know.
 func (s *testVMs) pass() {
 	s.now = s.now.Add(time.Second)
-	known := Set{}
-	for p := range s.known {
-		known[p] = true
-	}
 	var reports []*Report
 	for _, name := range s.names {
-		reports = append(reports, s.evidence[name].Report(s.now, known))
+		reports = append(reports, s.evidence[name].Report(s.now, s.known))
 	}
 	s.changes = append(s.changes, s.detector.Update(s.now, reports, s.names)...)
-	s.known = map[Part]Trial{}
-	for _, q := range s.detector.Quarantined() {
-		s.known[q.Part] = q.Trial
-	}
+	s.known = NewKnown(s.detector.Quarantined())
 }
 
 // sends reports whether a VM sends a request with the part.
 func (s *testVMs) sends(vm string, p Part) bool {
-	trial, quarantined := s.known[p]
+	q, quarantined := s.known[p]
 	if !quarantined || s.evidence[vm].HasAnswer(s.now, p) {
 		return true
 	}
-	return trial.VM == vm && s.evidence[vm].ClaimTrial(p, trial.Number)
+	return q.Trial.VM == vm && s.evidence[vm].ClaimTrial(p, q.Trial.Number)
 }
 
 // lose has every VM send requests with the part for some time and lose the runner
@@ -95,7 +88,7 @@
 		for range 3600 {
 			if s.lose(part, time.Second) > 0 {
 				tried = append(tried, s.now.Sub(start))
-				Expect(s.known[part].VM).To(BeEmpty())
+				Expect(s.known[part].Trial.VM).To(BeEmpty())
 			}
 		}
 		Expect(tried).To(HaveLen(8))
@@ -112,11 +105,11 @@
 		turns := map[string]uint32{}
 		for range int((firstTrialWait + 3*trialTurn) / time.Second) {
 			s.pass()
-			turns[s.known[part].VM] = s.known[part].Number
+			turns[s.known[part].Trial.VM] = s.known[part].Trial.Number
 		}
 		Expect(turns).To(HaveLen(4), "three VMs, and none at first")
-		Expect(s.changes[len(s.changes)-1].Trial).To(Equal(s.known[part]))
-		Expect(s.known[part].Number).To(BeNumerically("<=", 4), "a turn lasts some seconds")
+		Expect(s.changes[len(s.changes)-1].Trial).To(Equal(s.known[part].Trial))
+		Expect(s.known[part].Trial.Number).To(BeNumerically("<=", 4), "a turn lasts some seconds")
 	})
 
 	ginkgo.It("waits as long when two runners are lost at a trial as when one is", func() {
@@ -129,14 +122,28 @@
 		Expect(s.lose(part, trialWaitFactor*firstTrialWait+2*time.Second)).To(Equal(1))
 	})
 
-	ginkgo.It("keeps the numbers of its trials with a new detector, and waits again", func() {
+	// Guards against a leader that begins to try a part as often as the first one did.
+	ginkgo.It("keeps the wait for its next trial and their numbers under a new leader", func() {
 		s := newTestVMs("a")
-		s.lose(part, 2*time.Second)
-		s.lose(part, 10*firstTrialWait)
-		tried := s.known[part].Number
+		s.lose(part, minCrashes*time.Second)
+		s.lose(part, trialWaitFactor*firstTrialWait+2*firstTrialWait)
+		tried := s.known[part]
+		Expect(tried.Failed).To(Equal(uint32(2)))
 		s.detector = NewDetector(s.now, s.detector.Quarantined())
-		Expect(s.lose(part, firstTrialWait/2)).To(BeZero())
-		Expect(s.lose(part, firstTrialWait)).To(Equal(1))
-		Expect(s.known[part].Number).To(BeNumerically(">", tried))
+		wait := trialWait(tried.Failed)
+		Expect(s.lose(part, wait-2*time.Second)).To(BeZero())
+		Expect(s.lose(part, 4*time.Second)).To(Equal(1))
+		Expect(s.known[part].Trial.Number).To(BeNumerically(">", tried.Trial.Number))
+	})
+
+	ginkgo.It("keeps the wait for its next trial when only entry VMs know of it", func() {
+		s := newTestVMs("a", "b")
+		s.lose(part, 2*time.Second)
+		s.lose(part, trialWaitFactor*firstTrialWait+2*firstTrialWait)
+		failed := s.known[part].Failed
+		Expect(failed).To(BeNumerically(">=", 2))
+		s.detector = NewDetector(s.now, nil)
+		s.known = Known{part: {Part: part, Failed: failed}}
+		Expect(s.lose(part, trialWait(failed)-2*time.Second)).To(BeZero())
 	})
 })
