--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -31,14 +31,14 @@
 
 // Detector decides which parts are quarantined. It is not safe for concurrent use.
 type Detector struct {
-	parts map[Part]*confinement
+	parts map[Part]*partState
 	// adoptUntil is the end of the adoption time.
 	adoptUntil time.Time
 }
 
 // NewDetector returns a detector that continues the given quarantine.
 func NewDetector(now time.Time, quarantined []Quarantined) *Detector {
-	d := &Detector{parts: map[Part]*confinement{}, adoptUntil: now.Add(adoptionTime)}
+	d := &Detector{parts: map[Part]*partState{}, adoptUntil: now.Add(adoptionTime)}
 	for _, q := range quarantined {
 		d.resume(now, &q)
 	}
@@ -47,7 +47,7 @@
 
 // resume continues the quarantine of a part.
 func (d *Detector) resume(now time.Time, q *Quarantined) {
-	c := newConfinement(now)
+	c := newPartState(now)
 	c.failed, c.trial.Number = q.Failed, q.Trial.Number
 	d.parts[q.Part] = c
 }
@@ -117,7 +117,7 @@
 			return changes
 		}
 		for _, p := range worst {
-			d.parts[p] = newConfinement(now)
+			d.parts[p] = newPartState(now)
 			changes = append(changes, Change{Part: p, Quarantined: true, Crashes: count})
 		}
 		for _, p := range worst {
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -22,5 +22,5 @@
 // maxParts bounds the parts of a prompt, and those of one crash in a report.
 const maxParts = 32
 
-// Set is an immutable set of parts.
+// Set is a set of parts.
 type Set map[Part]bool
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -69,8 +69,8 @@
 	return wait
 }
 
-// confinement is the quarantine of one part.
-type confinement struct {
+// partState is the quarantine of one part.
+type partState struct {
 	// since is when the part was quarantined or last ended another runner.
 	since time.Time
 	// lost holds the runners that were lost with the part.
@@ -82,13 +82,13 @@
 	turnEnds time.Time
 }
 
-func newConfinement(now time.Time) *confinement {
-	return &confinement{since: now, lost: map[string]bool{}}
+func newPartState(now time.Time) *partState {
+	return &partState{since: now, lost: map[string]bool{}}
 }
 
 // recordLosses records the runners that were lost with the part by now. Another
 // one ends the trial.
-func (c *confinement) recordLosses(now time.Time, runners []string) {
+func (c *partState) recordLosses(now time.Time, runners []string) {
 	more := false
 	for _, runner := range runners {
 		more = more || !c.lost[runner]
@@ -106,7 +106,7 @@
 
 // updateTrial begins a trial, or the next turn of one, if that is due. It reports
 // whether one has begun.
-func (c *confinement) updateTrial(now time.Time, vms []string) bool {
+func (c *partState) updateTrial(now time.Time, vms []string) bool {
 	if len(vms) == 0 || now.Before(c.since.Add(trialWait(c.failed))) || now.Before(c.turnEnds) {
 		return false
 	}
