--- a/directory/apply_monitor.go
+++ b/directory/apply_monitor.go
@@ -12,6 +12,10 @@
 // logged.
 const slowApply = 500 * time.Millisecond
 
+// stuckApply is how long a new state may take to be applied before this VM counts
+// as stuck. Its routes and runners may be outdated by then.
+const stuckApply = 2 * time.Second
+
 // applyMonitor shows how long this VM takes to apply new states, also while one
 // is being applied.
 type applyMonitor struct {
--- a/directory/apply_monitor_test.go
+++ b/directory/apply_monitor_test.go
@@ -33,6 +33,31 @@
 	})
 })
 
+var _ = ginkgo.Describe("a client", func() {
+	// Guards against a VM that goes on to take new callers with routes that have been
+	// replaced.
+	ginkgo.It("is stuck while a state is not applied for long, and only then", func() {
+		held, resumed := make(chan struct{}), make(chan struct{})
+		c := NewClient(ClientOptions{Logger: discardLogger, Changed: func(*State) {
+			close(held)
+			<-resumed
+		}})
+		now := time.Now()
+		Expect(c.IsStuck(now.Add(time.Hour))).To(BeFalse())
+		applied := make(chan struct{})
+		go func() {
+			defer close(applied)
+			c.apply(now, &watchCall{}, &watchReply{})
+		}()
+		<-held
+		Expect(c.IsStuck(now.Add(stuckApply / 2))).To(BeFalse())
+		Expect(c.IsStuck(time.Now().Add(stuckApply + time.Second))).To(BeTrue())
+		close(resumed)
+		Eventually(applied).WithTimeout(eventTimeout).Should(BeClosed())
+		Expect(c.IsStuck(now.Add(time.Hour))).To(BeFalse())
+	})
+})
+
 // lineWriter sends each line that is written to it.
 type lineWriter chan string
 
--- a/directory/client.go
+++ b/directory/client.go
@@ -45,7 +45,7 @@
 }
 
 // Client keeps an entry VM's State up to date. The methods State,
-// MarkDraining and WriteMetrics are safe for concurrent use.
+// MarkDraining, IsStuck and WriteMetrics are safe for concurrent use.
 type Client struct {
 	opts     ClientOptions
 	state    atomic.Pointer[State]
@@ -80,6 +80,10 @@
 // State returns the newest state. It is never nil.
 func (c *Client) State() *State { return c.state.Load() }
 
+// IsStuck reports whether a new state is being applied for so long that callers
+// are better served by other VMs.
+func (c *Client) IsStuck(now time.Time) bool { return c.monitor.running(now) > stuckApply }
+
 // WriteMetrics writes the client's metrics in the Prometheus text format.
 func (c *Client) WriteMetrics(w io.Writer) { c.monitor.set.WritePrometheus(w) }
 
