--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -47,9 +47,9 @@
 
 // resume continues the quarantine of a part.
 func (d *Detector) resume(now time.Time, q *Quarantined) {
-	c := newPartState(now)
-	c.failed, c.trial.Number = q.Failed, q.Trial.Number
-	d.parts[q.Part] = c
+	state := newPartState(now)
+	state.failed, state.trial.Number = q.Failed, q.Trial.Number
+	d.parts[q.Part] = state
 }
 
 // Quarantined returns the quarantined parts, sorted.
@@ -73,8 +73,8 @@
 	}
 	changes := d.free(now, answered)
 	crashes := joinCrashes(reports, answered)
-	for p, c := range d.parts {
-		c.recordLosses(now, runnersLostWith(crashes, p))
+	for p, state := range d.parts {
+		state.recordLosses(now, runnersLostWith(crashes, p))
 	}
 	for p := range d.parts {
 		removeExplained(crashes, p)
@@ -130,8 +130,8 @@
 func (d *Detector) updateTrials(now time.Time, vms []string) []Change {
 	var changes []Change
 	for _, p := range d.sortedParts() {
-		if c := d.parts[p]; c.updateTrial(now, vms) {
-			changes = append(changes, Change{Part: p, Quarantined: true, Crashes: len(c.lost), Trial: c.trial})
+		if state := d.parts[p]; state.updateTrial(now, vms) {
+			changes = append(changes, Change{Part: p, Quarantined: true, Crashes: len(state.lost), Trial: state.trial})
 		}
 	}
 	return changes
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -88,30 +88,30 @@
 
 // recordLosses records the runners that were lost with the part by now. Another
 // one ends the trial.
-func (c *partState) recordLosses(now time.Time, runners []string) {
+func (s *partState) recordLosses(now time.Time, runners []string) {
 	more := false
 	for _, runner := range runners {
-		more = more || !c.lost[runner]
-		c.lost[runner] = true
+		more = more || !s.lost[runner]
+		s.lost[runner] = true
 	}
 	if !more {
 		return
 	}
-	c.since = now
-	if !c.turnEnds.IsZero() {
-		c.failed++
-		c.trial.VM, c.turnEnds = "", time.Time{}
+	s.since = now
+	if !s.turnEnds.IsZero() {
+		s.failed++
+		s.trial.VM, s.turnEnds = "", time.Time{}
 	}
 }
 
 // updateTrial begins a trial, or the next turn of one, if that is due. It reports
 // whether one has begun.
-func (c *partState) updateTrial(now time.Time, vms []string) bool {
-	if len(vms) == 0 || now.Before(c.since.Add(trialWait(c.failed))) || now.Before(c.turnEnds) {
+func (s *partState) updateTrial(now time.Time, vms []string) bool {
+	if len(vms) == 0 || now.Before(s.since.Add(trialWait(s.failed))) || now.Before(s.turnEnds) {
 		return false
 	}
-	number := c.trial.Number + 1
-	c.trial = Trial{VM: vms[int(number)%len(vms)], Number: number}
-	c.turnEnds = now.Add(trialTurn)
+	number := s.trial.Number + 1
+	s.trial = Trial{VM: vms[int(number)%len(vms)], Number: number}
+	s.turnEnds = now.Add(trialTurn)
 	return true
 }
