internal/timer, ctl: one function that waits with a context, one that reads -f

Cause: control, directory, load, load/experiment and ctl each had their own wait for a time or the end of a context; three commands of damaskctl read their document in the same lines.

--- a/control/client.go
+++ b/control/client.go
@@ -8,6 +8,7 @@
 
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/transport"
 	"damaskbridge.example/damaskbridge/wire"
 )
@@ -67,7 +68,7 @@
 		if reply.Leader != "" && reply.Leader != addr {
 			c.setLeader(reply.Leader)
 		} else {
-			sleep(ctx, retryDelay)
+			timer.Sleep(ctx, retryDelay)
 		}
 		if ctx.Err() != nil {
 			return command.Result{}, errors.Join(ctx.Err(), lastErr)
@@ -189,15 +190,3 @@
 		c.preferred = (c.preferred + 1) % len(c.addrs)
 	}
 }
-
-// sleep waits for d and reports whether ctx is still valid.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/control/join.go
+++ b/control/join.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/raft"
 	"damaskbridge.example/damaskbridge/transport"
 	"damaskbridge.example/damaskbridge/wal"
@@ -31,7 +32,7 @@
 		} else {
 			r.requestJoinFromVoters()
 		}
-		if !sleep(r.ctx, r.opts.ReportInterval) {
+		if !timer.Sleep(r.ctx, r.opts.ReportInterval) {
 			return
 		}
 	}
--- a/control/seeds.go
+++ b/control/seeds.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/raft"
 )
 
@@ -19,7 +20,7 @@
 // once every seed has answered that it has no group.
 func (r *Replica) joinBySeeds() {
 	var leaderlessSince time.Time
-	for sleep(r.ctx, r.opts.ReportInterval) {
+	for timer.Sleep(r.ctx, r.opts.ReportInterval) {
 		v := r.published.Load()
 		if v.members.Contains(r.id) {
 			if !v.leader.IsZero() {
--- a/control/status.go
+++ b/control/status.go
@@ -8,6 +8,7 @@
 
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/raft"
 	"damaskbridge.example/damaskbridge/transport"
@@ -137,7 +138,7 @@
 		if reply.Done {
 			return reply.Result, nil
 		}
-		if !sleep(ctx, retryDelay) {
+		if !timer.Sleep(ctx, retryDelay) {
 			return command.Result{}, problem.New(problem.ControlUnavailable, problem.Unknown, "the command was not confirmed in time")
 		}
 	}
@@ -167,7 +168,7 @@
 		if current >= version {
 			return current, nil
 		}
-		if !sleep(ctx, retryDelay) {
+		if !timer.Sleep(ctx, retryDelay) {
 			return current, nil
 		}
 	}
--- a/ctl/change.go
+++ b/ctl/change.go
@@ -19,10 +19,7 @@
 	base := inv.flags.Int64("base", currentVersion, "`version` that the document was written for; -1 is the current one")
 	id := inv.flags.String("id", "", "change `id`; give the same one to resend a change (default: a new one)")
 	wait := inv.flags.Bool("wait", false, "wait until the change is in effect on every entry VM")
-	if err := inv.parse(0, 0); err != nil {
-		return err
-	}
-	doc, err := inv.readDocument(*file)
+	doc, err := inv.parseWithDocument(file)
 	if err != nil {
 		return err
 	}
@@ -70,21 +67,22 @@
 // newChangeID returns a random change id.
 func newChangeID() string { return rand.Text() }
 
-// readDocument reads the document named by the -f flag.
-func (inv *invocation) readDocument(file string) ([]byte, error) {
-	if file == "" {
+// parseWithDocument parses the flags and reads the document that file, the -f
+// flag, names then.
+func (inv *invocation) parseWithDocument(file *string) ([]byte, error) {
+	if err := inv.parse(0, 0); err != nil {
+		return nil, err
+	}
+	if *file == "" {
 		return nil, usageErrorf("no document is given; give -f FILE")
 	}
-	return inv.ReadFile(file)
+	return inv.ReadFile(*file)
 }
 
 // diff implements 'diff', which shows what a document would change.
 func (inv *invocation) diff(ctx context.Context) error {
 	file := inv.flags.String("f", "", "document `file`")
-	if err := inv.parse(0, 0); err != nil {
-		return err
-	}
-	doc, err := inv.readDocument(*file)
+	doc, err := inv.parseWithDocument(file)
 	if err != nil {
 		return err
 	}
@@ -104,10 +102,7 @@
 // without a server. Sections missing from the document count as empty.
 func (inv *invocation) check(context.Context) error {
 	file := inv.flags.String("f", "", "document `file`")
-	if err := inv.parse(0, 0); err != nil {
-		return err
-	}
-	doc, err := inv.readDocument(*file)
+	doc, err := inv.parseWithDocument(file)
 	if err != nil {
 		return err
 	}
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/admin"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/problem"
 )
 
@@ -89,14 +90,10 @@
 	if c.Pause != nil {
 		return c.Pause(ctx, roundPause)
 	}
-	t := time.NewTimer(roundPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !timer.Sleep(ctx, roundPause) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // attempt sends the request once, to the control VM at addr.
--- a/directory/client.go
+++ b/directory/client.go
@@ -11,6 +11,7 @@
 
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/delta"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/quarantine"
 	"damaskbridge.example/damaskbridge/transport"
 )
@@ -98,7 +99,7 @@
 		}
 		addr := c.current
 		if addr == "" {
-			sleep(ctx, c.nextRetryInterval())
+			timer.Sleep(ctx, c.nextRetryInterval())
 			continue
 		}
 		err := c.watch(ctx, addr)
@@ -154,12 +155,3 @@
 	}
 	return 0
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/directory/client_select.go
+++ b/directory/client_select.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/timer"
 )
 
 const (
@@ -156,5 +158,5 @@
 	if c.State().Table == nil {
 		pause = c.nextRetryInterval()
 	}
-	sleep(ctx, pause)
+	timer.Sleep(ctx, pause)
 }
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/transport"
 	"damaskbridge.example/damaskbridge/wire"
 )
@@ -88,7 +89,7 @@
 			s.opts.Logger.Info().Err(err).Str("control", addr).Bool("reachable", !failing).Msg("directory: exchange with a control VM")
 		}
 		if err != nil {
-			sleep(ctx, retryInterval)
+			timer.Sleep(ctx, retryInterval)
 		}
 	}
 }
@@ -105,7 +106,7 @@
 	}
 	if reply.Format < formatSets {
 		err := s.exchangeLegacyRoster(ctx, addr)
-		sleep(ctx, rosterInterval)
+		timer.Sleep(ctx, rosterInterval)
 		return errors.Join(errLegacyLeader, err)
 	}
 	return s.lists.apply(madeAt(sentAt, reply), call.Sets, reply.Changes)
--- a/directory/reader.go
+++ b/directory/reader.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"damaskbridge.example/damaskbridge/internal/timer"
 )
 
 // Lister reads the platform's list of runners.
@@ -98,7 +100,7 @@
 			r.log.Debug().Err(err).Msg("directory: distance to the runner list")
 			pause = readInterval
 		}
-		sleep(ctx, pause)
+		timer.Sleep(ctx, pause)
 	}
 }
 
--- a/directory/roster.go
+++ b/directory/roster.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
@@ -79,7 +80,7 @@
 	for {
 		reportsChanged := s.lists.nextChange(reportChanges)
 		s.updateRoster(time.Now())
-		sleep(ctx, rosterSpacing)
+		timer.Sleep(ctx, rosterSpacing)
 		select {
 		case <-ctx.Done():
 			return
--- a/load/experiment/plan.go
+++ b/load/experiment/plan.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/load"
 	"damaskbridge.example/damaskbridge/standin"
 )
@@ -71,7 +72,7 @@
 	if c.Close != nil {
 		defer c.Close()
 	}
-	sleep(ctx, p.Settled)
+	timer.Sleep(ctx, p.Settled)
 	report, err := p.measure(ctx, s, c, seed)
 	row.fill(report)
 	row.Unfinished = errors.Is(err, errUnfinished)
@@ -114,7 +115,7 @@
 	// Rand and the variables that actions share are used by one goroutine.
 	running.Go(func() {
 		for i, a := range inOrder(actions) {
-			if !sleep(ctx, time.Until(start.Add(part(env.Duration, a.At)))) {
+			if !timer.Sleep(ctx, time.Until(start.Add(part(env.Duration, a.At)))) {
 				errs[i] = errUnfinished
 				return
 			}
--- a/load/experiment/scenario.go
+++ b/load/experiment/scenario.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/load"
 	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/standin"
@@ -238,7 +239,7 @@
 	}
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) {
-		if !sleep(ctx, restartPoll) {
+		if !timer.Sleep(ctx, restartPoll) {
 			return ctx.Err()
 		}
 	}
@@ -246,7 +247,7 @@
 		if running, waiting := u.RealLoad(); running+waiting == 0 {
 			break
 		}
-		if !sleep(ctx, restartPoll) {
+		if !timer.Sleep(ctx, restartPoll) {
 			return ctx.Err()
 		}
 	}
@@ -259,15 +260,3 @@
 	// maxDrainPolls bounds the wait for a draining upstream's last work.
 	maxDrainPolls = 2000
 )
-
-// sleep waits; it is false if ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/load/runner.go
+++ b/load/runner.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/timer"
 )
 
 // runner makes one run.
@@ -51,7 +53,7 @@
 	defer open.Wait()
 	for _, q := range schedule(r.options, start) {
 		due := start.Add(q.at)
-		if !sleepUntil(ctx, due) {
+		if !timer.Sleep(ctx, time.Until(due)) {
 			return
 		}
 		select {
@@ -66,21 +68,6 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (r *runner) keep(rec *record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -127,7 +114,7 @@
 		if !d.again || retries > r.options.MaxRetries || !inTime(rec.request, due, d.wait) {
 			return last
 		}
-		if !sleepUntil(ctx, time.Now().Add(d.wait)) {
+		if !timer.Sleep(ctx, d.wait) {
 			return last
 		}
 	}
