gateway, platform: a stopping VM refuses requests that wait for their stages to the end

Callers saw: a closed connection without an answer (LOST) 7.8 s after the SIGTERM of a VM, for requests that no runner had. Cause: in an overload a request may wait longer for its stages than the VM has time to stop. At the end of that time the connections are closed and the request's context ends, so that its refusal (caller_left) reaches nobody.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,9 @@
 	evidence       *quarantine.Evidence
 	metrics        *gatewayMetrics
 	stopping       atomic.Bool
+	// unsentRefused is closed once requests may no longer wait for their stages.
+	unsentRefused chan struct{}
+	refuseOnce    sync.Once
 	// configured is closed once this VM has the catalog, the runner list and,
 	// unless that takes longer than maxRosterWait, the list of entry VMs.
 	configured     chan struct{}
@@ -61,6 +64,8 @@
 		metrics:    newGatewayMetrics(),
 		configured: make(chan struct{}),
 
+		unsentRefused: make(chan struct{}),
+
 		callerTimeouts: newTimeoutTracker(),
 		firstEvents:    newLatencyTracker(),
 		holds:          newInputHoldTimes(),
@@ -159,6 +164,21 @@
 // before the shutdown. Requests in flight continue.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
+// RefuseUnsent makes the gateway refuse requests that wait for their stages: there
+// is no time left to have them answered before the shutdown, and their callers can
+// still turn to another VM.
+func (g *Gateway) RefuseUnsent() { g.refuseOnce.Do(func() { close(g.unsentRefused) }) }
+
+// refusesUnsent reports whether RefuseUnsent was called.
+func (g *Gateway) refusesUnsent() bool {
+	select {
+	case <-g.unsentRefused:
+		return true
+	default:
+		return false
+	}
+}
+
 // Table returns the current catalog, or nil before the first update.
 func (g *Gateway) Table() *catalog.Table { return g.state.Load().Table }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -92,6 +92,9 @@
 		if refusal := r.refuseQuarantined(now); refusal != nil {
 			return refusal
 		}
+		if r.stages != nil && r.sends == 0 && r.g.refusesUnsent() {
+			return stoppingRefusal()
+		}
 		runner := r.pickRunner(now)
 		if runner == nil {
 			return r.noRunnerRefusal(ctx)
--- a/gateway/request_admission.go
+++ b/gateway/request_admission.go
@@ -22,7 +22,7 @@
 		return &Refusal{Reason: UnknownKey}
 	}
 	if r.g.stopping.Load() && r.route.Streaming {
-		return &Refusal{Reason: Stopping, RetryAfter: shortRetryDelay()}
+		return stoppingRefusal()
 	}
 	if refusal := r.refuseQuarantined(time.Now()); refusal != nil {
 		return refusal
--- a/gateway/request_refusals.go
+++ b/gateway/request_refusals.go
@@ -40,6 +40,12 @@
 	return &Refusal{Reason: NoRunner, RetryAfter: shortRetryDelay(), Detail: r.service.Name}
 }
 
+// stoppingRefusal returns the refusal for a request that this VM cannot serve
+// before it stops.
+func stoppingRefusal() *Refusal {
+	return &Refusal{Reason: Stopping, RetryAfter: shortRetryDelay()}
+}
+
 const (
 	shortRetryMin    = 200 * time.Millisecond
 	shortRetryJitter = 400 * time.Millisecond
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -86,6 +87,7 @@
 	ended := make(chan stageResult, len(r.route.Stages))
 	started := make([]bool, len(r.route.Stages))
 	running := 0
+	unsentRefused := r.g.unsentRefused
 	for {
 		if refusal == nil {
 			running += r.startStages(ctx, started, ended)
@@ -93,7 +95,16 @@
 		if running == 0 {
 			break
 		}
-		end := <-ended
+		var end stageResult
+		select {
+		case end = <-ended:
+		case <-unsentRefused:
+			unsentRefused = nil
+			refusal = cmp.Or(refusal, stoppingRefusal())
+			again = false
+			cancel()
+			continue
+		}
 		running--
 		r.stages.results[end.stage] = end.results
 		r.stages.done[end.stage] = true
