--- a/review/cases/stage_copy.go
+++ b/review/cases/stage_copy.go
@@ -51,21 +51,29 @@
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// playStageCopy has a stage runner answer some calls with the reason "error" for
-// all pieces. In trouble, it also sends a second copy of such an answer late,
-// when it has read the next call of the connection. Rule MIXED: no request may
+// playStageCopy has three of five stage runners answer some calls with the reason "error" for
+// all pieces. In trouble, they also send a second copy of such an answer late,
+// when they have read the next call of the connection. Rule MIXED: no request may
 // be given results of another one.
 func playStageCopy(s *system, trouble bool) (broken bool, err error) {
 	const (
 		// failEvery has each such call answered with errors, copyEvery each such
 		// failed call answered twice.
 		failEvery = 34
-		length    = 60 * time.Second
-		clients   = 3
+		length    = 80 * time.Second
+		clients   = 8
+		runners   = 5
+		// faulty of the runners are in trouble, for troubleTime at a time and again
+		// every troubleEvery.
+		faulty       = 3
+		troubleTime  = 5 * time.Second
+		troubleEvery = 6 * time.Second
 	)
+	began := time.Now()
+	inTrouble := func() bool { return trouble && time.Since(began)%troubleEvery < troubleTime }
 	res := newResults()
 	var calls, copies atomic.Int64
-	for n := range 2 {
+	for n := range runners {
 		x := &stageRunner{rec: s.rec, results: res}
 		var mu sync.Mutex
 		owed := map[*runnerConn][]byte{}
@@ -83,7 +91,7 @@
 			return err
 		}
 		x.write = func(c *runnerConn, items []stageItem, answer func([]stageResult) []byte) error {
-			if n != 0 || calls.Add(1)%failEvery != 0 {
+			if n >= faulty || calls.Add(1)%failEvery != 0 {
 				_, err := c.Write(answer(x.complete(items)))
 				return err
 			}
@@ -93,7 +101,7 @@
 				s.rec.say("stage runner %s: fails %s piece %d", x.runner.id, items[i].ID, items[i].Piece)
 			}
 			b := answer(list)
-			if trouble {
+			if inTrouble() {
 				mu.Lock()
 				owed[c] = b
 				mu.Unlock()
@@ -140,7 +148,7 @@
 	for _, e := range engines {
 		foreign += e.foreign
 	}
-	s.rec.say("%d requests served, %d calls of the first stage runner, %d answers sent twice, %d requests with results of others", served.Load(), calls.Load(), copies.Load(), foreign)
+	s.rec.say("%d requests served, %d calls of the faulty stage runners, %d answers sent twice, %d requests with results of others", served.Load(), calls.Load(), copies.Load(), foreign)
 	if served.Load() == 0 {
 		return false, fmt.Errorf("no request was served")
 	}
