review: the list of runners is not read while one control VM is down

Case 5: ages rounded down to whole milliseconds make a list ever younger between control VMs that exchange it, so no other VM takes over the reading.

--- a/review/cases/list.go
+++ b/review/cases/list.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // listed is one entry of the platform's list.
@@ -29,6 +30,10 @@
 
 	mu      sync.Mutex
 	entries []listed
+	// own are the addresses at which single control VMs read the list, by the
+	// host part of their addresses; readAt is when each of them last did.
+	own    map[int]string
+	readAt map[int]time.Time
 	// raw are entries of other writers, as they stand in the list.
 	raw []string
 }
@@ -38,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &runnerList{addr: addr}
+	l := &runnerList{addr: addr, own: map[int]string{}, readAt: map[int]time.Time{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /runners", l.serve)
 	l.server = &http.Server{Handler: mux}
@@ -46,6 +51,44 @@
 	return l, nil
 }
 
+// listenFor gives a control VM an address of its own for the list, so that the
+// platform sees which VM reads it.
+func (l *runnerList) listenFor(host int, addr string) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.own[host] = addr
+	l.mu.Unlock()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.mu.Lock()
+		l.readAt[host] = time.Now()
+		l.mu.Unlock()
+		l.serve(w, r)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	l.server.RegisterOnShutdown(func() { _ = server.Close() })
+	return nil
+}
+
+// addrFor returns the address at which a VM reads the list.
+func (l *runnerList) addrFor(host int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if addr := l.own[host]; addr != "" {
+		return addr
+	}
+	return l.addr
+}
+
+// lastRead returns when a control VM last read the list.
+func (l *runnerList) lastRead(host int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readAt[host]
+}
+
 func (l *runnerList) add(e listed) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/cases/system.go
+++ b/review/cases/system.go
@@ -205,7 +205,7 @@
 	}
 	line("memory: %dMiB", memoryMB)
 	line("tolerated_losses: 2")
-	line("runner_list: %q", s.list.addr)
+	line("runner_list: %q", s.list.addrFor(v.host))
 	line("drain_time: 4000ms")
 	line("process: {log_level: info, drain_wait: %s}", graceTime)
 	line("repeats: {window: 10s, ratio: 0.2, slack: 54}")
