--- a/review/cases/stage_copy.go
+++ b/review/cases/stage_copy.go
@@ -51,21 +51,21 @@
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// playStageCopy has three of five stage runners answer some calls with the reason "error" for
-// all pieces. In trouble, they also send a second copy of such an answer late,
-// when they have read the next call of the connection. Rule MIXED: no request may
-// be given results of another one.
+// playStageCopy has ten of eighteen stage runners answer some calls with the reason
+// "error" for all pieces. In trouble, they also send a second copy of such an answer
+// late, when they have read the next call of the connection. Rule MIXED: no request
+// may be given results of another one.
 func playStageCopy(s *system, trouble bool) (broken bool, err error) {
 	const (
 		// failEvery has each such call answered with errors, copyEvery each such
 		// failed call answered twice.
 		failEvery = 34
 		length    = 80 * time.Second
-		clients   = 8
-		runners   = 5
+		clients   = 32
+		runners   = 18
 		// faulty of the runners are in trouble, for troubleTime at a time and again
 		// every troubleEvery.
-		faulty       = 3
+		faulty       = 10
 		troubleTime  = 5 * time.Second
 		troubleEvery = 6 * time.Second
 	)
@@ -114,9 +114,9 @@
 		}
 	}
 	var engines []*engine
-	for n := range 2 {
+	for n := range 4 {
 		e := &engine{rec: s.rec, results: res, events: 4, gap: 20 * time.Millisecond}
-		if e.runner, err = s.addRunner(111+n, fmt.Sprintf("i-engine-%d", n), "huvo11a", 64, e.serve); err != nil {
+		if e.runner, err = s.addRunner(131+n, fmt.Sprintf("i-engine-%d", n), "huvo11a", 64, e.serve); err != nil {
 			return false, err
 		}
 		engines = append(engines, e)
