--- a/review/cases/half_restored.go
+++ b/review/cases/half_restored.go
@@ -19,8 +19,10 @@
 // be read back.
 func playHalfRestored(s *system, trouble bool) (broken bool, err error) {
 	const (
-		rounds      = 7
-		calmRounds  = 2
+		// roundsUntil bounds the time for the rounds; without trouble there are
+		// calmRounds.
+		roundsUntil = 65 * time.Second
+		calmRounds  = 3
 		lossAfter   = 6 * time.Second
 		downFor     = 1200 * time.Millisecond
 		readBackFor = 25 * time.Second
@@ -31,12 +33,11 @@
 	// Every control VM becomes a voter.
 	time.Sleep(8 * time.Second)
 	p := &publisher{s: s, version: 7}
-	limit := rounds
-	if !trouble {
-		limit = calmRounds
-	}
 	var dead *vm
-	for round := 0; round < limit && dead == nil; round++ {
+	for round := 0; dead == nil; round++ {
+		if !trouble && round == calmRounds || time.Since(s.rec.began) > roundsUntil {
+			break
+		}
 		target := s.control[round%controlVMs]
 		starts, err := p.restartTwice(target, trouble)
 		if err != nil {
@@ -82,7 +83,7 @@
 
 // publish has the targets acknowledge a number of changes.
 func (p *publisher) publish(count int, targets []*vm) error {
-	const changeEvery = 60 * time.Millisecond
+	const changeEvery = 20 * time.Millisecond
 	for range count {
 		p.version++
 		if err := p.s.put(plainDocument(p.version), targets, 5*time.Second); err != nil {
@@ -102,7 +103,7 @@
 		// catchUp is catch_up_s of the settings.
 		catchUp   = 4 * time.Second
 		killedFor = 500 * time.Millisecond
-		calm      = 2 * time.Second
+		calm      = time.Second
 		tries     = 3
 	)
 	rec := p.s.rec
--- a/review/cases/system.go
+++ b/review/cases/system.go
@@ -20,7 +20,7 @@
 	seedVMs    = 3
 	// graceTime is what the platform leaves a process after SIGTERM.
 	graceTime = 8 * time.Second
-	// memoryMB is the memory limit of an entry VM.
+	// memoryMB is the memory limit of a VM unless a case sets another one.
 	memoryMB = 284
 )
 
@@ -35,6 +35,8 @@
 	list    *runnerList
 	control []*vm
 	entries []*vm
+	// entryMemoryMB is the memory limit of an entry VM.
+	entryMemoryMB int
 
 	mu  sync.Mutex
 	all []*vm
@@ -56,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{rec: rec, folder: folder, root: root}
+	s := &system{rec: rec, folder: folder, root: root, entryMemoryMB: memoryMB}
 	if s.net, s.ports, err = freeNetwork(); err != nil {
 		return nil, err
 	}
@@ -203,7 +205,11 @@
 		line("operators: %q", s.addr(v.host, s.ports.operators))
 		line("data: %q", v.dataFolder)
 	}
-	line("memory: %dMiB", memoryMB)
+	limit := memoryMB
+	if v.role == "entry" {
+		limit = s.entryMemoryMB
+	}
+	line("memory: %dMiB", limit)
 	line("tolerated_losses: 2")
 	line("runner_list: %q", s.list.addrFor(v.host))
 	line("drain_time: 4000ms")
