--- a/review/cases/bookings.go
+++ b/review/cases/bookings.go
@@ -76,11 +76,3 @@
 	}
 	return served, failed
 }
-
-// isServed reports whether a booking was answered with success.
-func (b *bookings) isServed(id string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.list[id]
-	return e != nil && e.answer != nil && e.answer.err == nil && e.answer.status == http.StatusOK
-}
