wal: Open completes a restore that ended before the reset was stored

With two lost disks beside it the acknowledged configuration was unreadable.

Change: Open writes the missing reset and syncs it before the replica starts.

--- a/wal/open.go
+++ b/wal/open.go
@@ -62,6 +62,9 @@
 		return nil, nil, err
 	}
 	p := &replayState{}
+	if s.Snapshot != nil {
+		p.snapshot = *s.Snapshot
+	}
 	for i, name := range segments {
 		torn, err := l.replaySegment(name, i == len(segments)-1, p)
 		if err != nil {
@@ -75,9 +78,12 @@
 	if !sameOwner(id, l.identity) {
 		return nil, nil, &IdentityError{Dir: dir, Want: id, Got: l.identity}
 	}
-	var reason string
-	if s.Entries, reason = p.entriesAfter(s.Snapshot); reason != "" {
-		return nil, nil, &DamageError{File: dir, Reason: reason}
+	continues := p.continuesSnapshot()
+	if continues {
+		var reason string
+		if s.Entries, reason = p.entriesAfterSnapshot(); reason != "" {
+			return nil, nil, &DamageError{File: dir, Reason: reason}
+		}
 	}
 	s.HardState, l.hardState = p.hardState, p.hardState
 	s.Created = len(l.segments) == 0
@@ -85,6 +91,13 @@
 	if err := l.openLastSegment(); err != nil {
 		return nil, nil, err
 	}
+	if !continues {
+		// Without the reset, the next entry would leave a gap behind the replaced
+		// log, or be dropped with it at the next Open.
+		if err := l.Save(Batch{Reset: s.Snapshot}); err != nil {
+			return nil, nil, err
+		}
+	}
 	return l, s, nil
 }
 
--- a/wal/state.go
+++ b/wal/state.go
@@ -37,6 +37,8 @@
 
 // replayState accumulates the records of the segments.
 type replayState struct {
+	// snapshot is the newest stored snapshot; its index is 0 if there is none.
+	snapshot  raft.Snapshot
 	hardState raft.HardState
 	entries   []raft.Entry
 	// nextIndex is the highest index that the next entry may have without a
@@ -60,7 +62,12 @@
 
 func (p *replayState) applyEntry(e raft.Entry) string {
 	if p.nextIndex != 0 && e.Index > p.nextIndex {
-		return "entries are missing"
+		if e.Index > p.snapshot.Index+1 {
+			return "entries are missing"
+		}
+		// The snapshot covers the gap. Earlier versions left one where a reset
+		// was not stored, see continuesSnapshot.
+		p.entries = nil
 	}
 	for len(p.entries) > 0 && p.entries[len(p.entries)-1].Index >= e.Index {
 		p.entries = p.entries[:len(p.entries)-1]
@@ -70,26 +77,34 @@
 	return ""
 }
 
-// entriesAfter returns the entries that follow the snapshot. If there is a gap,
-// it returns the reason.
-func (p *replayState) entriesAfter(s *raft.Snapshot) ([]raft.Entry, string) {
-	base := raft.Snapshot{}
-	if s != nil {
-		base = *s
+// continuesSnapshot reports whether the entries continue from the snapshot. They
+// do not if the process ended after it stored a snapshot from the leader and
+// before it stored the reset: the log then ends before the snapshot, or has an
+// entry of another term at its index. Such entries belong to the replaced log.
+func (p *replayState) continuesSnapshot() bool {
+	s := &p.snapshot
+	if p.reset.Index >= s.Index {
+		return true // also if there is no snapshot
+	}
+	for _, e := range p.entries {
+		if e.Index == s.Index {
+			return e.Term == s.Term
+		}
 	}
-	if p.reset.Index > base.Index {
+	return len(p.entries) > 0 && p.entries[0].Index > s.Index
+}
+
+// entriesAfterSnapshot returns the entries that follow the snapshot of a log
+// that continues from it. If there is a gap, it returns the reason.
+func (p *replayState) entriesAfterSnapshot() ([]raft.Entry, string) {
+	if p.reset.Index > p.snapshot.Index {
 		return nil, "the snapshot that the log continues is missing"
 	}
 	for i, e := range p.entries {
-		if e.Index == base.Index && e.Term != base.Term {
-			// The process ended after it stored the snapshot and before it
-			// stored the reset. The entries belong to the replaced log.
-			return nil, ""
-		}
-		if e.Index == base.Index+1 {
+		if e.Index == p.snapshot.Index+1 {
 			return p.entries[i:], ""
 		}
-		if e.Index > base.Index {
+		if e.Index > p.snapshot.Index {
 			return nil, "entries after the snapshot are missing"
 		}
 	}
