wal: Compact syncs the folder after each removed segment

A power failure may undo any of several removals whose folder was not synced. A log that loses a newer segment and keeps an older one doesn't open any more: "a segment before this one is missing".

--- a/wal/log.go
+++ b/wal/log.go
@@ -192,19 +192,16 @@
 	if l.failure != nil {
 		return l.failure
 	}
-	removed := false
 	for len(l.segments) > 1 && l.segments[0].compactable(index) {
 		if err := l.fs.Remove(filepath.Join(l.dir, segmentName(l.segments[0].number))); err != nil {
 			return l.fail("removing a segment", err)
 		}
+		// A power failure may undo any of several removals that are not synced,
+		// and leave a gap between the segments.
+		if err := l.fs.SyncDir(l.dir); err != nil {
+			return l.fail("syncing the folder", err)
+		}
 		l.segments = l.segments[1:]
-		removed = true
-	}
-	if !removed {
-		return nil
-	}
-	if err := l.fs.SyncDir(l.dir); err != nil {
-		return l.fail("syncing the folder", err)
 	}
 	return nil
 }
