--- a/wal/open.go
+++ b/wal/open.go
@@ -116,10 +116,14 @@
 	}
 	l.file = f
 	// If the process was killed between a write and its sync, the data that
-	// was read may be only in the page cache.
+	// was read may be only in the page cache. The same holds for the names of
+	// files that it created or renamed.
 	if err := f.Sync(); err != nil {
 		return &IOError{Op: "syncing the log", Err: err}
 	}
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return &IOError{Op: "syncing the folder", Err: err}
+	}
 	l.written, l.synced, l.syncedCopy = last.size, last.size, last.size
 	return nil
 }
