control: a control VM that stops hands over its vote to a caught-up learner

Cause: a stopping control VM handed over its leadership but not its vote. The successor, caught up for seconds, stayed a learner until two seconds of silence and two rounds of reconcileVoters had passed; meanwhile four of five voters were alive and the group bore one loss.

Change: the replica asks the leader to hand over its vote (control/leave.go) and keeps voting until the change is committed. The successor is promoted before the voter is removed, so that the group never has fewer than five live votes in a planned replacement.

The order is the fix.

--- a/control/messages.go
+++ b/control/messages.go
@@ -24,9 +24,10 @@
 // statusRequest is the body of a transport.MethodStatus call. At most one
 // pointer is set; if none is, the call asks for a Status.
 type statusRequest struct {
-	Group  ids.GroupID  `cbor:"1,keyasint"`
-	Join   *joinRequest `cbor:"2,keyasint,omitempty"`
-	Report *report      `cbor:"3,keyasint,omitempty"`
+	Group  ids.GroupID   `cbor:"1,keyasint"`
+	Join   *joinRequest  `cbor:"2,keyasint,omitempty"`
+	Report *report       `cbor:"3,keyasint,omitempty"`
+	Leave  *leaveRequest `cbor:"4,keyasint,omitempty"`
 }
 
 // joinRequest asks to add a replica that is not a member to the group.
--- a/control/replica.go
+++ b/control/replica.go
@@ -75,6 +75,8 @@
 	snapshotBytes    int64
 	savingSnapshot   bool
 	fetchingSnapshot bool
+	// leaving holds the tick at which a replica last asked to hand over its vote.
+	leaving map[raft.ReplicaID]uint64
 }
 
 // Open reads the group's files and starts the replica. It returns a
@@ -154,6 +156,7 @@
 		return err
 	}
 	r.node, r.epoch, r.pending = node, time.Now(), map[uint64]*proposal{}
+	r.leaving = map[raft.ReplicaID]uint64{}
 	return nil
 }
 
@@ -306,10 +309,11 @@
 	return errors.Join(err, result)
 }
 
-// Close transfers leadership unless ctx ends first, then flushes and closes the
-// files.
+// Close transfers leadership and hands over the vote unless ctx ends first, then
+// flushes and closes the files.
 func (r *Replica) Close(ctx context.Context) error {
 	r.transferLeadership(ctx)
+	r.handOverVote(ctx)
 	r.cancel()
 	<-r.done
 	return r.Err()
--- a/raft/status.go
+++ b/raft/status.go
@@ -42,6 +42,9 @@
 // Members returns the newest membership, committed or not.
 func (n *Node) Members() Members { return n.log.members() }
 
+// MembersChangePending reports whether the newest membership is not committed.
+func (n *Node) MembersChangePending() bool { return n.log.changePending() }
+
 // Now returns the number of ticks since the start of the node.
 func (n *Node) Now() uint64 { return n.now }
 
