control: the test of a planned replacement stops a voter, never the successor

Cause: the test drew the VM to stop from all members, so that at times it stopped the successor itself. It now stops a voter, the first by name that does not lead. The checks are the same.

--- a/control/seeds_test.go
+++ b/control/seeds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -68,15 +69,11 @@
 	}
 }
 
-// follower returns a VM that is not the leader.
+// follower returns a voter that is not the leader.
 func (f *seedCluster) follower() ids.VMID {
 	leader := f.leader()
-	for vm := range f.members {
-		if vm != leader {
-			return vm
-		}
-	}
-	return ""
+	others := slices.DeleteFunc(slices.Sorted(maps.Keys(f.voters())), func(vm ids.VMID) bool { return vm == leader })
+	return others[0]
 }
 
 // stop stops a VM as its process does on SIGTERM, and removes it.
