gateway: a silent stream stays at its runner until another one has taken it

A sound runner may fall silent for a second or so and go on.

Cause: after three event gaps without an event the gateway ended the exchange with the runner and only then looked for budget, time, stages and another runner. Where one was missing it aborted the caller's connection, though the runner was sound. A change or a stop makes one missing more often.

The silent exchange ends when the other runner has begun to answer, or has had the request for 250 ms without refusing it. Otherwise the stream stays where it is.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -36,6 +36,14 @@
 	// endless is what the body goes on with, with a pause before each part.
 	endless *repeating
 	pause   time.Duration
+	// silentUntil makes the body fall silent after its bytes, until the channel is
+	// closed; rest follows.
+	silentUntil <-chan struct{}
+	rest        string
+	// unsigned leaves out the runner's signature.
+	unsigned bool
+	// ended is closed when the gateway ends the exchange during the silence.
+	ended chan struct{}
 	// after is the delay before the runner answers.
 	after time.Duration
 	// endsWithConnection marks the answer as one without a length.
@@ -109,7 +117,11 @@
 	if r.endless != nil {
 		body = io.MultiReader(body, &pausedReader{ctx: ctx, reader: r.endless, pause: r.pause})
 	}
+	if r.silentUntil != nil {
+		body = io.MultiReader(body, &silentReader{ctx: ctx, until: r.silentUntil, ended: r.ended}, strings.NewReader(r.rest))
+	}
 	return &Response{
+		Signed: !r.unsigned,
 		Status: r.status, Header: http.Header{"X-From": {d.RunnerID}}, Body: io.NopCloser(body),
 		NotExecuted: r.notExecuted, Misdirected: r.misdirected, EndsWithConnection: r.endsWithConnection,
 	}, nil
@@ -133,6 +145,25 @@
 	return p.reader.Read(b)
 }
 
+// silentReader has no bytes, and no end until a channel is closed.
+type silentReader struct {
+	ctx   context.Context
+	until <-chan struct{}
+	ended chan struct{}
+}
+
+func (s *silentReader) Read([]byte) (int, error) {
+	select {
+	case <-s.until:
+		return 0, io.EOF
+	case <-s.ctx.Done():
+		if s.ended != nil {
+			close(s.ended)
+		}
+		return 0, s.ctx.Err()
+	}
+}
+
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,9 @@
 	stages     *metrics.Histogram
 	callPieces *metrics.Histogram
 	resumes    *metrics.Counter
+	// standbys counts the times that another runner was looked for because a
+	// stream was silent.
+	standbys *metrics.Counter
 	// forwarded counts stage calls that were forwarded to another zone.
 	forwarded *metrics.Counter
 	// inputsFreedEarly counts the cases in which a runner found its inputs
@@ -35,6 +38,7 @@
 		stages:     set.NewHistogram("damask_gateway_stages_seconds"),
 		callPieces: set.NewHistogram("damask_gateway_stage_call_pieces"),
 		resumes:    set.NewCounter("damask_gateway_streams_resumed_total"),
+		standbys:   set.NewCounter("damask_gateway_stream_standbys_total"),
 		forwarded:  set.NewCounter("damask_gateway_stage_orders_forwarded_total"),
 
 		inputsFreedEarly: set.NewCounter("damask_gateway_inputs_freed_early_total"),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -145,10 +145,7 @@
 	executed   bool
 	arrived    bool
 	inputsGone bool
-	// counted reports that this execution is already included in
-	// request.executions.
-	counted bool
-	cause   string
+	cause      string
 }
 
 // mayRepeat reports whether another runner may be tried. It charges the retry
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,33 +4,54 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
+	"sync"
 	"time"
 
-	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/exchange"
 	"damaskbridge.example/damaskbridge/placement"
 )
 
-const (
-	// streamReadBytes is the buffer size for reading a stream.
-	streamReadBytes = 8 << 10
-	// stallTimeoutFactor times the route's MaxEventGap is how long a resumable
-	// stream waits for its next event before it is resumed at another runner.
-	stallTimeoutFactor = 3
-	// maxResumes limits how often one stream is resumed.
-	maxResumes = 2
-)
+// streamReadBytes is the buffer size for reading a stream.
+const streamReadBytes = 8 << 10
 
-var (
-	errPartialEvent = errors.New("the stream ended inside an event")
-	errStalled      = errors.New("no event arrived before the stall timeout")
-)
+var errPartialEvent = errors.New("the stream ended inside an event")
 
 // eventStream is the state of a streamed answer to the caller.
 type eventStream struct {
 	splitter eventSplitter
 	writer   EventWriter
+
+	// mu guards the request and the fields below against the stall timer and a
+	// standby. It is not held while the stream is read.
+	mu sync.Mutex
+	// leg is the leg that is being relayed, nil between two legs and at the end.
+	leg        *streamLeg
+	progressAt time.Time
+	stallTimer *time.Timer
+	// standby prepares the next leg, nil while nothing does. last is the newest
+	// standby, also after its end.
+	standby *standby
+	last    *standby
+}
+
+// streamLeg is the part of a streamed answer that one runner makes.
+type streamLeg struct {
+	runner   *placement.RunnerState
+	response *Response
+	// ctx ends when the exchange with the runner is to end; stop ends it.
+	ctx  context.Context
+	stop context.CancelCauseFunc
+	// prefillDone is to be called at the first event and at the end.
+	prefillDone func()
+	// inputsGone reports that the inputs were freed after the request was sent.
+	inputsGone bool
+}
+
+// close ends the exchange with the runner.
+func (l *streamLeg) close() {
+	_ = l.response.Body.Close()
+	l.stop(nil)
+	l.prefillDone()
 }
 
 // attemptStream sends the request and relays the events. If the stream breaks
@@ -41,116 +62,109 @@
 	if r.call.ResumeAfter != "" {
 		s.splitter.resumeAfter(r.call.ResumeAfter)
 	}
+	leg, n := r.openLeg(ctx, runner, s.splitter.lastID, nil)
+	if leg == nil {
+		return n.attemptResult
+	}
+	if leg.response.Status/100 != 2 {
+		defer leg.close()
+		return r.relayBuffered(ctx, runner, leg.response)
+	}
+	r.executions++
+	return r.relayLegs(ctx, s, leg)
+}
+
+// relayLegs relays the events of one leg after the other until the stream is
+// complete or cannot be resumed.
+func (r *request) relayLegs(ctx context.Context, s *eventStream, leg *streamLeg) attemptResult {
+	defer s.end()
 	for {
-		v := r.streamFrom(ctx, runner, s)
-		if v.done || s.writer == nil {
-			return v
+		err := r.relayLeg(ctx, s, leg)
+		n := r.finishLeg(leg, err)
+		if err == nil {
+			return attemptResult{done: true}
 		}
-		if v.executed && !v.counted {
-			r.executions++
+		var gone *callerGoneError
+		if errors.As(err, &gone) {
+			r.lastCause = err.Error()
+			return r.abort(s)
 		}
-		r.lastCause = v.cause
-		r.logAttempt(runner, &v, time.Now())
-		r.tried = append(r.tried, runner)
-		next := r.pickResumeRunner(ctx, &v)
-		if next == nil {
-			r.broken = true
-			s.writer.Abort()
-			return attemptResult{done: true}
+		if s.writer == nil {
+			r.executions-- // run counts this execution
+			return n.attemptResult
 		}
-		runner = next
-		r.runner = next.ID
-		r.resumes++
+		r.lastCause = n.cause
+		r.logAttempt(leg.runner, &n.attemptResult, time.Now())
+		r.tried = append(r.tried, leg.runner)
+		if leg = r.nextLeg(ctx, s); leg == nil {
+			return r.abort(s)
+		}
+		r.runner = leg.runner.ID
 		r.g.metrics.resumes.Inc()
 	}
 }
 
-// pickResumeRunner chooses the runner at which a broken stream is resumed. It
-// returns nil if the stream cannot be resumed or is not allowed to be.
-func (r *request) pickResumeRunner(ctx context.Context, v *attemptResult) *placement.RunnerState {
-	now := time.Now()
-	if r.route.RetryPolicy != catalog.RetryFromEvent || ctx.Err() != nil || r.resumes >= maxResumes {
-		return nil
-	}
-	if r.executions >= r.route.MaxRunners || r.deadline.Sub(now) < minTimeLeft || r.refuseQuarantined(now) != nil {
-		return nil
-	}
-	if !r.g.budgets.forService(r.service.Name).TrySpend(now) {
-		return nil
-	}
-	if r.stages != nil {
-		// The results were freed at the first event, so that they do not occupy
-		// memory for the duration of the stream.
-		if refusal := r.rerunStages(ctx); refusal != nil {
-			return nil
-		}
-	}
-	r.sends++
-	return r.pickRunner(now)
+// abort ends a stream whose rest cannot be had.
+func (r *request) abort(s *eventStream) attemptResult {
+	r.broken = true
+	s.writer.Abort()
+	return attemptResult{done: true}
 }
 
-// streamFrom relays the events of one runner. The result is done if the stream
-// is complete.
-func (r *request) streamFrom(ctx context.Context, runner *placement.RunnerState, s *eventStream) attemptResult {
-	prefilling := true
-	onFirstEvent := func() {
-		if prefilling {
-			prefilling = false
-			r.g.runners.prefillDone(runner, r.call.Prompt.Tokens)
-		}
-	}
+// openLeg sends the request to a runner, to go on after the event with the ID
+// position if that is not empty. onSent may be nil. It returns a nil leg if the
+// request failed or the runner did not execute it.
+func (r *request) openLeg(ctx context.Context, runner *placement.RunnerState, position string, onSent func()) (*streamLeg, sendResult) {
+	leg := &streamLeg{runner: runner, prefillDone: func() {}}
 	if r.service.Engine != nil {
-		defer onFirstEvent()
-	}
-	d := r.newDispatch(runner, time.Now())
-	if s.splitter.lastID != "" {
-		d.ResumeAfter = s.splitter.lastID
+		leg.prefillDone = sync.OnceFunc(func() { r.g.runners.prefillDone(runner, r.call.Prompt.Tokens) })
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	release := r.prepareInputRelease(runner, time.Now())
-	if release != nil {
-		d.OnSent = release.start
+	now := time.Now()
+	d := r.newDispatch(runner, now)
+	if position != "" {
+		d.ResumeAfter = position
+	}
+	release := r.prepareInputRelease(runner, now)
+	d.OnSent = func() {
+		if release != nil {
+			release.start()
+		}
+		if onSent != nil {
+			onSent()
+		}
 	}
-	response, n := r.send(ctx, runner, d)
+	leg.ctx, leg.stop = context.WithCancelCause(ctx)
+	response, n := r.send(leg.ctx, runner, d)
 	r.finishInputRelease(release, response != nil, &n)
-	inputsGone := n.inputsGone
 	if response == nil {
+		leg.stop(nil)
+		leg.prefillDone()
 		r.g.runners.finish(runner, n.record)
-		return n.attemptResult
-	}
-	if response.Status/100 != 2 {
-		if s.writer != nil {
-			_ = response.Body.Close()
-			r.g.runners.finish(runner, nil)
-			return attemptResult{executed: true, arrived: true, cause: "status_" + http.StatusText(response.Status)}
-		}
-		return r.relayBuffered(ctx, runner, response)
-	}
-	r.executions++
-	err := r.copyEvents(ctx, cancel, response, s, onFirstEvent)
-	_ = response.Body.Close()
-	if err == nil {
-		r.g.runners.finish(runner, (*placement.RunnerState).RecordSuccess)
-		r.recordAnswer(response)
-		return attemptResult{done: true}
-	}
-	if s.writer == nil {
-		// run counts this execution.
-		r.executions--
+		return nil, n
 	}
+	leg.response, leg.inputsGone = response, n.inputsGone
+	return leg, n
+}
+
+// finishLeg ends the exchange with the runner and records how it went. It
+// classifies a leg that failed with err.
+func (r *request) finishLeg(leg *streamLeg, err error) sendResult {
+	defer leg.close()
+	_ = leg.response.Body.Close()
 	var gone *callerGoneError
-	if errors.As(err, &gone) {
-		r.g.runners.finish(runner, nil)
-		r.broken, r.lastCause = true, err.Error()
-		s.writer.Abort()
-		return attemptResult{done: true}
-	}
-	n = r.failedSend(ctx, runner, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
-	n.inputsGone = inputsGone
-	n.counted = s.writer != nil
-	r.g.runners.finish(runner, n.record)
-	return n.attemptResult
+	switch {
+	case err == nil:
+		r.g.runners.finish(leg.runner, (*placement.RunnerState).RecordSuccess)
+		r.recordAnswer(leg.response)
+		return sendResult{}
+	case errors.As(err, &gone):
+		r.g.runners.finish(leg.runner, nil)
+		return sendResult{}
+	}
+	n := r.failedSend(leg.ctx, leg.runner, &exchange.Error{Addr: leg.runner.Addr, Sent: true, ResponseStarted: true, Err: err})
+	n.inputsGone = leg.inputsGone
+	r.g.runners.finish(leg.runner, n.record)
+	return n
 }
 
 // callerGoneError is a failure to write to the caller.
@@ -160,40 +174,24 @@
 	return "the caller's connection does not take the answer: " + e.err.Error()
 }
 
-// copyEvents relays events until the runner's answer ends.
-func (r *request) copyEvents(ctx context.Context, cancel context.CancelCauseFunc, response *Response, s *eventStream, onFirstEvent func()) error {
+// relayLeg relays events until the runner's answer ends or another runner takes
+// over.
+func (r *request) relayLeg(ctx context.Context, s *eventStream, leg *streamLeg) error {
 	s.splitter.dropPartial()
-	stallTimer := r.newStallTimer(cancel, s)
-	defer stallTimer.Stop()
+	r.beginLeg(ctx, s, leg)
+	defer s.endLeg()
 	var progress streamProgress
 	buffer := make([]byte, streamReadBytes)
 	for {
-		n, err := response.Body.Read(buffer)
-		events, progressed, splitErr := s.splitter.push(buffer[:n])
-		if progressed {
-			onFirstEvent()
-			r.freeInputs()
-			stallTimer.Stop()
-			if now := time.Now(); progress.event(now) {
-				r.g.evidence.RecordAnswer(now, r.sharedParts())
-			}
-		}
-		if len(events) > 0 {
-			if writeErr := r.writeEvents(response, s, events); writeErr != nil {
-				return &callerGoneError{writeErr}
-			}
-		}
-		if progressed {
-			stallTimer.Reset(r.stallTimeout())
-		}
-		if splitErr != nil {
-			return splitErr
+		n, err := leg.response.Body.Read(buffer)
+		if relayErr := r.relayBytes(s, leg, buffer[:n], &progress); relayErr != nil {
+			return relayErr
 		}
 		if errors.Is(err, io.EOF) {
-			return r.finishEvents(response, s)
+			return r.finishEvents(leg.response, s)
 		}
 		if err != nil {
-			if cause := context.Cause(ctx); errors.Is(cause, errStalled) {
+			if cause := context.Cause(leg.ctx); errors.Is(cause, errTakenOver) {
 				return cause
 			}
 			return err
@@ -201,7 +199,31 @@
 	}
 }
 
-// finishEvents returns an error if the stream ended inside an event.
+// relayBytes relays the events that the bytes complete.
+func (r *request) relayBytes(s *eventStream, leg *streamLeg, b []byte, progress *streamProgress) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events, progressed, splitErr := s.splitter.push(b)
+	if progressed {
+		s.abandonStandby()
+		leg.prefillDone()
+		r.freeInputs()
+		if now := time.Now(); progress.event(now) {
+			r.g.evidence.RecordAnswer(now, r.sharedParts())
+		}
+	}
+	if len(events) > 0 {
+		if err := r.writeEvents(leg.response, s, events); err != nil {
+			return &callerGoneError{err}
+		}
+	}
+	if progressed {
+		s.recordProgress(r.stallTimeout())
+	}
+	return splitErr
+}
+
+// finishEvents returns an error if the stream is not complete.
 func (r *request) finishEvents(response *Response, s *eventStream) error {
 	if s.splitter.hasPartial() {
 		return errPartialEvent
@@ -231,21 +253,3 @@
 	}
 	return s.writer.Write(events)
 }
-
-func (r *request) stallTimeout() time.Duration { return stallTimeoutFactor * r.route.MaxEventGap }
-
-// newStallTimer returns a timer that cancels the attempt of a resumable stream
-// when no event arrives in time. It runs from the first event on. For other
-// streams the timer has no effect.
-func (r *request) newStallTimer(cancel context.CancelCauseFunc, s *eventStream) *time.Timer {
-	if r.route.RetryPolicy != catalog.RetryFromEvent || r.route.MaxEventGap <= 0 || r.executions >= r.route.MaxRunners {
-		t := time.NewTimer(time.Hour)
-		t.Stop()
-		return t
-	}
-	t := time.AfterFunc(time.Hour, func() { cancel(errStalled) })
-	if s.writer != nil {
-		t.Reset(r.stallTimeout())
-	}
-	return t
-}
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -52,6 +52,8 @@
 	// NotExecuted reports whether the runner declared that it did not execute the
 	// request.
 	NotExecuted bool
+	// Signed reports whether the answer bears a runner's signature.
+	Signed bool
 	// EndsWithConnection reports whether the answer has no length and no chunks, so
 	// that only the end of its connection ends it.
 	EndsWithConnection bool
