gateway: a buffered request leaves a silent runner only for one that is reserved

A request that may be repeated was cancelled at a runner that had been silent for 1.2 times the route's objective as soon as time and retry budget were left. Where no other runner was listed the caller got 502, though the silent runner would have answered.

Change: the timeout picks and reserves the next runner first, charges the budget then, and cancels the silent attempt only with both in hand. The reservation is given back if the answer comes after all.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,7 +4,7 @@
 	"context"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
@@ -34,29 +34,76 @@
 }
 
 // attemptWithTimeout is attemptBuffered with a timeout: it cancels the attempt
-// at a hanging runner if the retry budget allows another attempt.
+// at a silent runner once another one is reserved for the next attempt. Without
+// another one the silent runner may still answer.
 func (r *request) attemptWithTimeout(ctx context.Context, runner *placement.RunnerState) attemptResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	limit := time.Duration(hangTimeoutFactor * float64(r.route.LatencyObjective))
-	var hung atomic.Bool
+	tried := append(slices.Clip(r.tried), runner)
+	next := make(chan *reservedRunner, 1)
 	timer := time.AfterFunc(limit, func() {
-		if time.Until(r.deadline) > minTimeLeft && r.g.budgets.forService(r.service.Name).TrySpend(time.Now()) {
-			hung.Store(true)
+		reserved := r.reserveRunner(tried)
+		if reserved != nil {
 			cancel()
 		}
+		next <- reserved
 	})
 	v := r.attemptBuffered(ctx, runner)
-	if timer.Stop() || !hung.Load() {
+	if timer.Stop() {
 		return v
 	}
-	if !v.done {
-		// The timer has charged the repeat; run must not charge it again.
-		v.arrived, v.cause = false, "hanging"
+	r.reserved = <-next
+	if r.reserved == nil || v.done {
+		return v
 	}
+	// The retry budget is charged already; run must not charge it again.
+	v.arrived, v.cause = false, "hanging"
 	return v
 }
 
+// reservedRunner is a runner that was chosen for the next attempt.
+type reservedRunner struct {
+	runner    *placement.RunnerState
+	cacheAddr string
+}
+
+// reserveRunner chooses a runner for another attempt and charges the retry
+// budget. It returns nil if there is none or no time or budget is left.
+func (r *request) reserveRunner(tried []*placement.RunnerState) *reservedRunner {
+	now := time.Now()
+	if r.deadline.Sub(now) <= minTimeLeft {
+		return nil
+	}
+	reserved := &reservedRunner{}
+	reserved.runner, reserved.cacheAddr = r.g.runners.pick(now, r.service, &r.call.Prompt, tried)
+	if reserved.runner == nil {
+		return nil
+	}
+	if !r.g.budgets.forService(r.service.Name).TrySpend(now) {
+		r.g.runners.unpick(reserved.runner, r.service, &r.call.Prompt)
+		return nil
+	}
+	return reserved
+}
+
+// takeReserved returns the runner that was reserved for this attempt, or nil.
+func (r *request) takeReserved() *placement.RunnerState {
+	if r.reserved == nil {
+		return nil
+	}
+	runner := r.reserved.runner
+	r.cacheAddr, r.reserved = r.reserved.cacheAddr, nil
+	return runner
+}
+
+// dropReserved gives up a reserved runner to which nothing was sent.
+func (r *request) dropReserved() {
+	if runner := r.takeReserved(); runner != nil {
+		r.g.runners.unpick(runner, r.service, &r.call.Prompt)
+	}
+}
+
 // attemptBuffered reads the whole answer before it relays any of it.
 func (r *request) attemptBuffered(ctx context.Context, runner *placement.RunnerState) attemptResult {
 	if r.service.Engine != nil {
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -341,3 +341,14 @@
 	Expect(out.answers).To(Equal(1), "a caller must receive exactly one answer")
 	return out
 }
+
+// active returns the requests that are counted as active at a service's runners.
+func (r *runnerSet) active(service string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, l := range r.byService[service] {
+		n += l.state.ActiveRequests
+	}
+	return n
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -46,6 +46,8 @@
 	// prompt.
 	cacheAddr string
 	tried     []*placement.RunnerState
+	// reserved is the runner of the next attempt, nil if none was chosen yet.
+	reserved *reservedRunner
 	// sends counts the runners tried, executions those of them that may have
 	// executed the request.
 	sends      int
@@ -86,6 +88,7 @@
 		return refusal
 	}
 	defer r.freeInputs()
+	defer r.dropReserved()
 	r.g.budgets.forService(r.service.Name).RecordRequest(time.Now())
 	for {
 		now := time.Now()
@@ -126,13 +129,14 @@
 	}
 }
 
+// pickRunner chooses a runner that was not tried yet.
 func (r *request) pickRunner(now time.Time) *placement.RunnerState {
-	if r.service.Engine != nil {
-		var runner *placement.RunnerState
-		runner, r.cacheAddr = r.g.runners.pickEngine(now, r.service.Name, &r.call.Prompt, r.tried)
+	if runner := r.takeReserved(); runner != nil {
 		return runner
 	}
-	return r.g.runners.pickLeastLoaded(now, r.service.Name, r.tried)
+	var runner *placement.RunnerState
+	runner, r.cacheAddr = r.g.runners.pick(now, r.service, &r.call.Prompt, r.tried)
+	return runner
 }
 
 // attemptResult is the result of one attempt at one runner.
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
 )
@@ -86,6 +87,25 @@
 	return draining
 }
 
+// pick chooses a runner of a service and counts the request as active there.
+// finish, or unpick if nothing was sent, must be called later. For an engine it
+// also returns the address of another runner that may cache shared parts of the
+// prompt, or "" if there is none.
+func (r *runnerSet) pick(now time.Time, s *catalog.Service, p *placement.Prompt, tried []*placement.RunnerState) (runner *placement.RunnerState, cacheAddr string) {
+	if s.Engine != nil {
+		return r.pickEngine(now, s.Name, p, tried)
+	}
+	return r.pickLeastLoaded(now, s.Name, tried), ""
+}
+
+// unpick reverts pick for a runner to which nothing was sent.
+func (r *runnerSet) unpick(runner *placement.RunnerState, s *catalog.Service, p *placement.Prompt) {
+	if s.Engine != nil {
+		r.prefillDone(runner, p.Tokens)
+	}
+	r.finish(runner, nil)
+}
+
 // pickEngine chooses a runner for a prompt and counts the request as active
 // there. It also returns the address of another runner that may cache shared
 // parts of the prompt, or "" if there is none.
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -157,3 +157,32 @@
 		Expect(out.from).To(Equal(f.sends()[0].RunnerID))
 	})
 })
+
+// Guards against a request that is given up at a sound runner, and refused, though
+// no other runner can take it.
+var _ = ginkgo.Describe("a buffered request whose runner is silent", func() {
+	silentAnswer := func(ended chan struct{}) reply {
+		return reply{status: 200, silentUntil: closedAfter(600 * time.Millisecond), rest: "ok", ended: ended}
+	}
+
+	ginkgo.It("stays at it while no other runner is listed", func() {
+		g, f := newTestGateway()
+		f.any = []reply{silentAnswer(nil)}
+		g.Update(&directory.State{Table: g.Table(), List: &directory.RunnerList{Seq: 2, Runners: []directory.Runner{{ID: "ledger1", Service: "ledger", Addr: "ledger1:80", Zone: "z", Slots: 6}}}})
+		out := serve(g, call("again"))
+		Expect(out.refusal).To(BeNil())
+		Expect(out.body).To(Equal("ok"))
+		Expect(f.sends()).To(HaveLen(1))
+	})
+
+	ginkgo.It("is sent to another one that is listed", func() {
+		g, f := newTestGateway()
+		ended := make(chan struct{})
+		f.any = []reply{silentAnswer(ended), {status: 200, body: "from the other"}}
+		out := serve(g, call("again"))
+		Expect(out.body).To(Equal("from the other"))
+		Expect(ended).To(BeClosed())
+		Expect(f.sends()[1].RunnerID).NotTo(Equal(f.sends()[0].RunnerID))
+		Expect(g.runners.active("ledger")).To(BeZero())
+	})
+})
