exchange: no further request on a connection with a response to another request

Change: such a connection is closed after its response.

Evidence: the new spec failed before (one connection in place of two) and passes.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,6 +18,9 @@
 	// the caller. It returns false if the context has ended.
 	stopContextWatch func() bool
 	bytesReadBefore  int64
+	// sawForeign is true once a response to another request was read. More of them
+	// may follow.
+	sawForeign bool
 	// writeResult receives the result of a write that runs concurrently with the
 	// reading of the response; nil if the request was written before.
 	writeResult chan error
@@ -61,6 +64,7 @@
 			resp.Body = &responseBody{ReadCloser: resp.Body, exchange: e, response: resp}
 			return resp, nil
 		}
+		e.sawForeign = true
 		if err := discard(resp); err != nil {
 			return nil, errors.Join(errNoMatchingResponse, err)
 		}
@@ -100,11 +104,12 @@
 }
 
 // release returns the connection to the pool if both the request and the response
-// are complete and no data follows. Otherwise, it closes the connection.
+// are complete, no response to another request came before and no data follows.
+// Otherwise, it closes the connection.
 func (e *exchange) release(resp *http.Response) {
 	e.endOnce.Do(func() {
 		inTime := e.stopContextWatch()
-		if !inTime || resp.Close || !e.writeSucceeded() || e.conn.hasBufferedData() {
+		if !inTime || resp.Close || e.sawForeign || !e.writeSucceeded() || e.conn.hasBufferedData() {
 			_ = e.conn.Close()
 			return
 		}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -143,6 +143,24 @@
 		Expect(send(NewPool(), server.addr(), newRequest("new"))).To(Equal("yours"))
 	})
 
+	// Guards against a further copy of the other response that a later user of the
+	// connection, whose responses name no request, takes for its own.
+	ginkgo.It("does not reuse a connection on which a response to another request came", func() {
+		server := newScriptedServer(func(c net.Conn, r *bufio.Reader) {
+			for {
+				req, _ := readRequest(r)
+				if req == nil {
+					return
+				}
+				fmt.Fprint(c, responseText("old", "not yours")+responseText(req.Header.Get("X-Id"), "yours"))
+			}
+		})
+		pool := NewPool()
+		Expect(send(pool, server.addr(), newRequest("a"))).To(Equal("yours"))
+		Expect(send(pool, server.addr(), newRequest("b"))).To(Equal("yours"))
+		Expect(server.accepted.Load()).To(Equal(int64(2)))
+	})
+
 	ginkgo.It("does not reuse a connection on which data follows the response", func() {
 		server := newScriptedServer(func(c net.Conn, r *bufio.Reader) {
 			for {
