gateway: the answer to a resume must prove that it is the stream

Another operator's report: a stream broke off, the next runner answered with an error, and clients found its text or head in the middle of their stream, or the stream ended as if it were complete.

Cause: any 2xx answer to a resume was relayed like a first answer. Without a body it ended the stream as complete; text, a response head, events without numbers or signature were passed on.

Change: it must have the stream's status and a runner's signature, only fields of events, and a numbered event before anything of it is relayed and before its end counts. A stream whose events have no numbers is not resumed.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strconv"
 )
@@ -24,8 +25,20 @@
 	// lastID is the ID of the newest event as sent, lastNumber its numeric value.
 	lastID     string
 	lastNumber int64
+	// unnumbered is true once an event with content came whose ID is no number.
+	// After it nobody can tell where the stream stands.
+	unnumbered bool
+	// resumed is true while the stream of a resume is split, proved once that has
+	// shown an event of the stream.
+	resumed bool
+	proved  bool
 }
 
+var (
+	errNotTheStream = errors.New("the answer to the resume is not the stream that was broken off")
+	errNoProof      = errors.New("the answer to the resume ended without an event of the stream")
+)
+
 var (
 	eventEnd  = []byte("\n\n")
 	idField   = []byte("id:")
@@ -45,9 +58,14 @@
 		}
 		event := rest[:i+len(eventEnd)]
 		rest = rest[i+len(eventEnd):]
+		content := hasContent(event)
+		if s.resumed && !isContinuation(event, content) {
+			return events, progressed, errNotTheStream
+		}
+		s.proved = s.proved || content
 		switch {
-		case !s.isNew(event):
-		case hasContent(event):
+		case !s.isNew(event, content):
+		case content:
 			progressed = true
 			events = append(append(events, s.takePreamble()...), event...)
 		case s.started:
@@ -80,14 +98,11 @@
 	return false
 }
 
-func (s *eventSplitter) isNew(event []byte) bool {
+func (s *eventSplitter) isNew(event []byte, content bool) bool {
 	id := eventID(event)
-	if id == "" {
-		return true
-	}
 	n, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
-		s.lastID = id
+		s.unnumbered = s.unnumbered || content
 		return true
 	}
 	if s.lastID != "" && n <= s.lastNumber {
@@ -104,8 +119,62 @@
 	}
 }
 
-// dropPartial discards an incomplete event and what preceded the first one.
-func (s *eventSplitter) dropPartial() { s.pending, s.preamble = s.pending[:0], nil }
+// position returns the ID of the last event, after which the stream may be
+// resumed. It is empty if that is not known.
+func (s *eventSplitter) position() string {
+	if s.unnumbered {
+		return ""
+	}
+	return s.lastID
+}
+
+// beginResumedLeg discards an incomplete event and prepares for the answer to a
+// resume. Until that has shown an event of the stream, nothing of it is returned.
+func (s *eventSplitter) beginResumedLeg() {
+	s.pending, s.preamble = s.pending[:0], nil
+	s.started, s.resumed, s.proved = false, true, false
+}
+
+// checkEnd returns an error if the stream ended inside an event, or if the answer
+// to a resume has shown no event of the stream: it may be another runner's error.
+func (s *eventSplitter) checkEnd() error {
+	if s.hasPartial() {
+		return errPartialEvent
+	}
+	if s.resumed && !s.proved {
+		return errNoProof
+	}
+	return nil
+}
+
+// extensionPrefix begins the names of fields that are not part of the standard.
+var extensionPrefix = []byte("x-")
+
+// isContinuation reports whether an event may be part of a stream of numbered
+// events: it has only fields of events, and a number if it has content.
+func isContinuation(event []byte, content bool) bool {
+	for line := range bytes.Lines(event) {
+		name, _, isField := bytes.Cut(bytes.TrimSuffix(line, []byte("\n")), []byte(":"))
+		if !isField && len(name) > 0 || !isFieldName(name) {
+			return false
+		}
+	}
+	if !content {
+		return true
+	}
+	_, err := strconv.ParseInt(eventID(event), 10, 64)
+	return err == nil
+}
+
+// isFieldName reports whether a line of an event may begin with name. A comment
+// has an empty one.
+func isFieldName(name []byte) bool {
+	switch string(name) {
+	case "", "id", "data", "event", "retry":
+		return true
+	}
+	return bytes.HasPrefix(name, extensionPrefix)
+}
 
 // hasPartial reports whether the stream stopped inside an event.
 func (s *eventSplitter) hasPartial() bool { return len(s.pending) > 0 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -62,7 +62,7 @@
 	if r.call.ResumeAfter != "" {
 		s.splitter.resumeAfter(r.call.ResumeAfter)
 	}
-	leg, n := r.openLeg(ctx, runner, s.splitter.lastID, nil)
+	leg, n := r.openLeg(ctx, runner, s.splitter.position(), nil)
 	if leg == nil {
 		return n.attemptResult
 	}
@@ -101,6 +101,7 @@
 		}
 		r.runner = leg.runner.ID
 		r.g.metrics.resumes.Inc()
+		s.splitter.beginResumedLeg()
 	}
 }
 
@@ -177,7 +178,6 @@
 // relayLeg relays events until the runner's answer ends or another runner takes
 // over.
 func (r *request) relayLeg(ctx context.Context, s *eventStream, leg *streamLeg) error {
-	s.splitter.dropPartial()
 	r.beginLeg(ctx, s, leg)
 	defer s.endLeg()
 	var progress streamProgress
@@ -225,8 +225,8 @@
 
 // finishEvents returns an error if the stream is not complete.
 func (r *request) finishEvents(response *Response, s *eventStream) error {
-	if s.splitter.hasPartial() {
-		return errPartialEvent
+	if err := s.splitter.checkEnd(); err != nil {
+		return err
 	}
 	if s.writer != nil {
 		return nil
--- a/gateway/stream_standby.go
+++ b/gateway/stream_standby.go
@@ -62,7 +62,7 @@
 		own.tried = append(own.tried, silent.runner)
 	}
 	b := &standby{
-		request: &own, stream: s, position: s.splitter.lastID, silent: silent, previous: s.last,
+		request: &own, stream: s, position: s.splitter.position(), silent: silent, previous: s.last,
 		done: make(chan struct{}),
 	}
 	b.ctx, b.cancel = context.WithCancel(ctx)
@@ -89,7 +89,7 @@
 // stream.
 func (b *standby) ask() {
 	r := b.request
-	runner := r.pickResumeRunner(b.ctx)
+	runner := r.pickResumeRunner(b.ctx, b.position)
 	if runner == nil {
 		return
 	}
@@ -106,9 +106,9 @@
 		return
 	}
 	r.executions++
-	if leg.response.Status/100 != 2 {
+	if cause := r.whyNotTheStream(leg.response); cause != "" {
 		r.dropLeg(leg)
-		b.fail(runner, &attemptResult{executed: true, arrived: true, cause: "status_" + http.StatusText(leg.response.Status)})
+		b.fail(runner, &attemptResult{executed: true, arrived: true, cause: cause})
 		return
 	}
 	if !b.accept() {
@@ -118,6 +118,18 @@
 	b.leg = leg
 }
 
+// whyNotTheStream returns why an answer to the resume cannot be the stream, or ""
+// if it may be. Its events are checked as they come.
+func (r *request) whyNotTheStream(response *Response) string {
+	switch {
+	case response.Status != r.status:
+		return "status_" + http.StatusText(response.Status)
+	case !response.Signed:
+		return "unsigned"
+	}
+	return ""
+}
+
 // dropLeg ends a leg that was not relayed.
 func (r *request) dropLeg(leg *streamLeg) {
 	leg.close()
@@ -167,11 +179,12 @@
 	r.tried = from.tried
 }
 
-// pickResumeRunner chooses the runner at which a stream is resumed. It returns
-// nil if the stream cannot be resumed or is not allowed to be.
-func (r *request) pickResumeRunner(ctx context.Context) *placement.RunnerState {
+// pickResumeRunner chooses the runner at which a stream is resumed after the event
+// with the ID position. It returns nil if the stream cannot be resumed or is not
+// allowed to be.
+func (r *request) pickResumeRunner(ctx context.Context, position string) *placement.RunnerState {
 	now := time.Now()
-	if !r.mayResume() || ctx.Err() != nil || r.resumes >= maxResumes {
+	if !r.mayResume() || position == "" || ctx.Err() != nil || r.resumes >= maxResumes {
 		return nil
 	}
 	if r.executions >= r.route.MaxRunners || r.deadline.Sub(now) < minTimeLeft || r.refuseQuarantined(now) != nil {
