--- a/platform/list_skipped.go
+++ b/directory/skipped_entries.go
@@ -1,4 +1,4 @@
-package platform
+package directory
 
 import (
 	"encoding/json"
@@ -17,9 +17,9 @@
 	maxLoggedEntryBytes = 200
 )
 
-// skippedEntries counts the entries of the list that name no runner, and logs each
+// SkippedEntries counts the entries of the list that name no runner, and logs each
 // of them once. It is safe for concurrent use.
-type skippedEntries struct {
+type SkippedEntries struct {
 	log   *log.Logger
 	set   *metrics.Set
 	total *metrics.Counter
@@ -29,25 +29,26 @@
 	logged map[uint64]struct{}
 }
 
-func newSkippedEntries(logger *log.Logger) *skippedEntries {
+// NewSkippedEntries returns an empty SkippedEntries.
+func NewSkippedEntries(logger *log.Logger) *SkippedEntries {
 	set := metrics.NewSet()
-	return &skippedEntries{
-		log: logger, set: set, total: set.NewCounter("damask_platform_list_entries_skipped_total"),
+	return &SkippedEntries{
+		log: logger, set: set, total: set.NewCounter("damask_directory_list_entries_skipped_total"),
 		logged: map[uint64]struct{}{},
 	}
 }
 
-// record counts an entry that names no runner for the given reason.
-func (s *skippedEntries) record(raw json.RawMessage, reason error) {
+// Record counts an entry that names no runner for the given reason.
+func (s *SkippedEntries) Record(raw json.RawMessage, reason error) {
 	s.total.Inc()
 	if !s.isNew(xxhash.Sum64(raw)) {
 		return
 	}
 	s.log.Warn().Err(reason).Int("bytes", len(raw)).Bytes("entry", raw[:min(len(raw), maxLoggedEntryBytes)]).
-		Msg("platform: an entry of the list of runners names no runner to use")
+		Msg("directory: an entry of the list of runners names no runner to use")
 }
 
-func (s *skippedEntries) isNew(hash uint64) bool {
+func (s *SkippedEntries) isNew(hash uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, known := s.logged[hash]; known {
@@ -60,5 +61,8 @@
 	return true
 }
 
+// Total returns the number of entries that were counted.
+func (s *SkippedEntries) Total() uint64 { return s.total.Get() }
+
 // WriteMetrics writes the counter in the Prometheus text format.
-func (s *skippedEntries) WriteMetrics(w io.Writer) { s.set.WritePrometheus(w) }
+func (s *SkippedEntries) WriteMetrics(w io.Writer) { s.set.WritePrometheus(w) }
