--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -15,27 +13,14 @@
 
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/propertytest"
 	"damaskbridge.example/damaskbridge/machine"
 	"damaskbridge.example/damaskbridge/session"
 	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/transport"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	setDefault("rapid.seed", "20261204")
-	setDefault("rapid.checks", "200")
-	os.Exit(m.Run())
-}
-
-// setDefault sets a flag that was not given on the command line.
-func setDefault(name, value string) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-	if !given {
-		_ = flag.Set(name, value)
-	}
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 200) }
 
 func TestControl(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
--- a/control/server.go
+++ b/control/server.go
@@ -221,31 +221,24 @@
 	if from.Role != transport.RoleControl {
 		return nil, fmt.Errorf("control: %s %q may not join, leave or report; use a certificate of a control VM", from.Role, from.VM)
 	}
-	if c.Join != nil {
-		r, err := s.replicaOf(c.Group)
-		if err != nil {
-			return nil, err
-		}
-		reply, err := r.handleJoin(ctx, c.Join)
-		if err != nil {
-			return nil, err
-		}
-		return wire.Encode(reply)
+	reply, err := s.handleMemberCall(ctx, &c)
+	if err != nil {
+		return nil, err
 	}
-	if c.Leave != nil {
-		r, err := s.replicaOf(c.Group)
-		if err != nil {
-			return nil, err
-		}
-		reply, err := r.handleLeave(ctx, c.Leave)
-		if err != nil {
-			return nil, err
-		}
-		return wire.Encode(reply)
+	return wire.Encode(reply)
+}
+
+// handleMemberCall answers a call of another control VM.
+func (s *Server) handleMemberCall(ctx context.Context, c *statusRequest) (reply any, err error) {
+	if c.Report != nil {
+		return s.handleReport(ctx, c.Report)
 	}
-	reply, err := s.handleReport(ctx, c.Report)
+	r, err := s.replicaOf(c.Group)
 	if err != nil {
 		return nil, err
 	}
-	return wire.Encode(reply)
+	if c.Join != nil {
+		return r.handleJoin(ctx, c.Join)
+	}
+	return r.handleLeave(ctx, c.Leave)
 }
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -14,24 +13,11 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"damaskbridge.example/damaskbridge/internal/propertytest"
 	"damaskbridge.example/damaskbridge/raft"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	setFlagDefault("rapid.seed", "20261204")
-	setFlagDefault("rapid.checks", "500")
-	os.Exit(m.Run())
-}
-
-// setFlagDefault sets a flag that the command line does not set.
-func setFlagDefault(name, value string) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-	if !given {
-		_ = flag.Set(name, value)
-	}
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 500) }
 
 func TestWAL(t *testing.T) {
 	RegisterFailHandler(ginkgo.Fail)
