advice: runners that leave or ask for a pause get nothing new, on every way to them

Change: the package advice holds what each process of a runner has said, so that a restarted one, or another one at its address, begins anew. Requests, repeats, resumes and standbys choose among runnerSet.candidates, stage calls among the assembler's runners; both ask it. Calls that free results wait for the end of a pause. If all runners of a service pause, a request is refused at once with the time until the first may be asked again (reason runners_paused). Streams that run at a leaving runner go on.

--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -247,8 +247,8 @@
 	}
 	wake := now.Add(maxWakeDelay)
 	for _, rs := range a.runners {
-		if rs.backoffUntil.After(now) && rs.backoffUntil.Before(wake) {
-			wake = rs.backoffUntil
+		if at := rs.availableAt(); at.After(now) && at.Before(wake) {
+			wake = at
 		}
 	}
 	return wake
--- a/batch/delay.go
+++ b/batch/delay.go
@@ -12,7 +12,7 @@
 func (a *Assembler) Delay(now time.Time, item *Item, n int) time.Duration {
 	var availableIn []time.Duration
 	for _, rs := range a.runners {
-		if rs.Draining || now.Before(rs.backoffUntil) {
+		if !rs.mayBeCalled(now) {
 			continue
 		}
 		busyFor := time.Duration(0)
--- a/batch/item.go
+++ b/batch/item.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/advice"
+)
 
 // Item is one piece of one request at one stage.
 type Item struct {
@@ -79,6 +83,8 @@
 	Refused bool
 	// Lost is true if the runner could not be reached or did not respond.
 	Lost bool
+	// Advice is what the runner's answer says about later calls.
+	Advice advice.Advice
 }
 
 // EndedItem is an item that has ended, with its result.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -11,6 +11,8 @@
 	Addr string
 	// Draining runners get no new calls.
 	Draining bool
+	// PausedUntil is until when the runner wants no calls; zero if it may get some.
+	PausedUntil time.Time
 }
 
 // runnerState is the assembler's view of one runner.
@@ -80,7 +82,21 @@
 }
 
 func (rs *runnerState) usable(now time.Time, slots int) bool {
-	return !rs.Draining && rs.inFlight < slots && !now.Before(rs.backoffUntil)
+	return rs.inFlight < slots && rs.mayBeCalled(now)
+}
+
+// mayBeCalled reports whether the runner gets new calls once it has a free slot.
+func (rs *runnerState) mayBeCalled(now time.Time) bool {
+	return !rs.Draining && !now.Before(rs.availableAt())
+}
+
+// availableAt returns the end of the runner's backoff and of the pause that it has
+// asked for.
+func (rs *runnerState) availableAt() time.Time {
+	if rs.PausedUntil.After(rs.backoffUntil) {
+		return rs.PausedUntil
+	}
+	return rs.backoffUntil
 }
 
 // releaseExpired removes results that the runner has dropped by now.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -87,6 +87,16 @@
 	return nil
 }
 
+// ReadBody reads the whole body of a response. It fails if that exceeds the limit in
+// bytes.
+func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(b)) > limit {
+		err = fmt.Errorf("exchange: the response exceeds %d bytes; look at its sender's log", limit)
+	}
+	return b, err
+}
+
 // Abandon closes the connection of a response that Pool.Do has returned, so that
 // no other request is sent on it. The body must still be closed.
 func Abandon(resp *http.Response) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -133,6 +133,7 @@
 		return nil, r.failedSend(ctx, runner, err)
 	}
 	r.recordAlive(runner, sentAt, response)
+	r.g.recordAdvice(runner.Addr, r.g.runners.startOf(runner), response.Advice)
 	r.g.runners.updateLoad(runner, response.Load)
 	if !response.NotExecuted {
 		return response, sendResult{}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/phuslu/log"
 
+	"damaskbridge.example/damaskbridge/advice"
 	"damaskbridge.example/damaskbridge/batch"
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/directory"
@@ -40,6 +41,8 @@
 	// closed; rest follows.
 	silentUntil <-chan struct{}
 	rest        string
+	// advice is what the answer says about later requests.
+	advice advice.Advice
 	// unsigned leaves out the runner's signature.
 	unsigned bool
 	// ended is closed when the gateway ends the exchange during the silence.
@@ -121,7 +124,7 @@
 		body = io.MultiReader(body, &silentReader{ctx: ctx, until: r.silentUntil, ended: r.ended}, strings.NewReader(r.rest))
 	}
 	return &Response{
-		Signed: !r.unsigned,
+		Signed: !r.unsigned, Advice: r.advice,
 		Status: r.status, Header: http.Header{"X-From": {d.RunnerID}}, Body: io.NopCloser(body),
 		NotExecuted: r.notExecuted, Misdirected: r.misdirected, EndsWithConnection: r.endsWithConnection,
 	}, nil
@@ -191,11 +194,11 @@
 	return r
 }
 
-func (f *fakeRunners) FreePieces(_ context.Context, _ string, handles []string) error {
+func (f *fakeRunners) FreePieces(_ context.Context, _ string, handles []string) (advice.Advice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.freed = append(f.freed, handles...)
-	return nil
+	return advice.Advice{}, nil
 }
 
 func (f *fakeRunners) sends() []Dispatch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"damaskbridge.example/damaskbridge/advice"
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
@@ -41,8 +42,10 @@
 	holds          *inputHoldTimes
 	answers        answerMemory
 	evidence       *quarantine.Evidence
-	metrics        *gatewayMetrics
-	stopping       atomic.Bool
+	// advice holds what runners have asked for in their answers.
+	advice   advice.Book
+	metrics  *gatewayMetrics
+	stopping atomic.Bool
 	// unsentRefused is closed once requests may no longer wait for their stages.
 	unsentRefused chan struct{}
 	refuseOnce    sync.Once
@@ -71,6 +74,7 @@
 		holds:          newInputHoldTimes(),
 		evidence:       quarantine.NewEvidence(),
 	}
+	g.runners.advice = &g.advice
 	g.pieces = newPieceScheduler(g)
 	g.state.Store(&directory.State{})
 	return g
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,10 @@
 	standbys *metrics.Counter
 	// forwarded counts stage calls that were forwarded to another zone.
 	forwarded *metrics.Counter
+	// adviceLeaving and advicePause count the answers in which a runner said that
+	// it leaves, or that it wants no requests for a while.
+	adviceLeaving *metrics.Counter
+	advicePause   *metrics.Counter
 	// inputsFreedEarly counts the cases in which a runner found its inputs
 	// already freed.
 	inputsFreedEarly *metrics.Counter
@@ -41,6 +45,9 @@
 		standbys:   set.NewCounter("damask_gateway_stream_standbys_total"),
 		forwarded:  set.NewCounter("damask_gateway_stage_orders_forwarded_total"),
 
+		adviceLeaving: set.NewCounter(`damask_gateway_runner_advice_total{kind="leaving"}`),
+		advicePause:   set.NewCounter(`damask_gateway_runner_advice_total{kind="pause"}`),
+
 		inputsFreedEarly: set.NewCounter("damask_gateway_inputs_freed_early_total"),
 		schedulerFull:    set.NewCounter("damask_gateway_scheduler_queue_full_total"),
 	}
--- a/gateway/pieces_assemblers.go
+++ b/gateway/pieces_assemblers.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "damaskbridge.example/damaskbridge/batch"
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/batch"
+)
 
 // updateAssemblers applies the current catalog and list of runners.
 func (o *pieceOwner) updateAssemblers() {
@@ -22,7 +26,10 @@
 	o.zones[service] = zone
 	var runners []batch.Runner
 	for _, r := range o.g.runners.runnersInZone(service, zone) {
-		runners = append(runners, batch.Runner{ID: r.ID, Addr: r.Addr, Draining: r.Draining})
+		runners = append(runners, batch.Runner{
+			ID: r.ID, Addr: r.Addr, Draining: r.Draining || !o.g.advice.LeavingSince(r.process).IsZero(),
+			PausedUntil: o.g.advice.PausedUntil(time.Now(), r.process),
+		})
 	}
 	a.SetRunners(runners)
 }
--- a/gateway/pieces_free.go
+++ b/gateway/pieces_free.go
@@ -66,11 +66,17 @@
 	return calls
 }
 
-// freeAtRunner tells a runner to free results and waits for its answer.
+// freeAtRunner tells a runner to free results and waits for its answer. A runner
+// that has asked for a pause is told after it.
 func (g *Gateway) freeAtRunner(runner string, handles []string) {
+	if !g.awaitPauseEnd(runner) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	if err := g.opts.Upstreams.FreePieces(ctx, runner, handles); err != nil {
+	said, err := g.opts.Upstreams.FreePieces(ctx, runner, handles)
+	g.recordAdviceAt(runner, "", said)
+	if err != nil {
 		g.log.Info().Err(err).Str("addr", runner).Int("results", len(handles)).Msg("gateway: freeing results failed; the runner drops them after their retention time")
 	}
 }
--- a/gateway/pieces_owner.go
+++ b/gateway/pieces_owner.go
@@ -79,6 +79,9 @@
 	if a == nil {
 		return
 	}
+	if o.g.recordAdviceAt(call.Runner, call.RunnerID, result.Advice) {
+		o.updateAssembler(service, a)
+	}
 	o.logOutOfMemory(service, call, result, a.UsedBytes(call.Runner))
 	ended, surplus := a.Done(now, *call, *result)
 	o.free(service, surplus)
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -21,6 +21,8 @@
 	NoRunner Reason = "no_runner"
 	// RunnersFull: every runner that was tried refused the request.
 	RunnersFull Reason = "runners_full"
+	// RunnersPaused: every runner has asked for a pause.
+	RunnersPaused Reason = "runners_paused"
 	// Unreachable: no runner that was tried could be reached.
 	Unreachable Reason = "unreachable"
 	// StagesLate: the stages cannot finish in time.
--- a/gateway/request_refusals.go
+++ b/gateway/request_refusals.go
@@ -16,7 +16,13 @@
 	if v.arrived {
 		reason = RunnersFull
 	}
-	return &Refusal{Reason: reason, RetryAfter: shortRetryDelay(), Detail: v.cause}
+	return &Refusal{Reason: reason, RetryAfter: r.runnersRetryDelay(), Detail: v.cause}
+}
+
+// runnersRetryDelay returns a randomized delay for callers that this VM can serve
+// a moment later, or once the first of the service's runners wants requests again.
+func (r *request) runnersRetryDelay() time.Duration {
+	return r.g.runners.pauseLeft(time.Now(), r.service.Name) + shortRetryDelay()
 }
 
 // contextRefusal returns the refusal for a request whose context has ended.
@@ -35,7 +41,10 @@
 		return &Refusal{Reason: AnswerLost, Executed: true, Detail: r.lastCause}
 	}
 	if r.sends > 0 {
-		return &Refusal{Reason: RunnersFull, RetryAfter: shortRetryDelay(), Detail: r.lastCause}
+		return &Refusal{Reason: RunnersFull, RetryAfter: r.runnersRetryDelay(), Detail: r.lastCause}
+	}
+	if r.g.runners.pauseLeft(time.Now(), r.service.Name) > 0 {
+		return &Refusal{Reason: RunnersPaused, RetryAfter: r.runnersRetryDelay(), Detail: r.service.Name}
 	}
 	return &Refusal{Reason: NoRunner, RetryAfter: shortRetryDelay(), Detail: r.service.Name}
 }
--- /dev/null
+++ b/gateway/runner_advice_test.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"damaskbridge.example/damaskbridge/advice"
+	"damaskbridge.example/damaskbridge/batch"
+	"damaskbridge.example/damaskbridge/directory"
+)
+
+// A runner says in its answers that it leaves, or that it wants no requests for a
+// while. Every way to a runner heeds that.
+var _ = ginkgo.Describe("what a runner has said of itself", func() {
+	leaving := advice.Advice{Leaving: true}
+	pausing := advice.Advice{Pause: time.Minute}
+	refusal := reply{status: 503, notExecuted: true, advice: pausing}
+	// A runner that has refused a request is left alone for a shorter time anyway.
+	const longerThanBackoff = 400 * time.Millisecond
+
+	sendsTo := func(f *fakeRunners, runner string) int {
+		n := 0
+		for _, d := range f.sends() {
+			if d.RunnerID == runner {
+				n++
+			}
+		}
+		return n
+	}
+
+	// relist publishes the runners once more, all of them ready.
+	relist := func(g *Gateway, change func(*directory.Runner)) {
+		list := testRunners()
+		for i := range list {
+			if change != nil {
+				change(&list[i])
+			}
+		}
+		g.Update(&directory.State{Table: g.Table(), List: &directory.RunnerList{Seq: 2, Runners: list}, Entries: g.state.Load().Entries})
+	}
+
+	// Guards against a way to a runner on which its word is not asked for.
+	ginkgo.DescribeTable("keeps new requests away",
+		func(route, runner string, word reply) {
+			g, f := newTestGateway()
+			ok := reply{status: 200, body: events(1, 2)}
+			f.any = []reply{ok}
+			f.replies[runner] = []reply{word}
+			for n := 0; sendsTo(f, runner) == 0; n++ {
+				Expect(n).To(BeNumerically("<", 100))
+				serve(g, call(route))
+			}
+			relist(g, nil)
+			for began := time.Now(); time.Since(began) < longerThanBackoff; {
+				Expect(serve(g, call(route)).status).To(Equal(200))
+			}
+			Expect(sendsTo(f, runner)).To(Equal(1))
+		},
+		ginkgo.Entry("once, leaving", "once", "ledger1", reply{status: 200, body: "ok", advice: leaving}),
+		ginkgo.Entry("once, leaving with a failure", "once", "ledger1", reply{status: 500, advice: leaving}),
+		ginkgo.Entry("once, pausing", "once", "ledger1", refusal),
+		ginkgo.Entry("again, leaving", "again", "ledger1", reply{status: 200, body: "ok", advice: leaving}),
+		ginkgo.Entry("again, pausing", "again", "ledger1", refusal),
+		ginkgo.Entry("stream, leaving", "stream", "engines1", reply{status: 200, body: events(1, 2), advice: leaving}),
+		ginkgo.Entry("stream, pausing", "stream", "engines1", refusal),
+		ginkgo.Entry("resume, pausing", "resume", "engines1", refusal),
+	)
+
+	// Guards against a stream that is cut because its runner leaves.
+	ginkgo.It("does not end a stream that runs there", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: events(1, 4), advice: leaving}}
+		out := serve(g, call("stream"))
+		Expect(out.body).To(Equal(events(1, 4)))
+		Expect(out.aborted).To(BeFalse())
+	})
+
+	ginkgo.DescribeTable("keeps a broken stream and a silent one from being resumed there",
+		func(first reply) {
+			g, f := newSilenceGateway(nil)
+			f.any = []reply{first, {status: 200, body: events(3, 4)}}
+			g.Update(&directory.State{Table: g.Table(), List: &directory.RunnerList{Seq: 2, Runners: []directory.Runner{
+				{ID: "engines1", Service: "engines", Addr: "engines1:80", Zone: "z"}, {ID: "engines2", Service: "engines", Addr: "engines2:80", Zone: "z"},
+			}}})
+			g.recordAdviceAt("engines2:80", "engines2", pausing)
+			serve(g, call("resume"))
+			Expect(f.sends()).To(HaveLen(1))
+			Expect(f.sends()[0].RunnerID).To(Equal("engines1"))
+		},
+		ginkgo.Entry("broken", reply{status: 200, body: events(1, 2), cut: true}),
+		ginkgo.Entry("silent", reply{status: 200, body: events(1, 2), silentUntil: closedAfter(300 * time.Millisecond), rest: events(3, 4)}),
+	)
+
+	ginkgo.It("lets the only runner of a service be used for a while after it has said that it leaves", func() {
+		g, _ := newTestGateway()
+		for _, runner := range []string{"ledger1", "ledger2", "ledger3"} {
+			g.recordAdviceAt(runner+":80", runner, leaving)
+		}
+		g.runners.mu.Lock()
+		defer g.runners.mu.Unlock()
+		Expect(g.runners.candidates(time.Now(), "ledger", nil)).To(HaveLen(3))
+		Expect(g.runners.candidates(time.Now().Add(g.runners.drainGrace), "ledger", nil)).To(BeEmpty())
+	})
+
+	// Guards against requests that wait for runners which want none.
+	ginkgo.It("has a request refused at once, until the first runner may be asked again, if all pause", func() {
+		g, f := newTestGateway()
+		for i, runner := range []string{"ledger1", "ledger2", "ledger3"} {
+			g.recordAdviceAt(runner+":80", runner, advice.Advice{Pause: time.Duration(20+10*i) * time.Second})
+		}
+		out := serve(g, call("once"))
+		Expect(out.refusal.Reason).To(Equal(RunnersPaused))
+		Expect(out.refusal.Executed).To(BeFalse())
+		Expect(out.refusal.RetryAfter).To(BeNumerically("~", 20*time.Second, time.Second))
+		Expect(f.sends()).To(BeEmpty())
+		g.runners.mu.Lock()
+		defer g.runners.mu.Unlock()
+		Expect(g.runners.candidates(time.Now().Add(21*time.Second), "ledger", nil)).To(HaveLen(1))
+	})
+
+	// Guards against a word that outlives its process: an address, or an ID, may be
+	// used again.
+	ginkgo.It("does not count for the next process of the runner", func() {
+		g, _ := newTestGateway()
+		g.recordAdviceAt("ledger1:80", "ledger1", leaving)
+		g.recordAdviceAt("ledger2:80", "ledger2", pausing)
+		usable := func() int {
+			g.runners.mu.Lock()
+			defer g.runners.mu.Unlock()
+			return len(g.runners.candidates(time.Now(), "ledger", nil))
+		}
+		Expect(usable()).To(Equal(1))
+		relist(g, func(r *directory.Runner) { r.StartedUnixMS = 5 })
+		Expect(usable()).To(Equal(3))
+	})
+
+	ginkgo.DescribeTable("keeps stage calls away",
+		func(said advice.Advice, refused bool) {
+			g, f := newTestGateway()
+			f.any = []reply{{status: 200, body: events(1, 2)}}
+			var called []string
+			f.pieces = func(c *batch.Call) batch.CallResult {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				called = append(called, c.RunnerID)
+				result := resultsFor(c)
+				if c.RunnerID == "encode1" {
+					result.Advice = said
+					if refused {
+						result = batch.CallResult{Refused: true, Advice: said}
+					}
+				}
+				return result
+			}
+			for began := time.Now(); time.Since(began) < longerThanBackoff; {
+				c := call("staged")
+				c.Pieces = []int{1, 1, 1}
+				Expect(serve(g, c).status).To(Equal(200))
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			first := slices.Index(called, "encode1")
+			Expect(first).To(BeNumerically(">=", 0))
+			Expect(called[first+1:]).NotTo(ContainElement("encode1"))
+		},
+		ginkgo.Entry("leaving", leaving, false),
+		ginkgo.Entry("pausing", pausing, true),
+	)
+})
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"damaskbridge.example/damaskbridge/advice"
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
@@ -19,6 +20,9 @@
 	// no other runner.
 	drainGrace time.Duration
 
+	// advice holds what the runners have said.
+	advice *advice.Book
+
 	mu       sync.Mutex
 	registry *placement.Registry
 	// byService holds the listed runners of each service. Slots and draining
@@ -29,6 +33,8 @@
 type listedRunner struct {
 	directory.Runner
 	state *placement.RunnerState
+	// process names the process of the runner in advice.
+	process string
 	// drainingSince is when the runner was first seen draining.
 	drainingSince time.Time
 }
@@ -56,7 +62,10 @@
 			runner.ClearCache()
 		}
 		runner.StartedUnixMS = x.StartedUnixMS
-		item := listedRunner{Runner: x, state: runner, drainingSince: previous.drainingSince}
+		item := listedRunner{Runner: x, state: runner, process: previous.process, drainingSince: previous.drainingSince}
+		if !ok || previous.StartedUnixMS != x.StartedUnixMS {
+			item.process = processOf(runner)
+		}
 		if x.Draining && item.drainingSince.IsZero() {
 			item.drainingSince = now
 		}
@@ -68,16 +77,21 @@
 }
 
 // candidates returns the runners that may receive a request, except those in
-// tried. Draining runners are returned only while no other one is listed, and
-// for at most drainGrace.
+// tried and those that have asked for a pause. Draining runners, also those that
+// have only said so themselves, are returned only while no other one is listed,
+// and for at most drainGrace.
 func (r *runnerSet) candidates(now time.Time, service string, tried []*placement.RunnerState) []*placement.RunnerState {
 	var active, draining []*placement.RunnerState
-	for _, l := range r.byService[service] {
+	for i := range r.byService[service] {
+		l := &r.byService[service][i]
+		if slices.Contains(tried, l.state) || !r.advice.PausedUntil(now, l.process).IsZero() {
+			continue
+		}
+		since := r.leavingSince(l)
 		switch {
-		case slices.Contains(tried, l.state):
-		case !l.Draining:
+		case since.IsZero():
 			active = append(active, l.state)
-		case now.Sub(l.drainingSince) < r.drainGrace:
+		case now.Sub(since) < r.drainGrace:
 			draining = append(draining, l.state)
 		}
 	}
@@ -87,6 +101,54 @@
 	return draining
 }
 
+// leavingSince returns when the runner was first known to leave, from the list or
+// from its answers, or the zero time.
+func (r *runnerSet) leavingSince(l *listedRunner) time.Time {
+	said := r.advice.LeavingSince(l.process)
+	if l.Draining && (said.IsZero() || l.drainingSince.Before(said)) {
+		return l.drainingSince
+	}
+	return said
+}
+
+// pauseLeft returns the time until the first of a service's runners wants requests
+// again, or 0 if one of them does now or none has asked for a pause. Runners that
+// leave do not count.
+func (r *runnerSet) pauseLeft(now time.Time, service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := time.Duration(0)
+	for i := range r.byService[service] {
+		l := &r.byService[service][i]
+		if !r.leavingSince(l).IsZero() {
+			continue
+		}
+		until := r.advice.PausedUntil(now, l.process)
+		if until.IsZero() {
+			return 0
+		}
+		if left := until.Sub(now); first == 0 || left < first {
+			first = left
+		}
+	}
+	return first
+}
+
+// processAt names the process of the listed runner with an ID, or any if that is
+// empty, at an address. It returns "" if none is listed.
+func (r *runnerSet) processAt(addr, id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, list := range r.byService {
+		for i := range list {
+			if list[i].Addr == addr && (id == "" || list[i].ID == id) {
+				return list[i].process
+			}
+		}
+	}
+	return ""
+}
+
 // pick chooses a runner of a service and counts the request as active there.
 // finish, or unpick if nothing was sent, must be called later. For an engine it
 // also returns the address of another runner that may cache shared parts of the
@@ -165,6 +227,11 @@
 func (r *runnerSet) startOf(runner *placement.RunnerState) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return processOf(runner)
+}
+
+// processOf returns a name of the runner that differs for each of its starts.
+func processOf(runner *placement.RunnerState) string {
 	return runner.ID + " " + runner.Addr + " " + strconv.FormatInt(runner.StartedUnixMS, 10)
 }
 
@@ -186,13 +253,13 @@
 }
 
 // runnersInZone returns the runners of a service in a zone.
-func (r *runnerSet) runnersInZone(service, zone string) []directory.Runner {
+func (r *runnerSet) runnersInZone(service, zone string) []listedRunner {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list []directory.Runner
+	var list []listedRunner
 	for _, l := range r.byService[service] {
 		if l.Zone == zone {
-			list = append(list, l.Runner)
+			list = append(list, l)
 		}
 	}
 	return list
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"damaskbridge.example/damaskbridge/advice"
 	"damaskbridge.example/damaskbridge/batch"
 	"damaskbridge.example/damaskbridge/placement"
 )
@@ -59,6 +60,8 @@
 	EndsWithConnection bool
 	// Misdirected reports whether another runner has the address.
 	Misdirected bool
+	// Advice is what the answer says about later requests.
+	Advice advice.Advice
 	// Load is the load that the runner reported about itself, or nil if it
 	// reported none.
 	Load *placement.Load
@@ -72,6 +75,7 @@
 	Send(ctx context.Context, d *Dispatch) (*Response, error)
 	// RunPieces sends one call to a stage runner.
 	RunPieces(ctx context.Context, c *batch.Call) batch.CallResult
-	// FreePieces tells a stage runner that results are no longer needed.
-	FreePieces(ctx context.Context, addr string, handles []string) error
+	// FreePieces tells a stage runner that results are no longer needed. It returns
+	// what the answer says about later calls, also with an error.
+	FreePieces(ctx context.Context, addr string, handles []string) (advice.Advice, error)
 }
