delta: ages are rounded up, so that content never gets younger

Cause, first part: ages travelled in whole milliseconds, rounded down. Control VMs that exchange a list made it younger with each exchange, so that its reader seemed to be alive.

Evidence: the new spec failed before (as of 300 us after the reading after one exchange) and passes.

--- a/delta/store.go
+++ b/delta/store.go
@@ -57,7 +57,7 @@
 	list := make([]Version, 0, len(st.parts))
 	for _, name := range st.Names() {
 		p := st.parts[name]
-		list = append(list, Version{Name: name, Digest: p.set.digest, AgeMS: now.Sub(p.asOf).Milliseconds()})
+		list = append(list, Version{Name: name, Digest: p.set.digest, AgeMS: ageMS(now, p.asOf)})
 	}
 	return list
 }
@@ -76,7 +76,7 @@
 			continue
 		}
 		if p.set.digest == v.Digest {
-			c.AgesMS[i] = now.Sub(p.asOf).Milliseconds()
+			c.AgesMS[i] = ageMS(now, p.asOf)
 			continue
 		}
 		if !p.asOf.After(asOf(calledAt, v.AgeMS)) {
@@ -84,7 +84,7 @@
 			continue
 		}
 		if d := p.differenceFrom(v.Digest); d != nil {
-			c.Updates = append(c.Updates, Update{Name: v.Name, AgeMS: now.Sub(p.asOf).Milliseconds(), Difference: d})
+			c.Updates = append(c.Updates, Update{Name: v.Name, AgeMS: ageMS(now, p.asOf), Difference: d})
 			continue
 		}
 		if err := c.addWhole(now, v.Name, p); err != nil {
@@ -112,7 +112,7 @@
 			return err
 		}
 	}
-	c.Updates = append(c.Updates, Update{Name: name, AgeMS: now.Sub(p.asOf).Milliseconds(), Whole: p.whole, Digest: p.set.digest})
+	c.Updates = append(c.Updates, Update{Name: name, AgeMS: ageMS(now, p.asOf), Whole: p.whole, Digest: p.set.digest})
 	return nil
 }
 
@@ -180,6 +180,12 @@
 	}
 }
 
+// ageMS returns the age of content in ms, rounded up: rounded down, content would
+// get younger each time it is passed on.
+func ageMS(now, asOf time.Time) int64 {
+	return (now.Sub(asOf) + time.Millisecond - time.Nanosecond).Milliseconds()
+}
+
 func asOf(madeAt time.Time, ageMS int64) time.Time {
 	return madeAt.Add(-time.Duration(ageMS) * time.Millisecond)
 }
--- a/delta/store_test.go
+++ b/delta/store_test.go
@@ -46,6 +46,22 @@
 var _ = ginkgo.Describe("Store", func() {
 	const name = "runners/z"
 
+	// Guards against content that gets younger each time it is passed on: nobody
+	// notices then that its reader is gone, as it seems to be read again and again.
+	ginkgo.It("never states content as younger than it is", func() {
+		first, second := NewStore(), NewStore()
+		first.Put(name, epoch, NewSet(values(3)))
+		for i := range 1000 {
+			now := epoch.Add(time.Duration(i)*7*time.Millisecond + time.Duration(i*i)*time.Microsecond)
+			exchange(now, second, first)
+			exchange(now.Add(300*time.Microsecond), first, second)
+			for _, st := range []*Store{first, second} {
+				_, asOf := st.Get(name)
+				Expect(asOf.After(epoch)).To(BeFalse(), "as of %v after the reading, exchange %d", asOf.Sub(epoch), i)
+			}
+		}
+	})
+
 	// Guards against cost that grows with the number of runners when one of them
 	// changes.
 	ginkgo.It("sends one change of a long list as that change, whoever serves it", func() {
