directory: a list counts as read again only if it is newer by half a reading interval

An age that reaches a control VM is too great by the delay of the link and the rounding, each time by another amount. The best statement so far improves for a while, and any improvement counted as a newer reading and began the wait for a takeover anew.

Change: progress is at least half of the time between two readings (minProgress).

Evidence: the new spec failed before (never taken over) and passes.

--- a/directory/reader.go
+++ b/directory/reader.go
@@ -57,7 +57,8 @@
 
 // zoneReading is the state of reading one data centre.
 type zoneReading struct {
-	// asOf is the last known age of the list, progressAt when it last advanced.
+	// asOf is as of when the list was current, as known when it last made progress;
+	// progressAt is when that was.
 	asOf       time.Time
 	progressAt time.Time
 	triedAt    time.Time
@@ -124,7 +125,7 @@
 	defer r.mu.Unlock()
 	var due []string
 	for zone, z := range r.zones {
-		if asOf := r.lists.asOf(runnersPrefix + zone); asOf.After(z.asOf) {
+		if asOf := r.lists.asOf(runnersPrefix + zone); asOf.Sub(z.asOf) >= minProgress {
 			z.asOf, z.progressAt = asOf, now
 		}
 		t := turn{
--- a/directory/turns.go
+++ b/directory/turns.go
@@ -14,6 +14,10 @@
 	// readInterval allows two readings within the time after which a draining
 	// runner must get no new work.
 	readInterval = 1200 * time.Millisecond
+	// minProgress is by how much a list must be newer to count as read again. An age
+	// that reaches this VM is too great by the delay of the links, each time by
+	// another one.
+	minProgress = readInterval / 2
 	// takeoverDelay is the additional time without a newer list after which the
 	// next control VM in the order reads it. Ages reach a control VM through the
 	// leader, with up to two exchanges of peerWait.
--- a/directory/turns_test.go
+++ b/directory/turns_test.go
@@ -44,6 +44,29 @@
 		Expect(first).To(HaveLen(len(members)))
 	})
 
+	// Guards against a list that nobody reads: the VM whose turn it was is gone, and
+	// the age of its last reading becomes known more exactly with each exchange, which
+	// the others took for one newer reading after the other.
+	ginkgo.It("pass on when only the age of the last reading becomes known better", func() {
+		r := &reader{lists: newLists(), self: members[0], members: func() []string { return members }, zones: map[string]*zoneReading{}}
+		const zone = "z"
+		r.zones[zone] = &zoneReading{progressAt: now}
+		rank := rankIn(readingOrder(zone, members, nil), r.self)
+		Expect(rank).To(BeNumerically(">", 0))
+		limit := readInterval + time.Duration(rank)*takeoverDelay
+		readAt := now.Add(-100 * time.Millisecond)
+		taken := time.Duration(0)
+		for passed := time.Duration(0); taken == 0 && passed <= 2*limit; passed += readTick {
+			// Each exchange states the reading a little later, and never later than it was.
+			known := readAt.Add(-100 * time.Millisecond / time.Duration(1+passed/readTick))
+			r.lists.put(runnersPrefix+zone, known, encodeSet([]Runner{{ID: "i"}}))
+			if len(r.dueZones(now.Add(passed))) > 0 {
+				taken = passed
+			}
+		}
+		Expect(taken).To(BeNumerically("~", limit, readTick))
+	})
+
 	// Guards against a list that is read over the paid links between regions.
 	ginkgo.It("go to the control VMs near the list first", func() {
 		roundTrips := map[string]time.Duration{
