gateway: buffered answers are kept in parts that are used again

Cause: the bound held for the contents of answers; their buffers doubled as they grew and were copied, so that the memory and its garbage were several times that.

Change: an answer is kept in parts of 256 KiB, taken from the bound before they are allocated and used again while other answers are read.

The new specs pass, also with the race detector.

--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
+	"sync"
 )
 
 const (
@@ -26,35 +26,108 @@
 	errAnswerMemory   = fmt.Errorf("the answers under way exceed %d bytes together", maxBufferedBytes)
 )
 
-// answerMemory bounds the memory of buffered answers. It is safe for concurrent
-// use.
+// Body is a whole answer in parts, so that its memory never has to be copied into
+// a larger piece. It is valid until the call that received it returns.
+type Body struct {
+	parts [][]byte
+}
+
+// NewBody returns a body of one part.
+func NewBody(b []byte) *Body { return &Body{parts: [][]byte{b}} }
+
+// Len returns the length in bytes.
+func (b *Body) Len() int {
+	n := 0
+	for _, part := range b.parts {
+		n += len(part)
+	}
+	return n
+}
+
+// WriteTo writes the whole body.
+func (b *Body) WriteTo(w io.Writer) (written int64, err error) {
+	for _, part := range b.parts {
+		n, err := w.Write(part)
+		written += int64(n)
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// answerMemory bounds the memory of buffered answers. The zero value is ready for
+// use. It is safe for concurrent use.
 type answerMemory struct {
-	used atomic.Int64
+	mu   sync.Mutex
+	used int64
+	// unused holds buffers of answerStepBytes that can be used again. They are kept
+	// only while others are in use.
+	unused [][]byte
 }
 
 // readAll reads a whole answer. It returns errAnswerTooLarge or errAnswerMemory
 // if the answer does not fit. release must be called when the answer is of no
 // more use.
-func (m *answerMemory) readAll(r io.Reader) (body []byte, release func(), err error) {
-	reserved := int64(0)
-	release = func() { m.used.Add(-reserved) }
-	var b bytes.Buffer
-	step := int64(freeAnswerBytes)
-	for {
-		_, err := io.CopyN(&b, r, step)
-		if errors.Is(err, io.EOF) {
-			return b.Bytes(), release, nil
-		}
-		if err != nil {
-			return nil, release, err
-		}
-		if b.Len() >= maxAnswerBytes {
+func (m *answerMemory) readAll(r io.Reader) (body *Body, release func(), err error) {
+	var first bytes.Buffer
+	_, err = io.CopyN(&first, r, freeAnswerBytes)
+	whole := NewBody(first.Bytes())
+	release = func() { m.free(whole.parts[1:]) }
+	for read := freeAnswerBytes; err == nil; read += answerStepBytes {
+		if read >= maxAnswerBytes {
 			return nil, release, errAnswerTooLarge
 		}
-		step = answerStepBytes
-		reserved += step
-		if m.used.Add(step) > maxBufferedBytes {
-			return nil, release, errAnswerMemory
+		var step []byte
+		if step, err = m.allocate(); err != nil {
+			return nil, release, err
 		}
+		var n int
+		n, err = fill(r, step)
+		whole.parts = append(whole.parts, step[:n])
+	}
+	if !errors.Is(err, io.EOF) {
+		return nil, release, err
+	}
+	return whole, release, nil
+}
+
+// fill reads until b is full or an error occurs.
+func fill(r io.Reader, b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		var read int
+		read, err = r.Read(b[n:])
+		n += read
+	}
+	return n, err
+}
+
+// allocate returns a buffer of answerStepBytes.
+func (m *answerMemory) allocate() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.used+answerStepBytes > maxBufferedBytes {
+		return nil, errAnswerMemory
+	}
+	m.used += answerStepBytes
+	last := len(m.unused) - 1
+	if last < 0 {
+		return make([]byte, answerStepBytes), nil
+	}
+	step := m.unused[last]
+	m.unused = m.unused[:last]
+	return step, nil
+}
+
+// free returns buffers that allocate has returned, cut to any length.
+func (m *answerMemory) free(steps [][]byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, step := range steps {
+		m.used -= answerStepBytes
+		m.unused = append(m.unused, step[:answerStepBytes])
+	}
+	if m.used == 0 {
+		m.unused = nil
 	}
 }
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -229,10 +229,12 @@
 	answers int
 }
 
-func (f *fakeResponder) Respond(status int, h http.Header, body []byte) error {
+func (f *fakeResponder) Respond(status int, h http.Header, body *Body) error {
 	f.answers++
-	f.status, f.body, f.from = status, string(body), h.Get("X-From")
-	return nil
+	var b strings.Builder
+	_, err := body.WriteTo(&b)
+	f.status, f.body, f.from = status, b.String(), h.Get("X-From")
+	return err
 }
 
 func (f *fakeResponder) Stream(status int, h http.Header) (EventWriter, error) {
--- a/gateway/responder.go
+++ b/gateway/responder.go
@@ -6,7 +6,7 @@
 // Stream and Refuse is called, and only once.
 type Responder interface {
 	// Respond sends a runner's complete answer.
-	Respond(status int, header http.Header, body []byte) error
+	Respond(status int, header http.Header, body *Body) error
 	// Stream starts an answer whose events follow.
 	Stream(status int, header http.Header) (EventWriter, error)
 	// Refuse sends an error answer of the gateway itself.
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"runtime"
 	"strings"
 	"testing/iotest"
 	"time"
@@ -39,7 +40,7 @@
 		Expect(out.refusal.Executed).To(BeTrue())
 		Expect(f.sends()).To(HaveLen(1))
 		Expect(f.any[0].endless.read).To(BeNumerically("<=", 2*maxAnswerBytes))
-		Expect(g.answers.used.Load()).To(BeZero())
+		Expect(g.answers.used).To(BeZero())
 	})
 
 	ginkgo.It("whose refusal has no end is passed by", func() {
@@ -106,15 +107,68 @@
 		for _, release := range releases {
 			release()
 		}
-		Expect(m.used.Load()).To(BeZero())
+		Expect(m.used).To(BeZero())
 		body, release, err := m.readAll(iotest.OneByteReader(strings.NewReader("small")))
-		release()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(body).To(Equal([]byte("small")))
+		Expect(bytesOf(body)).To(Equal([]byte("small")))
+		release()
 		whole := bytes.Repeat([]byte("y"), freeAnswerBytes+answerStepBytes+7)
 		body, release, err = m.readAll(bytes.NewReader(whole))
-		release()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(body).To(Equal(whole))
+		Expect(body.Len()).To(Equal(len(whole)))
+		Expect(bytesOf(body)).To(Equal(whole))
+		release()
+		Expect(m.used).To(BeZero())
 	})
 })
+
+// bytesOf returns the whole content of a body.
+func bytesOf(body *Body) []byte {
+	var b bytes.Buffer
+	_, err := body.WriteTo(&b)
+	Expect(err).NotTo(HaveOccurred())
+	return b.Bytes()
+}
+
+// Guards against memory that doubles while an answer grows: many answers without end
+// at once then take several times the bound.
+var _ = ginkgo.It("the memory of buffered answers stays at its bound", func() {
+	m := &answerMemory{}
+	allocated := func() uint64 {
+		var s runtime.MemStats
+		runtime.ReadMemStats(&s)
+		return s.TotalAlloc
+	}
+	_, releaseOne, err := m.readAll(io.LimitReader(zeros{}, 2*freeAnswerBytes))
+	Expect(err).NotTo(HaveOccurred())
+	before := allocated()
+	for range 10 {
+		var releases []func()
+		for range 8 {
+			_, release, err := m.readAll(zeros{})
+			Expect(err).To(HaveOccurred())
+			releases = append(releases, release)
+		}
+		for _, release := range releases {
+			release()
+		}
+	}
+	releaseOne()
+	Expect(m.used).To(BeZero())
+	Expect(m.unused).To(BeEmpty())
+	Expect(allocated() - before).To(BeNumerically("<", 3*maxBufferedBytes))
+})
+
+// Guards against a truncated answer that is taken for a whole one.
+var _ = ginkgo.It("an answer that breaks off after its first part is not whole", func() {
+	m := &answerMemory{}
+	_, release, err := m.readAll(io.MultiReader(bytes.NewReader(make([]byte, freeAnswerBytes+10)), &failingReader{}))
+	release()
+	Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	Expect(m.used).To(BeZero())
+})
+
+// zeros is a reader without end that allocates nothing.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
