gateway: the stall timer has a file of its own; the runner set gets its book when made

Moved without a change of behaviour: stream_standby.go held the standby and the timer that starts it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,9 +60,6 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		opts: o, log: o.Logger,
-		// Draining runners are used for half of DrainTime. The other half allows
-		// for the propagation of the runner list and the transfer of the request.
-		runners:    newRunnerSet(o.Topology, o.DrainTime/2),
 		budgets:    newRetryBudgets(o.RetryBudget),
 		metrics:    newGatewayMetrics(),
 		configured: make(chan struct{}),
@@ -74,7 +71,9 @@
 		holds:          newInputHoldTimes(),
 		evidence:       quarantine.NewEvidence(),
 	}
-	g.runners.advice = &g.advice
+	// Draining runners are used for half of DrainTime. The other half allows for the
+	// propagation of the runner list and the transfer of the request.
+	g.runners = newRunnerSet(o.Topology, o.DrainTime/2, &g.advice)
 	g.pieces = newPieceScheduler(g)
 	g.state.Store(&directory.State{})
 	return g
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -39,8 +39,8 @@
 	drainingSince time.Time
 }
 
-func newRunnerSet(topology placement.Topology, drainGrace time.Duration) *runnerSet {
-	return &runnerSet{topology: topology, drainGrace: drainGrace, registry: placement.NewRegistry(), byService: map[string][]listedRunner{}}
+func newRunnerSet(topology placement.Topology, drainGrace time.Duration, said *advice.Book) *runnerSet {
+	return &runnerSet{topology: topology, drainGrace: drainGrace, advice: said, registry: placement.NewRegistry(), byService: map[string][]listedRunner{}}
 }
 
 // update replaces the list of runners.
--- a/gateway/stream_standby.go
+++ b/gateway/stream_standby.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// stallTimeoutFactor times the route's MaxEventGap is how long a resumable
-	// stream is silent before another runner is asked to go on with it.
-	stallTimeoutFactor = 3
 	// maxResumes limits how often one stream is sent to another runner.
 	maxResumes = 2
 	// maxOverlap is how long two runners may work on one stream. A runner that
@@ -231,46 +228,6 @@
 	}
 }
 
-func (r *request) stallTimeout() time.Duration { return stallTimeoutFactor * r.route.MaxEventGap }
-
-// beginLeg starts the stall timer for a leg. For a stream whose caller has not
-// received an event yet, it starts with the first one.
-func (r *request) beginLeg(ctx context.Context, s *eventStream, leg *streamLeg) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leg = leg
-	if !r.mayResume() || r.route.MaxEventGap <= 0 {
-		return
-	}
-	s.stallTimer = time.AfterFunc(time.Hour, func() { r.onStall(ctx, s, leg) })
-	if s.writer != nil {
-		s.recordProgress(r.stallTimeout())
-	}
-}
-
-// onStall starts a standby for a leg that has been silent for the stall timeout.
-func (r *request) onStall(ctx context.Context, s *eventStream, leg *streamLeg) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.leg != leg || s.standby != nil {
-		return
-	}
-	if rest := r.stallTimeout() - time.Since(s.progressAt); rest > 0 {
-		s.stallTimer.Reset(rest)
-		return
-	}
-	r.g.metrics.standbys.Inc()
-	go r.newStandby(ctx, s, leg).run()
-}
-
-// recordProgress restarts the stall timer. It is called with mu held.
-func (s *eventStream) recordProgress(timeout time.Duration) {
-	s.progressAt = time.Now()
-	if s.stallTimer != nil && s.leg != nil {
-		s.stallTimer.Reset(timeout)
-	}
-}
-
 // abandonStandby ends the standby of a leg that goes on, unless the other runner
 // has already taken over. It is called with mu held.
 func (s *eventStream) abandonStandby() {
@@ -282,16 +239,6 @@
 	s.standby = nil
 }
 
-// endLeg stops the stall timer.
-func (s *eventStream) endLeg() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leg = nil
-	if s.stallTimer != nil {
-		s.stallTimer.Stop()
-	}
-}
-
 // currentStandby returns the standby that is prepared, or nil.
 func (s *eventStream) currentStandby() *standby {
 	s.mu.Lock()
