advice: a longer pause during another one reaches the assemblers

Found while reading the diff: a second, longer pause during a first one was stored but not reported as a change, so that the assembler of stage calls went on with the end of the first one and called the runner too early (BUDGET).

Change: Record reports each change, and apart from that whether it is news for the log. A type and a comment got plainer names.

--- a/advice/advice_test.go
+++ b/advice/advice_test.go
@@ -30,12 +30,15 @@
 func TestPause(t *testing.T) {
 	var b Book
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
-	if !b.Record(at(0), "a", Advice{Pause: 10 * time.Second}) {
-		t.Error("the first word changes nothing")
-	}
-	if b.Record(at(1), "a", Advice{Pause: time.Second}) {
-		t.Error("a shorter pause changes something")
+	record := func(second int, pause time.Duration, wantChanged, wantNew bool) {
+		t.Helper()
+		if changed, isNew := b.Record(at(second), "a", Advice{Pause: pause}); changed != wantChanged || isNew != wantNew {
+			t.Errorf("a pause of %v at %d s: changed %v, new %v", pause, second, changed, isNew)
+		}
 	}
+	record(0, 4*time.Second, true, true)
+	record(0, 10*time.Second, true, false)
+	record(1, time.Second, false, false)
 	if got := b.PausedUntil(at(9), "a"); !got.Equal(at(10)) {
 		t.Errorf("paused until %v", got)
 	}
@@ -44,9 +47,7 @@
 			t.Errorf("%s is paused until %v", process, got)
 		}
 	}
-	if !b.Record(at(20), "a", Advice{Pause: time.Second}) {
-		t.Error("a pause after the end of the one before changes nothing")
-	}
+	record(20, time.Second, true, true)
 }
 
 // TestLeaving guards against a word that is taken back, or given to the process
--- a/advice/book.go
+++ b/advice/book.go
@@ -8,7 +8,7 @@
 const (
 	// maxProcesses bounds the processes of runners that are remembered.
 	maxProcesses = 4096
-	// memory is how long the word of a process is remembered after its last one.
+	// memory is how long a process is remembered after it last said something.
 	// It is longer than a process goes on after it has said that it leaves.
 	memory = 10 * time.Minute
 )
@@ -17,60 +17,61 @@
 // It is safe for concurrent use.
 type Book struct {
 	mu        sync.Mutex
-	processes map[string]*word
+	processes map[string]*processState
 	// lastPauseEnd is the end of the pause that ends last.
 	lastPauseEnd time.Time
 }
 
-// word is what one process has said.
-type word struct {
+// processState is what one process has said.
+type processState struct {
 	leavingSince time.Time
 	pausedUntil  time.Time
 	saidAt       time.Time
 }
 
-// Record stores the advice of a process. It reports whether that changes what the
-// process may be sent.
-func (b *Book) Record(now time.Time, process string, a Advice) (changed bool) {
+// Record stores the advice of a process. changed reports whether the process may
+// be sent less than before, isNew whether it might have been sent something: a
+// longer pause during another one is no news.
+func (b *Book) Record(now time.Time, process string, a Advice) (changed, isNew bool) {
 	if a.IsZero() {
-		return false
+		return false, false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.processes[process]
-	if w == nil {
-		w = b.add(now, process)
+	s := b.processes[process]
+	if s == nil {
+		s = b.add(now, process)
 	}
-	w.saidAt = now
-	if a.Leaving && w.leavingSince.IsZero() {
-		w.leavingSince = now
-		changed = true
+	s.saidAt = now
+	if a.Leaving && s.leavingSince.IsZero() {
+		s.leavingSince = now
+		changed, isNew = true, true
 	}
-	if until := now.Add(a.Pause); a.Pause > 0 && until.After(w.pausedUntil) {
-		changed = changed || !w.pausedUntil.After(now)
-		w.pausedUntil = until
+	if until := now.Add(a.Pause); a.Pause > 0 && until.After(s.pausedUntil) {
+		changed, isNew = true, isNew || !s.pausedUntil.After(now)
+		s.pausedUntil = until
 		if until.After(b.lastPauseEnd) {
 			b.lastPauseEnd = until
 		}
 	}
-	return changed
+	return changed, isNew
 }
 
 // add adds a process and forgets those that have been silent for long.
-func (b *Book) add(now time.Time, process string) *word {
+func (b *Book) add(now time.Time, process string) *processState {
 	if b.processes == nil {
-		b.processes = map[string]*word{}
+		b.processes = map[string]*processState{}
 	}
 	if len(b.processes) >= maxProcesses {
-		for name, w := range b.processes {
-			if now.Sub(w.saidAt) > memory {
+		for name, s := range b.processes {
+			if now.Sub(s.saidAt) > memory {
 				delete(b.processes, name)
 			}
 		}
 	}
-	w := &word{}
-	b.processes[process] = w
-	return w
+	s := &processState{}
+	b.processes[process] = s
+	return s
 }
 
 // AnyPaused reports whether any process wants no request now.
@@ -84,8 +85,8 @@
 func (b *Book) LeavingSince(process string) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if w := b.processes[process]; w != nil {
-		return w.leavingSince
+	if s := b.processes[process]; s != nil {
+		return s.leavingSince
 	}
 	return time.Time{}
 }
@@ -98,8 +99,8 @@
 	if !b.lastPauseEnd.After(now) {
 		return time.Time{}
 	}
-	if w := b.processes[process]; w != nil && w.pausedUntil.After(now) {
-		return w.pausedUntil
+	if s := b.processes[process]; s != nil && s.pausedUntil.After(now) {
+		return s.pausedUntil
 	}
 	return time.Time{}
 }
--- a/gateway/runner_advice.go
+++ b/gateway/runner_advice.go
@@ -24,13 +24,16 @@
 	if said.Pause > 0 {
 		g.metrics.advicePause.Inc()
 	}
-	if !g.advice.Record(time.Now(), process, said) {
-		return false
+	changed, isNew := g.advice.Record(time.Now(), process, said)
+	if changed {
+		g.pieces.refresh()
+	}
+	if !isNew {
+		return changed
 	}
 	g.log.Info().Str("addr", addr).Str("process", process).Bool("leaving", said.Leaving).Int64("pause_ms", said.Pause.Milliseconds()).
 		Msg("gateway: a runner asks for no new requests")
-	g.pieces.refresh()
-	return true
+	return changed
 }
 
 // recordAdviceAt is recordAdvice for the listed runner at an address. An empty ID
--- a/gateway/runner_advice_test.go
+++ b/gateway/runner_advice_test.go
@@ -137,6 +137,29 @@
 		Expect(usable()).To(Equal(3))
 	})
 
+	// Guards against calls after the first of two pauses, of which the second is longer.
+	ginkgo.It("keeps stage calls away until the end of the longest pause", func() {
+		g, _ := newTestGateway()
+		for _, pause := range []time.Duration{time.Second, time.Minute} {
+			for _, runner := range []string{"encode1", "encode2", "encode3"} {
+				g.recordAdviceAt(runner+":80", runner, advice.Advice{Pause: pause})
+			}
+			// The assembler is made with the first pause.
+			made := make(chan struct{})
+			g.pieces.post(func(o *pieceOwner, _ time.Time) {
+				o.assembler("encode")
+				close(made)
+			})
+			<-made
+		}
+		delay := make(chan time.Duration)
+		g.pieces.post(func(o *pieceOwner, now time.Time) {
+			later := now.Add(30 * time.Second)
+			delay <- o.assembler("encode").Delay(later, &batch.Item{Deadline: later.Add(time.Second)}, 1)
+		})
+		Expect(<-delay).To(Equal(batch.NoRunnerDelay))
+	})
+
 	ginkgo.DescribeTable("keeps stage calls away",
 		func(said advice.Advice, refused bool) {
 			g, f := newTestGateway()
--- a/internal/jsonlist/split_test.go
+++ b/internal/jsonlist/split_test.go
@@ -23,7 +23,7 @@
 	return `{"list":[` + strings.Join(elements, ",") + `],"next":"p-50"}`
 }
 
-// split returns the IDs of the elements that decode, and the field "next".
+// splitIDs returns the IDs of the elements that decode, and the field "next".
 func splitIDs(doc string) (ids []string, next string, err error) {
 	elements, around, err := Split([]byte(doc), "list")
 	if err != nil {
