--- a/gateway/events.go
+++ b/gateway/events.go
@@ -28,8 +28,8 @@
 	// unnumbered is true once an event with content came whose ID is no number.
 	// After it nobody can tell where the stream stands.
 	unnumbered bool
-	// resumed is true while the stream of a resume is split, proved once that has
-	// shown an event of the stream.
+	// resumed is true if the bytes are the answer to a resume, proved once that
+	// answer has shown a numbered event.
 	resumed bool
 	proved  bool
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,7 +29,8 @@
 	progressAt time.Time
 	stallTimer *time.Timer
 	// standby prepares the next leg, nil while nothing does. last is the newest
-	// standby, also after its end.
+	// standby, also one that was abandoned: the next one continues from its counts
+	// of runners and resumes.
 	standby *standby
 	last    *standby
 }
--- a/gateway/stream_standby.go
+++ b/gateway/stream_standby.go
@@ -92,6 +92,7 @@
 	}
 	r.resumes++
 	b.sent = true
+	// The timer is set when the request has been sent.
 	overlap := time.AfterFunc(time.Hour, func() { b.accept() })
 	leg, n := r.openLeg(b.ctx, runner, b.position, func() { overlap.Reset(maxOverlap) })
 	overlap.Stop()
