callers: a connection is closed only if nothing of its next request has arrived

What callers saw: on a kept connection, a request whose first bytes the VM had read got neither an answer nor a refusal when the VM began to stop, also when its time to stop began (Shutdown), or when the idle timeout was noticed late (a frozen or busy VM found the deadline over and the request in the kernel's buffer).

Cause: two owners decided about a connection. net/http counts it as idle until the next request's head is parsed; DisableKeepAlive closed such connections from another goroutine, and http.Server.Shutdown did so past the guard in conn. A new idle timeout reached new connections only, each change of it left one more http.Server.

Change: only the goroutine that reads a connection ends it between requests, when its deadline is over and the kernel holds no byte of it. Shutdown waits for the connections itself. A longer idle timeout applies to open connections at once, a shorter one from their next response on, because a client may rely on the one before. Connections that end without a response are counted by reason (damask_callers_unanswered_total) and logged.

Test replaced: 'handles no request whose connection was closed as idle' checked conn's flags, which are gone. What it guarded (no request of a closed connection reaches the handler) is now that reading a connection that is to be closed gives either its request or its end; the new specs check both for each state.

--- a/callers/callers_test.go
+++ b/callers/callers_test.go
@@ -85,21 +85,6 @@
 		_ = s
 	})
 
-	// Guards against a request that is executed on a runner although its
-	// connection was closed as idle while the request was being read, so that its
-	// client gets no response.
-	ginkgo.It("handles no request whose connection was closed as idle", func() {
-		c := &conn{Conn: &net.TCPConn{}}
-		c.closeIdle()
-		Expect(c.beginRequest()).To(BeTrue(), "the first request of a new connection is served")
-		c.closeIdle()
-		c.endRequest()
-		Expect(c.beginRequest()).To(BeTrue(), "a connection with an active request is not idle")
-		c.endRequest()
-		c.closeIdle()
-		Expect(c.beginRequest()).To(BeFalse())
-	})
-
 	ginkgo.It("closes idle connections and keeps new ones open when keep-alive is disabled", func() {
 		s := listen(ok)
 		idle, idleReader := dial(s)
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -2,23 +2,151 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
+	"time"
+
+	"damaskbridge.example/damaskbridge/internal/sockopt"
+)
+
+// connState is what a connection is doing.
+type connState int
+
+const (
+	// stateNew: no byte of the first request was read.
+	stateNew connState = iota
+	// stateReceiving: part of a request's head was read.
+	stateReceiving
+	// stateActive: a request is being handled.
+	stateActive
+	// stateWaiting: a request was answered and no byte of the next one was read.
+	stateWaiting
 )
 
-// conn is a client connection. net/http may close a connection that it considers
-// idle although it has already read the next request. conn serializes the two
-// decisions, so that no request of a closed connection reaches the handler.
+// conn is a client connection. The goroutine that reads it is the only one that
+// ends it between two requests, and only if nothing of the next one has arrived.
+// net/http alone would close a connection while its next request is being read,
+// or after its idle timeout although the request already waits in the kernel.
 type conn struct {
 	net.Conn
 
-	mu sync.Mutex
-	// answered is set once a request has been answered, active while one is being
-	// handled, and closed when the connection accepts no more requests.
-	answered bool
-	active   bool
-	closed   bool
+	mu    sync.Mutex
+	state connState
+	// requested is the read deadline that net/http has set. It is not in force
+	// while the connection waits.
+	requested time.Time
+	// waitingSince is when the last response was complete, idleTimeout how long
+	// the connection waits from then on.
+	waitingSince time.Time
+	idleTimeout  time.Duration
+	// closeWaiting means that the connection is to be closed instead of waiting.
+	closeWaiting bool
+	// handled is true once the handler has returned, or net/http has refused the
+	// request. If the handler aborted the response, abortReason says why.
+	handled     bool
+	abortReason unansweredReason
+}
+
+// longAgo is a deadline in the past: a read that is blocked returns at once.
+var longAgo = time.Unix(1, 0)
+
+// Read reads from the connection. It returns io.EOF when the connection has
+// waited for too long.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readLate(b, err)
+	}
+	if n > 0 {
+		c.receive()
+	}
+	return n, err
+}
+
+// readLate reads what arrived before the deadline was noticed: a process that was
+// frozen or busy finds the deadline over and the request in the kernel's buffer.
+func (c *conn) readLate(b []byte, timeout error) (int, error) {
+	c.mu.Lock()
+	state := c.state
+	c.mu.Unlock()
+	if state == stateActive {
+		// net/http ends its background read in this way.
+		return 0, timeout
+	}
+	if !c.hasUnreadData() {
+		if state == stateWaiting {
+			return 0, io.EOF
+		}
+		return 0, timeout
+	}
+	// This read does not block, as no other goroutine reads the connection.
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	return n, errors.Join(err, c.restoreDeadline())
+}
+
+func (c *conn) hasUnreadData() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	unread, err := sockopt.PeekUnread(s)
+	return err == nil && unread == sockopt.UnreadData
+}
+
+// receive records that bytes were read.
+func (c *conn) receive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateActive && c.state != stateReceiving {
+		c.state, c.handled = stateReceiving, false
+	}
+}
+
+// Write writes to the connection. While a head is being read, only net/http writes:
+// its refusal of the request.
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.handled = c.handled || c.state == stateReceiving
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// SetReadDeadline sets the deadline of a request that is being received. net/http
+// sets none while it waits for a request, and one as soon as it has its first bytes,
+// also if those were read together with the request before.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requested = t
+	if c.state == stateWaiting && !t.IsZero() {
+		c.state = stateReceiving
+	}
+	return c.Conn.SetReadDeadline(c.deadline())
+}
+
+func (c *conn) restoreDeadline() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Conn.SetReadDeadline(c.deadline())
+}
+
+// deadline returns the read deadline in force. It is called with mu held.
+func (c *conn) deadline() time.Time {
+	switch {
+	case c.state != stateWaiting:
+		return c.requested
+	case c.closeWaiting:
+		return longAgo
+	}
+	return c.waitingSince.Add(c.idleTimeout)
 }
 
 // CloseWrite closes the sending direction. net/http uses it so that the client
@@ -30,31 +158,67 @@
 	return c.Conn.Close()
 }
 
-// beginRequest marks the connection as active. It returns false if the
-// connection was closed as idle.
-func (c *conn) beginRequest() bool {
+// beginRequest marks the connection as active.
+func (c *conn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.handled, c.abortReason = stateActive, false, ""
+}
+
+// finishHandler records that the handler has returned, or why it has aborted the
+// response.
+func (c *conn) finishHandler(abortReason unansweredReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active = !c.closed
-	return c.active
+	c.handled, c.abortReason = abortReason == "", abortReason
 }
 
-// endRequest marks the connection as idle after the response was written.
-func (c *conn) endRequest() {
+// endRequest lets the connection wait for its next request after the response was
+// written.
+func (c *conn) endRequest(now time.Time, idleTimeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered, c.active = true, false
+	c.state, c.waitingSince, c.idleTimeout = stateWaiting, now, idleTimeout
 }
 
-// closeIdle closes the connection unless a request is being handled or none has
-// arrived yet: the first request of a new connection is always served.
+// raiseIdleTimeout lets a connection that waits do so for longer. It never
+// shortens the wait: the client may rely on what was in force at its last
+// response.
+func (c *conn) raiseIdleTimeout(idleTimeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateWaiting || idleTimeout <= c.idleTimeout {
+		return
+	}
+	c.idleTimeout = idleTimeout
+	_ = c.Conn.SetReadDeadline(c.deadline())
+}
+
+// closeIdle has the connection closed once it waits, unless its next request has
+// arrived by then. The first request of a new connection is always served.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.answered && !c.active {
-		c.closed = true
-		_ = c.Conn.Close()
+	c.closeWaiting = true
+	if c.state == stateWaiting {
+		_ = c.Conn.SetReadDeadline(longAgo)
+	}
+}
+
+// unanswered returns why a connection that is closed now leaves a request without
+// a response, or "" if it does not.
+func (c *conn) unanswered() unansweredReason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.handled || c.state == stateNew || c.state == stateWaiting:
+		return ""
+	case c.state == stateReceiving:
+		return headIncomplete
+	case c.abortReason != "":
+		return c.abortReason
 	}
+	return timeToStopOver
 }
 
 // connKey is the context key of a request's connection.
@@ -64,7 +228,7 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// connFromRequest returns the connection of a request, nil if there is none.
+// connFromRequest returns the connection of a request.
 func connFromRequest(r *http.Request) *conn {
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	return c
--- a/callers/server.go
+++ b/callers/server.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -29,11 +29,15 @@
 	conns map[*conn]struct{}
 	// keepAliveDisabled means that every connection closes after its next response.
 	keepAliveDisabled bool
+	// allClosed is closed once there are no connections, nil while nobody waits for
+	// that.
+	allClosed chan struct{}
+	metrics   *serverMetrics
 }
 
 // limitedServer is the HTTP server for the connections that were accepted while
-// the same limits were in effect, since the limits of an http.Server cannot
-// change while it is running.
+// the same limits of heads were in effect, since those of an http.Server cannot
+// change while it is running. Idle timeouts are those of conn.
 type limitedServer struct {
 	httpServer *http.Server
 	listener   *connListener
@@ -45,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{}), conns: map[*conn]struct{}{}}
+	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{}), conns: map[*conn]struct{}{}, metrics: newServerMetrics()}
 	s.SetLimits(Limits{})
 	go accept.Loop(s.listener, s.stopped, s.accept, func(err error) {
 		s.log.Warn().Err(err).Msg("callers: accept failed")
@@ -56,23 +60,37 @@
 // Addr returns the address of the listener.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// SetLimits applies l to new connections. Open ones keep their limits.
+// SetLimits puts l in effect. The limits of heads apply to new connections. A
+// longer idle timeout applies to open ones at once, a shorter one from their next
+// response on.
 func (s *Server) SetLimits(l Limits) {
 	l = l.withDefaults()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.currentServer != nil && s.limits == l {
+	old := s.limits
+	s.limits = l
+	for c := range s.conns {
+		c.raiseIdleTimeout(l.IdleTimeout)
+	}
+	if s.currentServer != nil && old.MaxHeaderBytes == l.MaxHeaderBytes && old.HeaderTimeout == l.HeaderTimeout {
 		return
 	}
+	s.startServer()
+}
+
+// startServer starts the HTTP server for the connections that are accepted from
+// now on. It is called with mu held.
+func (s *Server) startServer() {
 	server := &limitedServer{
 		httpServer: &http.Server{
-			Handler: http.HandlerFunc(s.serve), ConnContext: contextWithConn, ConnState: s.trackState, MaxHeaderBytes: l.MaxHeaderBytes,
-			ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+			Handler: http.HandlerFunc(s.serve), ConnContext: contextWithConn, ConnState: s.trackState,
+			// Without an IdleTimeout net/http leaves idle connections to conn.
+			MaxHeaderBytes: s.limits.MaxHeaderBytes, ReadHeaderTimeout: s.limits.HeaderTimeout,
 			ErrorLog: stdlog.New(&errorLog{s.log}, "", 0),
 		},
 		listener: newConnListener(s.listener.Addr()),
 	}
-	s.limits, s.currentServer = l, server
+	s.currentServer = server
 	s.servers = append(s.servers, server)
 	go func() { _ = server.httpServer.Serve(server.listener) }()
 }
@@ -99,22 +117,54 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.endRequest()
+		c.endRequest(time.Now(), s.limits.IdleTimeout)
 		if s.keepAliveDisabled {
 			c.closeIdle()
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(s.conns, c)
+		s.remove(c)
+	}
+}
+
+// remove forgets a closed connection. It is called with mu held.
+func (s *Server) remove(c *conn) {
+	delete(s.conns, c)
+	if reason := c.unanswered(); reason != "" {
+		s.metrics.recordUnanswered(reason)
+		s.log.Info().Str("caller", c.RemoteAddr().String()).Str("reason", string(reason)).Msg("callers: a request got no whole response")
+	}
+	if s.allClosed != nil && len(s.conns) == 0 {
+		close(s.allClosed)
+		s.allClosed = nil
 	}
 }
 
-// serve handles one request, or aborts it if its connection was already closed
-// as idle.
+// serve handles one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	if c := connFromRequest(r); c != nil && !c.beginRequest() {
-		panic(http.ErrAbortHandler)
+	c := connFromRequest(r)
+	c.beginRequest()
+	out := &responseWriter{ResponseWriter: w, server: s}
+	defer func() {
+		if v := recover(); v != nil {
+			s.recoverHandler(c, out, r, v)
+		}
+	}()
+	s.handler.ServeHTTP(out, r)
+	c.finishHandler("")
+}
+
+// recoverHandler ends the response of a handler that has panicked with v.
+func (s *Server) recoverHandler(c *conn, out *responseWriter, r *http.Request, v any) {
+	if v == http.ErrAbortHandler {
+		reason := handlerAborted
+		if r.Context().Err() != nil {
+			reason = callerLeft
+		}
+		c.finishHandler(reason)
+		panic(v)
 	}
-	s.handler.ServeHTTP(&responseWriter{ResponseWriter: w, server: s}, r)
+	c.finishHandler(handlerPanicked)
+	panic(v)
 }
 
 func (s *Server) isKeepAliveDisabled() bool {
@@ -124,7 +174,7 @@
 }
 
 // DisableKeepAlive makes every subsequent response close its connection, and
-// closes the connections that are idle after a request.
+// closes the connections that wait for a further request.
 func (s *Server) DisableKeepAlive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,25 +184,41 @@
 	}
 }
 
-// Shutdown accepts no more connections and waits for the active requests until
-// ctx ends; then it closes the remaining connections.
+// Shutdown accepts no more connections and waits until all have ended, each after
+// its next response, or until ctx ends; then it closes the remaining connections.
+// http.Server.Shutdown would also close those of which a request is being read.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopOnce.Do(func() { close(s.stopped) })
 	_ = s.listener.Close()
+	s.DisableKeepAlive()
+	var err error
+	select {
+	case <-s.connsClosed():
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
-	errs := make([]error, len(servers))
-	var shutdowns sync.WaitGroup
-	for i, server := range servers {
-		shutdowns.Go(func() {
-			if errs[i] = server.httpServer.Shutdown(ctx); errs[i] != nil {
-				_ = server.httpServer.Close()
-			}
-		})
+	for _, server := range servers {
+		_ = server.httpServer.Close()
+	}
+	return err
+}
+
+// connsClosed returns a channel that is closed once all connections have ended.
+func (s *Server) connsClosed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.allClosed == nil {
+		s.allClosed = make(chan struct{})
+	}
+	done := s.allClosed
+	if len(s.conns) == 0 {
+		close(done)
+		s.allClosed = nil
 	}
-	shutdowns.Wait()
-	return errors.Join(errs...)
+	return done
 }
 
 // errorLog writes the error messages of net/http to the log.
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -84,18 +84,8 @@
 	if !ok {
 		return true
 	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
+	unread, err := sockopt.PeekUnread(t)
+	return err == nil && unread == sockopt.UnreadNothing
 }
 
 // setExpiry sets how long the connection may be kept after a response with the
