callers: a request whose handler panics gets an answer

What callers saw: a closed connection without an answer, for instance when a runner answered with a status under 100, with which WriteHeader panics.

Cause: net/http recovers the panic of a handler, logs it at debug level here and closes the connection; nothing was counted.

Evidence: 'is answered although its handler panics' failed on the code before with an unexpected EOF.

Change: the panic is logged with its stack as an error and counted (damask_callers_panics_total); if nothing was written yet, the caller gets 500 without any header of the handler, else the connection ends as before.

Result: the spec passes.

--- a/callers/server.go
+++ b/callers/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	stdlog "log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -139,7 +141,8 @@
 	}
 }
 
-// serve handles one request.
+// serve handles one request. A panic of the handler is answered if nothing was
+// written yet.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c := connFromRequest(r)
 	c.beginRequest()
@@ -163,8 +166,17 @@
 		c.finishHandler(reason)
 		panic(v)
 	}
-	c.finishHandler(handlerPanicked)
-	panic(v)
+	s.metrics.panics.Inc()
+	s.log.Error().Str("panic", fmt.Sprint(v)).Str("stack", string(debug.Stack())).Bool("answered", !out.wroteHeader).
+		Msg("callers: the handler of a request has panicked; report the stack")
+	if out.wroteHeader {
+		c.finishHandler(handlerPanicked)
+		panic(http.ErrAbortHandler)
+	}
+	clear(out.Header())
+	out.Header().Set("Connection", "close")
+	http.Error(out, "internal error; the request may have been executed", http.StatusInternalServerError)
+	c.finishHandler("")
 }
 
 func (s *Server) isKeepAliveDisabled() bool {
--- a/callers/unanswered_test.go
+++ b/callers/unanswered_test.go
@@ -96,6 +96,18 @@
 		Eventually(stopped).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
 	})
 
+	ginkgo.It("is answered although its handler panics", func() {
+		s := listen(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Signature", "s")
+			w.WriteHeader(42)
+		})
+		c, r := dial(s)
+		resp := sendRequest(c, r, "")
+		Expect(resp.StatusCode).To(Equal(http.StatusInternalServerError))
+		Expect(resp.Header).NotTo(HaveKey("X-Signature"))
+		Expect(metricsOf(s)).To(ContainSubstring("damask_callers_panics_total 1"))
+	})
+
 	ginkgo.It("is counted with the reason if it gets no response", func() {
 		s := listen(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 		c, r := dial(s)
