gateway: repeats are counted by fixed reasons, not by the text of an error

What operators saw: damask_gateway_repeats_total got a new series for each address and port of a lost runner; a VM's memory and its metrics page grow with each of them.

Cause: the label was the cause for the log, which names addresses.

Evidence: the new spec failed with the label 'request to ledger1:80 got no response ...'.

Change: a failed exchange counts as lost or not_sent. Result: gateway's specs pass with the race detector.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,7 +58,7 @@
 		return v
 	}
 	// The retry budget is charged already; run must not charge it again.
-	v.arrived, v.cause = false, "hanging"
+	v.arrived, v.cause, v.reason = false, "hanging", ""
 	return v
 }
 
@@ -157,9 +157,10 @@
 
 // failedSend classifies an attempt that ended without a complete answer.
 func (r *request) failedSend(ctx context.Context, runner *placement.RunnerState, err error) sendResult {
-	n := sendResult{attemptResult: attemptResult{executed: exchange.WasSent(err), cause: err.Error()}}
+	n := sendResult{attemptResult: attemptResult{executed: exchange.WasSent(err), cause: err.Error(), reason: "not_sent"}}
 	n.arrived = n.executed
 	if n.executed {
+		n.reason = "lost"
 		r.recordLoss(ctx, runner)
 	}
 	if ctx.Err() == nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -125,7 +126,7 @@
 				return refusal
 			}
 		}
-		r.g.metrics.recordRepeat(v.cause)
+		r.g.metrics.recordRepeat(cmp.Or(v.reason, v.cause))
 	}
 }
 
@@ -149,7 +150,10 @@
 	executed   bool
 	arrived    bool
 	inputsGone bool
-	cause      string
+	// cause says for the log why the attempt failed, reason for the metrics if the
+	// cause is no fixed word.
+	cause  string
+	reason string
 }
 
 // mayRepeat reports whether another runner may be tried. It charges the retry
