--- a/controlvm/audit.go
+++ b/controlvm/audit.go
@@ -7,6 +7,7 @@
 
 	"damaskbridge.example/damaskbridge/audit"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/session"
 	"damaskbridge.example/damaskbridge/transport"
 )
@@ -31,7 +32,7 @@
 		return
 	}
 	target := &audit.RemoteTarget{Caller: v.caller, Addr: v.opts.CopyTo}
-	runEvery(ctx, replicationInterval, func() {
+	timer.Every(ctx, replicationInterval, func() {
 		if err := v.store.Replicate(ctx, v.auditSource, target); err != nil && ctx.Err() == nil {
 			v.log.Warn().Err(err).Msg("audit: the second copy is behind")
 		}
@@ -41,7 +42,7 @@
 // runRetention periodically deletes segments that are older than the retention,
 // until ctx ends.
 func (v *VM) runRetention(ctx context.Context) {
-	runEvery(ctx, retentionInterval, func() {
+	timer.Every(ctx, retentionInterval, func() {
 		if n, err := v.store.DeleteExpired(); err != nil {
 			v.log.Error().Err(err).Msg("audit: old segments could not be deleted")
 		} else if n > 0 {
@@ -53,20 +54,6 @@
 	})
 }
 
-// runEvery calls f once per interval until ctx ends.
-func runEvery(ctx context.Context, interval time.Duration, f func()) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f()
-		}
-	}
-}
-
 // auditReader returns a reader that queries all control VMs for audit records.
 func (v *VM) auditReader() *audit.Reader {
 	addrs := make([]string, 0, len(v.opts.Peers))
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -7,6 +7,7 @@
 
 	"damaskbridge.example/damaskbridge/admission"
 	"damaskbridge.example/damaskbridge/budget"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/upstream"
@@ -149,14 +150,5 @@
 
 // runAdmission sheds or admits waiting requests until ctx ends.
 func (s *Server) runAdmission(ctx context.Context) {
-	tick := time.NewTicker(advanceInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			s.gates.Advance(now)
-		}
-	}
+	timer.Every(ctx, advanceInterval, func() { s.gates.Advance(time.Now()) })
 }
--- a/entry/engines.go
+++ b/entry/engines.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/routing"
 	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/upstream"
@@ -39,16 +40,7 @@
 
 // run polls until ctx ends.
 func (p *enginePoller) run(ctx context.Context) {
-	tick := time.NewTicker(enginePollInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			p.pollAll(ctx)
-		}
-	}
+	timer.Every(ctx, enginePollInterval, func() { p.pollAll(ctx) })
 }
 
 func (p *enginePoller) pollAll(ctx context.Context) {
--- a/entry/model_loader.go
+++ b/entry/model_loader.go
@@ -11,6 +11,7 @@
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/fence"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/settings"
 	"damaskbridge.example/damaskbridge/upstream"
 )
@@ -36,16 +37,7 @@
 
 // run checks for missing models and adapters until ctx ends.
 func (l *modelLoader) run(ctx context.Context) {
-	tick := time.NewTicker(loadCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			l.loadMissing(ctx)
-		}
-	}
+	timer.Every(ctx, loadCheckInterval, func() { l.loadMissing(ctx) })
 }
 
 // loadMissing sends at most one order to each engine of this region.
--- a/internal/timer/sleep.go
+++ b/internal/timer/sleep.go
@@ -1,4 +1,4 @@
-// Package timer waits with a context.
+// Package timer waits and repeats with a context.
 package timer
 
 import (
@@ -21,3 +21,17 @@
 		return true
 	}
 }
+
+// Every calls f after each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
--- a/internal/timer/sleep_test.go
+++ b/internal/timer/sleep_test.go
@@ -19,3 +19,15 @@
 	g.Expect(Sleep(ctx, time.Hour)).To(gomega.BeFalse())
 	g.Expect(Sleep(ctx, 0)).To(gomega.BeFalse())
 }
+
+func TestEveryRepeatsUntilItsContextEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	calls := 0
+	Every(ctx, time.Millisecond, func() {
+		if calls++; calls == 3 {
+			cancel()
+		}
+	})
+	g.Expect(calls).To(gomega.BeNumerically(">=", 3))
+}
--- a/load/balancer.go
+++ b/load/balancer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"damaskbridge.example/damaskbridge/internal/timer"
 )
 
 // balancer spreads requests over the entry VMs that say that they are ready,
@@ -40,16 +42,7 @@
 }
 
 func (b *balancer) watch(ctx context.Context, t *target, interval time.Duration) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			t.ready.Store(b.check(ctx, t, interval))
-		}
-	}
+	timer.Every(ctx, interval, func() { t.ready.Store(b.check(ctx, t, interval)) })
 }
 
 // checkAll checks every entry VM once.
