callers: an HTTP server with former limits ends with its last connection

Cause: each change of the limits of heads left one more http.Server until the process ended. Change: connections are counted by server, and one that is not current ends with its last connection. Evidence: on the code before, the spec's ten changes left eleven servers. Result: callers' specs pass with the race detector.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -34,6 +34,8 @@
 // or after its idle timeout although the request already waits in the kernel.
 type conn struct {
 	net.Conn
+	// server is the HTTP server that handles the connection.
+	server *limitedServer
 
 	mu    sync.Mutex
 	state connState
--- a/callers/server.go
+++ b/callers/server.go
@@ -26,7 +26,7 @@
 	mu            sync.Mutex
 	limits        Limits
 	currentServer *limitedServer
-	servers       []*limitedServer
+	servers       map[*limitedServer]struct{}
 	// conns holds the open client connections.
 	conns map[*conn]struct{}
 	// keepAliveDisabled means that every connection closes after its next response.
@@ -43,6 +43,8 @@
 type limitedServer struct {
 	httpServer *http.Server
 	listener   *connListener
+	// conns is the number of its connections, guarded by Server.mu.
+	conns int
 }
 
 // Listen serves h on addr with the default limits until Shutdown.
@@ -51,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{}), conns: map[*conn]struct{}{}, metrics: newServerMetrics()}
+	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{}), conns: map[*conn]struct{}{}, servers: map[*limitedServer]struct{}{}, metrics: newServerMetrics()}
 	s.SetLimits(Limits{})
 	go accept.Loop(s.listener, s.stopped, s.accept, func(err error) {
 		s.log.Warn().Err(err).Msg("callers: accept failed")
@@ -92,15 +94,30 @@
 		},
 		listener: newConnListener(s.listener.Addr()),
 	}
+	old := s.currentServer
 	s.currentServer = server
-	s.servers = append(s.servers, server)
+	s.servers[server] = struct{}{}
 	go func() { _ = server.httpServer.Serve(server.listener) }()
+	if old != nil {
+		s.endUnused(old)
+	}
+}
+
+// endUnused ends a server that has no connections and gets no new ones. It is
+// called with mu held.
+func (s *Server) endUnused(server *limitedServer) {
+	if server == s.currentServer || server.conns > 0 {
+		return
+	}
+	delete(s.servers, server)
+	_ = server.httpServer.Close()
 }
 
 func (s *Server) accept(raw net.Conn) {
-	c := &conn{Conn: raw}
 	s.mu.Lock()
 	server := s.currentServer
+	server.conns++
+	c := &conn{Conn: raw, server: server}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	if !server.listener.deliver(c) {
@@ -130,7 +147,12 @@
 
 // remove forgets a closed connection. It is called with mu held.
 func (s *Server) remove(c *conn) {
+	if _, open := s.conns[c]; !open {
+		return
+	}
 	delete(s.conns, c)
+	c.server.conns--
+	s.endUnused(c.server)
 	if reason := c.unanswered(); reason != "" {
 		s.metrics.recordUnanswered(reason)
 		s.log.Info().Str("caller", c.RemoteAddr().String()).Str("reason", string(reason)).Msg("callers: a request got no whole response")
@@ -210,9 +232,8 @@
 		err = ctx.Err()
 	}
 	s.mu.Lock()
-	servers := s.servers
-	s.mu.Unlock()
-	for _, server := range servers {
+	defer s.mu.Unlock()
+	for server := range s.servers {
 		_ = server.httpServer.Close()
 	}
 	return err
--- a/callers/unanswered_test.go
+++ b/callers/unanswered_test.go
@@ -209,3 +209,23 @@
 		Expect(timeout()).To(Equal(2 * time.Hour))
 	})
 })
+
+// Guards against one more HTTP server for each change of the limits.
+var _ = ginkgo.It("an HTTP server with former limits ends with its last connection", func() {
+	s := listen(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	servers := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.servers)
+	}
+	for n := range 10 {
+		s.SetLimits(Limits{MaxHeaderBytes: 4<<10 + n})
+	}
+	Expect(servers()).To(Equal(1))
+	c, r := dial(s)
+	sendRequest(c, r, "")
+	s.SetLimits(Limits{MaxHeaderBytes: 8 << 10})
+	Expect(servers()).To(Equal(2))
+	sendRequest(c, r, "Connection: close\r\n")
+	Eventually(servers).WithTimeout(10 * time.Second).Should(Equal(1))
+})
