entry: callers' connections are those of package callers

What callers of the product's own interface saw: the same as on the platform's path, a request of which the first bytes were read when a drain began got neither a response nor a refusal, and a panic of a handler was invisible.

Cause: the same one elsewhere: http.Server.Shutdown closes connections that net/http counts as idle until the next head is parsed.

Evidence: 'get a response to a request whose first bytes were read before a drain' failed with an unexpected EOF. Also looked at: controlvm and platform's small servers (operators, readiness, metrics), which use http.Server.Close at the end of the process; operators repeat their calls.

Change: entry listens with callers.Server; callers.Listen takes the limits and accepts nothing before Start, so that no handler runs before the VM is set up; Close ends all connections.

--- a/callers/callers_test.go
+++ b/callers/callers_test.go
@@ -17,8 +17,9 @@
 )
 
 func listen(h http.HandlerFunc) *Server {
-	s, err := Listen("127.0.0.1:0", h, &log.Logger{Level: log.PanicLevel})
+	s, err := Listen("127.0.0.1:0", Limits{}, h, &log.Logger{Level: log.PanicLevel})
 	Expect(err).NotTo(HaveOccurred())
+	s.Start()
 	ginkgo.DeferCleanup(func() { _ = s.Shutdown(context.Background()) })
 	return s
 }
--- a/callers/server.go
+++ b/callers/server.go
@@ -47,18 +47,23 @@
 	conns int
 }
 
-// Listen serves h on addr with the default limits until Shutdown.
-func Listen(addr string, h http.Handler, logger *log.Logger) (*Server, error) {
+// Listen listens on addr for connections that h is to serve. Start begins to accept
+// them; Shutdown or Close ends that.
+func Listen(addr string, limits Limits, h http.Handler, logger *log.Logger) (*Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{}), conns: map[*conn]struct{}{}, servers: map[*limitedServer]struct{}{}, metrics: newServerMetrics()}
-	s.SetLimits(Limits{})
+	s.SetLimits(limits)
+	return s, nil
+}
+
+// Start begins to accept connections.
+func (s *Server) Start() {
 	go accept.Loop(s.listener, s.stopped, s.accept, func(err error) {
 		s.log.Warn().Err(err).Msg("callers: accept failed")
 	})
-	return s, nil
 }
 
 // Addr returns the address of the listener.
@@ -222,8 +227,7 @@
 // its next response, or until ctx ends; then it closes the remaining connections.
 // http.Server.Shutdown would also close those of which a request is being read.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.stopOnce.Do(func() { close(s.stopped) })
-	_ = s.listener.Close()
+	s.stopListening()
 	s.DisableKeepAlive()
 	var err error
 	select {
@@ -231,12 +235,24 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
+	s.Close()
+	return err
+}
+
+func (s *Server) stopListening() {
+	s.stopOnce.Do(func() { close(s.stopped) })
+	_ = s.listener.Close()
+}
+
+// Close closes the listener and all connections. Requests that are handled get no
+// response.
+func (s *Server) Close() {
+	s.stopListening()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for server := range s.servers {
 		_ = server.httpServer.Close()
 	}
-	return err
 }
 
 // connsClosed returns a channel that is closed once all connections have ended.
--- a/entry/server.go
+++ b/entry/server.go
@@ -13,6 +13,7 @@
 
 	"damaskbridge.example/damaskbridge/admission"
 	"damaskbridge.example/damaskbridge/budget"
+	"damaskbridge.example/damaskbridge/callers"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
@@ -37,8 +38,7 @@
 	forwardTransport *http.Transport
 	started          time.Time
 
-	listener net.Listener
-	http     *http.Server
+	callers *callers.Server
 	// running tracks executions and background work of requests.
 	running  sync.WaitGroup
 	draining atomic.Bool
@@ -75,18 +75,12 @@
 // Start listens for callers and starts the background loops. The VM becomes
 // ready once it has settings and a membership list.
 func (s *Server) Start() error {
-	l, err := net.Listen("tcp", s.opts.Listen)
-	if err != nil {
+	limits := callers.Limits{MaxHeaderBytes: s.opts.MaxHeaderBytes, HeaderTimeout: s.opts.HeaderTimeout, IdleTimeout: s.opts.IdleTimeout}
+	var err error
+	if s.callers, err = callers.Listen(s.opts.Listen, limits, s.mux(), s.log); err != nil {
 		return fmt.Errorf("entry: listen on %s: %w; choose a free address", s.opts.Listen, err)
 	}
-	s.listener = l
 	s.subscriber.advertisedAddr = s.advertisedAddr()
-	s.http = &http.Server{
-		Handler:           s.mux(),
-		ReadHeaderTimeout: s.opts.HeaderTimeout,
-		IdleTimeout:       s.opts.IdleTimeout,
-		MaxHeaderBytes:    s.opts.MaxHeaderBytes,
-	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	s.startLoop(func() { s.subscriber.run(ctx) })
@@ -95,11 +89,7 @@
 	s.startLoop(func() { s.runAdmission(ctx) })
 	s.startLoop(func() { (&modelLoader{s: s}).run(ctx) })
 	s.startLoop(func() { newEnginePoller(s.runners, s.enginePools).run(ctx) })
-	s.startLoop(func() {
-		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.log.Error().Err(err).Msg("entry: HTTP server failed")
-		}
-	})
+	s.callers.Start()
 	return nil
 }
 
@@ -117,7 +107,7 @@
 }
 
 // Addr returns the address of the caller listener.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.callers.Addr() }
 
 // Version returns the settings version in effect on this VM.
 func (s *Server) Version() uint64 {
@@ -186,7 +176,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, s.opts.DrainTimeout)
 	defer cancel()
-	err := s.http.Shutdown(waitCtx)
+	err := s.callers.Shutdown(waitCtx)
 	err = errors.Join(err, s.waitRunning(waitCtx))
 	err = errors.Join(err, s.opts.Audit.Flush(waitCtx))
 	err = errors.Join(err, s.subscriber.closeSession(waitCtx))
@@ -215,7 +205,7 @@
 // Close stops the VM immediately. Running requests are aborted.
 func (s *Server) Close() {
 	s.stop()
-	_ = s.http.Close()
+	s.callers.Close()
 	s.loops.Wait()
 	s.client.Close()
 	s.forwardTransport.CloseIdleConnections()
@@ -236,6 +226,7 @@
 	m.HandleFunc("GET /readyz", s.handleReady)
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		s.counters.write(w)
+		s.callers.WriteMetrics(w)
 		s.writeGauges(w)
 	})
 	m.Handle("/", s.handle(func(_ http.ResponseWriter, r *http.Request) error {
