exchange: a status that net/http refuses to write is a damaged response

Callers saw: a runner's "HTTP/1.1 042 x" made the handler panic; a caller's connection was closed without an answer, or, since, got a 500. A response of HTTP/2.0 was passed on as if it were of HTTP/1.1, and one of HTTP/1.0 in chunks was read up to the end of its connection, with the chunk sizes as part of the body.

Cause: http.ReadResponse takes any three characters that read as a number, any version with two digits, and ignores chunks in HTTP/1.0.

Change: such a head is an error like any other damage: the request may have been executed, and the connection is closed. HTTP/1.0 with a length stays good.

Evidence: before, 5 specs of exchange ("a status below 100", "a status with a sign", "status 0", "another protocol", "chunks in HTTP/1.0") failed with no error returned, and 4 of platform ("does not cost the caller its answer"): two with EOF and "invalid WriteHeader code 0" in the log, two with 200 in place of 502. All pass now. The other rows on framing (204, 304, length beside chunks, trailers, headers of the connection, interim responses, HEAD) passed before.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,7 +45,30 @@
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	c.headLimit = c.bytesRead + maxHeadBytes
 	defer func() { c.headLimit = 0 }()
-	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, checkHead(resp)
+}
+
+// minStatus is the lowest status of HTTP. net/http panics when it writes a lower
+// one.
+const minStatus = 100
+
+// checkHead returns an error for a head that http.ReadResponse accepts and that
+// cannot be relied on. In HTTP/1.0, net/http takes no notice of chunks, so that
+// their sizes would be read as part of a body without a length.
+func checkHead(resp *http.Response) error {
+	switch {
+	case resp.StatusCode < minStatus:
+		return fmt.Errorf("status %03d is none of HTTP", resp.StatusCode)
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("the protocol is %s instead of HTTP/1.1", resp.Proto)
+	case !resp.ProtoAtLeast(1, 1) && resp.ContentLength < 0 && resp.Request.Method != http.MethodHead:
+		return fmt.Errorf("a response of %s has no length", resp.Proto)
+	}
+	return nil
 }
 
 const (
