gateway: a success without a runner's signature is a damaged answer

Callers saw: a 200 with an empty or short body, framed as whole, from a runner that had stopped in its head. A head cut between its lines is refused by net/http, but one that ends early with a blank line reads as a whole answer that its connection ends; it has no signature, nobody asked for one except on a resume, and the caller got it with Content-Length: 0.

Change: on each way on which an answer is read (buffered, stream, resume), a 2xx without the signature, or with a content encoding that nobody asked for, ends the attempt as "may have been executed". Requests that may be repeated go to another runner, all others get 502. It is not counted as a crash of the runner.

--- /dev/null
+++ b/gateway/answer_proof.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"damaskbridge.example/damaskbridge/exchange"
+	"damaskbridge.example/damaskbridge/placement"
+)
+
+var (
+	errUnsigned = errors.New("the success has no runner's signature")
+	errEncoded  = errors.New("the success has a content encoding that nobody asked for")
+)
+
+// checkProof returns an error if the answer is a success that nothing proves to be
+// the runner's own. A head that was cut short and ended all the same is one.
+func (r *Response) checkProof() error {
+	switch {
+	case r.Status/100 != http.StatusOK/100:
+		return nil
+	case !r.Signed:
+		return errUnsigned
+	case r.Encoded:
+		return errEncoded
+	}
+	return nil
+}
+
+// damagedAnswer ends an exchange whose answer must not be passed on. The runner may
+// have executed the request. Its answer shows that it has not crashed.
+func (r *request) damagedAnswer(ctx context.Context, runner *placement.RunnerState, response *Response, err error) sendResult {
+	_ = response.Body.Close()
+	err = &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err}
+	n := sendResult{attemptResult: attemptResult{executed: true, arrived: true, cause: err.Error()}}
+	if ctx.Err() == nil {
+		now := time.Now()
+		n.record = func(s *placement.RunnerState) { s.RecordFailure(now) }
+	}
+	return n
+}
--- /dev/null
+++ b/gateway/answer_proof_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("an answer that is not proved to be the runner's", func() {
+	damaged := []ginkgo.TableEntry{
+		ginkgo.Entry("an unsigned success", reply{status: 200, body: events(1, 2), unsigned: true}),
+		ginkgo.Entry("an unsigned success without a body", reply{status: 200, unsigned: true}),
+		ginkgo.Entry("an unsigned 204", reply{status: 204, unsigned: true}),
+		ginkgo.Entry("an unsigned success that ends with its connection", reply{status: 200, unsigned: true, endsWithConnection: true}),
+		ginkgo.Entry("a success in another encoding", reply{status: 200, body: events(1, 2), encoded: true}),
+	}
+
+	// Guards against a success that no runner has given: an empty or short body.
+	ginkgo.DescribeTable("does not reach the caller of a request that may run once, if it is", func(r reply) {
+		for _, route := range []string{"once", "stream"} {
+			g, f := newTestGateway()
+			f.any = []reply{r}
+			out := serve(g, call(route))
+			Expect(out.refusal).NotTo(BeNil(), route)
+			Expect(*out.refusal).To(And(HaveField("Reason", AnswerLost), HaveField("Executed", true)))
+			Expect(f.sends()).To(HaveLen(1))
+		}
+	}, damaged)
+
+	ginkgo.DescribeTable("is passed by for that of another runner, if it is", func(r reply) {
+		for _, route := range []string{"again", "resume"} {
+			g, f := newTestGateway()
+			f.any = []reply{r, {status: 200, body: events(1, 2)}}
+			out := serve(g, call(route))
+			Expect(out.refusal).To(BeNil(), route)
+			Expect(out.body).To(Equal(events(1, 2)))
+			Expect(f.sends()).To(HaveLen(2))
+		}
+	}, damaged)
+
+	ginkgo.It("is passed on if it is a failure that promises nothing", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: http.StatusInternalServerError, body: "broken", unsigned: true}}
+		Expect(serve(g, call("once")).body).To(Equal("broken"))
+	})
+})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -124,8 +124,8 @@
 	record func(*placement.RunnerState)
 }
 
-// send dispatches d. It returns a nil Answer if the request failed or the
-// runner did not execute it.
+// send dispatches d. It returns a nil Response if the request failed, its answer
+// must not be passed on, or the runner did not execute it.
 func (r *request) send(ctx context.Context, runner *placement.RunnerState, d *Dispatch) (*Response, sendResult) {
 	sentAt := time.Now()
 	response, err := r.g.opts.Upstreams.Send(ctx, d)
@@ -136,6 +136,9 @@
 	r.g.recordAdvice(runner.Addr, r.g.runners.startOf(runner), response.Advice)
 	r.g.runners.updateLoad(runner, response.Load)
 	if !response.NotExecuted {
+		if err := response.checkProof(); err != nil {
+			return nil, r.damagedAnswer(ctx, runner, response, err)
+		}
 		return response, sendResult{}
 	}
 	defer response.Body.Close()
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -45,6 +45,8 @@
 	advice advice.Advice
 	// unsigned leaves out the runner's signature.
 	unsigned bool
+	// encoded marks the body as one with a content encoding.
+	encoded bool
 	// ended is closed when the gateway ends the exchange during the silence.
 	ended chan struct{}
 	// after is the delay before the runner answers.
@@ -124,7 +126,7 @@
 		body = io.MultiReader(body, &silentReader{ctx: ctx, until: r.silentUntil, ended: r.ended}, strings.NewReader(r.rest))
 	}
 	return &Response{
-		Signed: !r.unsigned, Advice: r.advice,
+		Signed: !r.unsigned, Encoded: r.encoded, Advice: r.advice,
 		Status: r.status, Header: http.Header{"X-From": {d.RunnerID}}, Body: io.NopCloser(body),
 		NotExecuted: r.notExecuted, Misdirected: r.misdirected, EndsWithConnection: r.endsWithConnection,
 	}, nil
--- a/gateway/stream_standby.go
+++ b/gateway/stream_standby.go
@@ -119,11 +119,8 @@
 // whyNotTheStream returns why an answer to the resume cannot be the stream, or ""
 // if it may be. Its events are checked as they come.
 func (r *request) whyNotTheStream(response *Response) string {
-	switch {
-	case response.Status != r.status:
+	if response.Status != r.status {
 		return "status_" + http.StatusText(response.Status)
-	case !response.Signed:
-		return "unsigned"
 	}
 	return ""
 }
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -55,6 +55,9 @@
 	NotExecuted bool
 	// Signed reports whether the answer bears a runner's signature.
 	Signed bool
+	// Encoded reports whether the body has a content encoding. Callers ask for none,
+	// so such a body is not the runner's own.
+	Encoded bool
 	// EndsWithConnection reports whether the answer has no length and no chunks, so
 	// that only the end of its connection ends it.
 	EndsWithConnection bool
