gateway: a stream that its connection ends before an event is not complete

Callers saw: an empty stream, ended in order, from a runner that stopped after its head. Such an answer has no length and no chunks, and the end of its connection was taken for the end of the stream.

Change: without any event, that end is no end: the request goes to another runner if it may, else the caller gets 502. A caller that resumes a stream may have all of its events and still gets an empty one.

What cannot be told: a stream of this kind whose runner stops between two events, in order. The protocol takes it as complete.

--- a/gateway/answer_proof_test.go
+++ b/gateway/answer_proof_test.go
@@ -45,3 +45,35 @@
 		Expect(serve(g, call("once")).body).To(Equal("broken"))
 	})
 })
+
+var _ = ginkgo.Describe("a stream without a length whose connection ends before its first event", func() {
+	empty := reply{status: 200, endsWithConnection: true}
+
+	// Guards against a runner that stops after its head, and a caller that gets an
+	// empty stream as a complete one.
+	ginkgo.It("is not complete", func() {
+		for _, body := range []string{"", ": hello\n\n"} {
+			g, f := newTestGateway()
+			f.any = []reply{{status: 200, body: body, endsWithConnection: true}}
+			out := serve(g, call("stream"))
+			Expect(out.refusal).NotTo(BeNil())
+			Expect(out.refusal.Executed).To(BeTrue())
+		}
+	})
+
+	ginkgo.It("is passed by for another runner's", func() {
+		g, f := newTestGateway()
+		f.any = []reply{empty, {status: 200, body: events(1, 2), endsWithConnection: true}}
+		Expect(serve(g, call("resume")).body).To(Equal(events(1, 2)))
+	})
+
+	ginkgo.It("is complete if the caller has resumed it", func() {
+		g, f := newTestGateway()
+		f.any = []reply{empty}
+		c := call("resume")
+		c.ResumeAfter = "2"
+		out := serve(g, c)
+		Expect(out.refusal).To(BeNil())
+		Expect(out.status).To(Equal(200))
+	})
+})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,7 +14,13 @@
 // streamReadBytes is the buffer size for reading a stream.
 const streamReadBytes = 8 << 10
 
-var errPartialEvent = errors.New("the stream ended inside an event")
+var (
+	errPartialEvent = errors.New("the stream ended inside an event")
+	// errNoEvent is returned for a stream that only the end of its connection ends,
+	// before its first event: a runner that stops after its head leaves the same. A
+	// caller that resumes a stream may have all of its events.
+	errNoEvent = errors.New("the stream's connection ended before the first event")
+)
 
 // eventStream is the state of a streamed answer to the caller.
 type eventStream struct {
@@ -232,6 +238,9 @@
 	if s.writer != nil {
 		return nil
 	}
+	if response.EndsWithConnection && r.call.ResumeAfter == "" {
+		return errNoEvent
+	}
 	// A stream without any event is complete too, and the caller needs its
 	// headers.
 	return r.writeEvents(response, s, s.splitter.takePreamble())
