gateway: a status that promises "not executed" is passed on only if the runner says so

Callers saw: a runner's own 408, 429 or 503 without the declaration that it had not run the request, passed on unchanged. To callers these statuses are a promise: they send a request again which may run once and may have run (REFUSED).

Change: such an answer ends the attempt as "may have been executed". A request that may be repeated goes to another runner, within its budget; all others get 502, which promises nothing and has no signature, so that no failure bears a runner's signature with another status (MIXED).

--- a/gateway/answer_proof.go
+++ b/gateway/answer_proof.go
@@ -13,12 +13,16 @@
 var (
 	errUnsigned = errors.New("the success has no runner's signature")
 	errEncoded  = errors.New("the success has a content encoding that nobody asked for")
+	errPromise  = errors.New("the status promises that the request has not been executed, and the runner has not declared that")
 )
 
 // checkProof returns an error if the answer is a success that nothing proves to be
-// the runner's own. A head that was cut short and ended all the same is one.
+// the runner's own, or if its status promises what the runner has not declared. A
+// head that was cut short and ended all the same is such a success.
 func (r *Response) checkProof() error {
 	switch {
+	case promisesNotExecuted(r.Status) && !r.NotExecuted:
+		return errPromise
 	case r.Status/100 != http.StatusOK/100:
 		return nil
 	case !r.Signed:
@@ -29,6 +33,16 @@
 	return nil
 }
 
+// promisesNotExecuted reports whether callers may take a status as the promise that
+// their request has not been executed and never will be.
+func promisesNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // damagedAnswer ends an exchange whose answer must not be passed on. The runner may
 // have executed the request. Its answer shows that it has not crashed.
 func (r *request) damagedAnswer(ctx context.Context, runner *placement.RunnerState, response *Response, err error) sendResult {
--- a/gateway/answer_proof_test.go
+++ b/gateway/answer_proof_test.go
@@ -46,6 +46,32 @@
 	})
 })
 
+var _ = ginkgo.Describe("a status that promises that a request has not run", func() {
+	statuses := []ginkgo.TableEntry{
+		ginkgo.Entry("408", 408), ginkgo.Entry("421", 421), ginkgo.Entry("429", 429), ginkgo.Entry("503", 503),
+	}
+
+	// Guards against a caller that sends a request again which may run once and has
+	// run: its runner answered with such a status and did not declare anything.
+	ginkgo.DescribeTable("is not passed on if the runner has not declared it", func(status int) {
+		for _, route := range []string{"once", "again", "stream", "resume"} {
+			g, f := newTestGateway()
+			f.any = []reply{{status: status, body: "busy"}}
+			out := serve(g, call(route))
+			Expect(out.refusal).NotTo(BeNil(), route)
+			Expect(*out.refusal).To(And(HaveField("Reason", AnswerLost), HaveField("Executed", true)))
+		}
+	}, statuses)
+
+	ginkgo.DescribeTable("has another runner asked where the request may be repeated", func(status int) {
+		for _, route := range []string{"again", "resume"} {
+			g, f := newTestGateway()
+			f.any = []reply{{status: status, body: "busy"}, {status: 200, body: events(1, 2)}}
+			Expect(serve(g, call(route)).body).To(Equal(events(1, 2)), route)
+		}
+	}, statuses)
+})
+
 var _ = ginkgo.Describe("a stream without a length whose connection ends before its first event", func() {
 	empty := reply{status: 200, endsWithConnection: true}
 
