platform: a page of the list that is cut short is not a whole one

Seen by a test, not reported: a page in an answer that its connection ends, cut after the list inside an entry ("models":[...]}), was read as a page without runners and without a next one. A whole data centre's runners would have left the list.

Cause: a page that is no JSON is split, so that a torn entry costs itself alone; the end of the inner list was taken for the end of the page's list.

Change: where only the page itself can show that it is whole, it is split only if the field after its list is there.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -97,6 +97,12 @@
 	return b, err
 }
 
+// EndsWithConnection reports whether a response has no length and no chunks, so that
+// only the end of its connection ends it. An orderly end may be one that cut it short.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // Abandon closes the connection of a response that Pool.Do has returned, so that
 // no other request is sent on it. The body must still be closed.
 func Abandon(resp *http.Response) {
--- a/internal/jsonlist/split.go
+++ b/internal/jsonlist/split.go
@@ -46,6 +46,21 @@
 	return elements, withoutElements(document, start, end), nil
 }
 
+// SplitPage is Split for a document in which the field next follows the list. If
+// the document may be cut short, that field must be there: the end of a list inside
+// the last element may look like that of the list itself.
+func SplitPage(document []byte, field, next string, mayBeCut bool) (elements []json.RawMessage, around []byte, err error) {
+	elements, around, err = Split(document, field)
+	if err != nil || !mayBeCut {
+		return elements, around, err
+	}
+	start, err := listStart(around, field)
+	if err == nil && !bytes.Contains(around[start:], strconv.AppendQuote(nil, next)) {
+		err = ErrNoEnd
+	}
+	return elements, around, err
+}
+
 // listStart returns the position after the bracket that opens the list.
 func listStart(b []byte, field string) (int, error) {
 	key := strconv.AppendQuote(nil, field)
