gateway: an unsigned 3xx or 4xx is a damaged answer, like an unsigned success

Seen by a test, not reported: a 404 or a redirect without a runner's signature was passed on. To the caller it is one of this system's own (DENIED), and callers do not try again after 404.

Change: such an answer ends the attempt as "may have been executed". Unsigned server errors that promise nothing are passed on as before.

--- a/gateway/answer_proof.go
+++ b/gateway/answer_proof.go
@@ -11,23 +11,22 @@
 )
 
 var (
-	errUnsigned = errors.New("the success has no runner's signature")
+	errUnsigned = errors.New("the answer has no runner's signature")
 	errEncoded  = errors.New("the success has a content encoding that nobody asked for")
 	errPromise  = errors.New("the status promises that the request has not been executed, and the runner has not declared that")
 )
 
-// checkProof returns an error if the answer is a success that nothing proves to be
-// the runner's own, or if its status promises what the runner has not declared. A
-// head that was cut short and ended all the same is such a success.
+// checkProof returns an error if an answer that is no refusal must not be passed on:
+// nothing proves it to be the runner's own, or its status promises what the runner has
+// not declared. A head that was cut short and ended all the same proves nothing. A
+// server error needs no proof: it tells the caller no more than one of this VM would.
 func (r *Response) checkProof() error {
 	switch {
-	case promisesNotExecuted(r.Status) && !r.NotExecuted:
+	case promisesNotExecuted(r.Status):
 		return errPromise
-	case r.Status/100 != http.StatusOK/100:
-		return nil
-	case !r.Signed:
+	case !r.Signed && r.Status < http.StatusInternalServerError:
 		return errUnsigned
-	case r.Encoded:
+	case r.Encoded && r.Status/100 == http.StatusOK/100:
 		return errEncoded
 	}
 	return nil
--- a/gateway/answer_proof_test.go
+++ b/gateway/answer_proof_test.go
@@ -13,6 +13,8 @@
 		ginkgo.Entry("an unsigned success without a body", reply{status: 200, unsigned: true}),
 		ginkgo.Entry("an unsigned 204", reply{status: 204, unsigned: true}),
 		ginkgo.Entry("an unsigned success that ends with its connection", reply{status: 200, unsigned: true, endsWithConnection: true}),
+		ginkgo.Entry("an unsigned 302", reply{status: 302, unsigned: true}),
+		ginkgo.Entry("an unsigned 404", reply{status: 404, body: "not found", unsigned: true}),
 		ginkgo.Entry("a success in another encoding", reply{status: 200, body: events(1, 2), encoded: true}),
 	}
 
