wal: a write that finds no space leaves a log that can be used further

Callers saw: a replica whose disk was full for a moment stopped for good, and its process ended at each write until there was room again.

Cause: every failed write stopped the Log. Segments are opened for appending, so that no gap is left behind a cut. If the cut or the removal fails, or a sync of the log does, the Log stops as before. Open says *FullError where it needs space, and frees the folder.

Evidence: before, TestCrashPointsOnFullDisks failed after 0 tests and the four specs of 'Log on a full disk' failed, all with 'the replica has stopped'. Each fails again without O_APPEND, the cut, the removal of the segment or of the temporary file, either error number, or the unlock.

The spec 'rejects all operations after a full disk and after a failed sync' asked for the former behaviour. Its first case is now a full disk whose cut fails; what follows a full disk otherwise is checked in full_test.go.

--- a/wal/errors.go
+++ b/wal/errors.go
@@ -16,8 +16,9 @@
 	return fmt.Sprintf("wal: %s is damaged at byte %d: %s; move the data folder away and restart, so that the replica joins under a new incarnation and takes its state from the leader", e.File, e.Offset, e.Reason)
 }
 
-// IOError reports a failed file operation. After a failed write or sync the
-// Log returns it for all further operations.
+// IOError reports a failed file operation. After a failed sync, or
+// a failed write for another reason than a full disk, the Log returns it for all
+// further operations.
 type IOError struct {
 	Op  string
 	Err error
@@ -55,3 +56,17 @@
 
 // ErrClosed means that the Log was closed.
 var ErrClosed = errors.New("wal: the log is closed; open it again")
+
+// FullError reports that the disk had no space for a write. Nothing of the write
+// is kept and the Log can be used further: the caller repeats the operation once
+// there is space.
+type FullError struct {
+	Op  string
+	Err error
+}
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("wal: %s: no space on the disk: %v; free space, the operation is then repeated", e.Op, e.Err)
+}
+
+func (e *FullError) Unwrap() error { return e.Err }
--- a/wal/fs.go
+++ b/wal/fs.go
@@ -14,11 +14,12 @@
 	// ReadDir returns the names of the files in dir, sorted.
 	ReadDir(dir string) ([]string, error)
 	ReadFile(name string) ([]byte, error)
-	// Create creates or empties a file and opens it for writing.
+	// Create creates or empties a file and opens it for appending.
 	Create(name string) (File, error)
 	// OpenAppend opens an existing file for appending.
 	OpenAppend(name string) (File, error)
-	// Truncate durably shortens a file to size bytes.
+	// Truncate durably shortens a file to size bytes. It fails if the file is
+	// shorter.
 	Truncate(name string, size int64) error
 	Rename(from, to string) error
 	Remove(name string) error
@@ -63,7 +64,7 @@
 func (osFS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
 
 func (osFS) Create(name string) (File, error) {
-	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
 }
 
 func (osFS) OpenAppend(name string) (File, error) {
@@ -76,6 +77,13 @@
 		return err
 	}
 	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return err
+	}
+	if info.Size() < size {
+		return fmt.Errorf("%s has %d bytes instead of at least %d", name, info.Size(), size)
+	}
 	if err := f.Truncate(size); err != nil {
 		return err
 	}
--- a/wal/open.go
+++ b/wal/open.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"path/filepath"
 	"strings"
 )
@@ -24,32 +23,44 @@
 // Open reads the log in dir and opens it for writing. In an empty directory it
 // creates a log for id. An existing log must belong to id's group and VM, and
 // keeps its own incarnation. Open returns a *DamageError if synced data is
-// corrupt, an *IdentityError if the log belongs to another replica and a
-// *LockedError if another process uses the directory.
+// corrupt, an *IdentityError if the log belongs to another replica, a
+// *LockedError if another process uses the directory and a *FullError if space is
+// needed and there is none: for a new log, or to complete an interrupted change.
 func Open(fs FS, dir string, id Identity) (*Log, *State, error) {
 	if err := fs.MkdirAll(dir); err != nil {
-		return nil, nil, &IOError{Op: "creating the folder", Err: err}
+		return nil, nil, diskError("creating the folder", err)
 	}
 	lock, err := fs.Lock(filepath.Join(dir, lockName))
+	if isFull(err) {
+		return nil, nil, &FullError{Op: "creating the lock", Err: err}
+	}
 	if err != nil {
 		return nil, nil, &LockedError{Dir: dir, Err: err}
 	}
-	l, s, err := open(fs, dir, id, lock)
+	l := &Log{fs: fs, dir: dir, lock: lock, identity: id, segmentBytes: defaultSegmentBytes}
+	s, err := l.open()
 	if err != nil {
-		lock.Close()
+		l.closeAfterFailedOpen()
 		return nil, nil, err
 	}
 	return l, s, nil
 }
 
-func open(fs FS, dir string, id Identity, lock io.Closer) (*Log, *State, error) {
-	l := &Log{fs: fs, dir: dir, lock: lock, identity: id, segmentBytes: defaultSegmentBytes}
-	names, err := fs.ReadDir(dir)
+func (l *Log) closeAfterFailedOpen() {
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.lock.Close()
+}
+
+// open reads the log and opens it for writing.
+func (l *Log) open() (*State, error) {
+	names, err := l.fs.ReadDir(l.dir)
 	if err != nil {
-		return nil, nil, &IOError{Op: "reading the folder", Err: err}
+		return nil, &IOError{Op: "reading the folder", Err: err}
 	}
 	if err := l.removeTempFiles(names); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	var segments []string
 	for _, name := range names {
@@ -57,9 +68,9 @@
 			segments = append(segments, name)
 		}
 	}
-	s := &State{}
+	id, s := l.identity, &State{}
 	if s.Snapshot, err = l.loadSnapshot(names); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	p := &replayState{}
 	if s.Snapshot != nil {
@@ -68,46 +79,43 @@
 	for i, name := range segments {
 		torn, err := l.replaySegment(name, i == len(segments)-1, p)
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		s.TornBytes += torn
 	}
 	if len(l.segments) == 0 && s.Snapshot != nil {
-		return nil, nil, &DamageError{File: dir, Reason: "a snapshot exists but the log is missing"}
+		return nil, &DamageError{File: l.dir, Reason: "a snapshot exists but the log is missing"}
 	}
 	if !sameOwner(id, l.identity) {
-		return nil, nil, &IdentityError{Dir: dir, Want: id, Got: l.identity}
+		return nil, &IdentityError{Dir: l.dir, Want: id, Got: l.identity}
 	}
 	continues := p.continuesSnapshot()
 	if continues {
 		var reason string
 		if s.Entries, reason = p.entriesAfterSnapshot(); reason != "" {
-			return nil, nil, &DamageError{File: dir, Reason: reason}
+			return nil, &DamageError{File: l.dir, Reason: reason}
 		}
 	}
 	s.HardState, l.hardState = p.hardState, p.hardState
 	s.Created = len(l.segments) == 0
 	s.Identity = l.identity
 	if err := l.openLastSegment(); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if !continues {
 		// Without the reset, the next entry would leave a gap behind the replaced
 		// log, or be dropped with it at the next Open.
 		if err := l.Save(Batch{Reset: s.Snapshot}); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
-	return l, s, nil
+	return s, nil
 }
 
 // openLastSegment opens the last segment for writing or creates the first one.
 func (l *Log) openLastSegment() error {
 	if len(l.segments) == 0 {
-		if err := l.startSegment(1); err != nil {
-			return &IOError{Op: "starting the log", Err: err}
-		}
-		return nil
+		return l.startSegment(1)
 	}
 	last := l.segments[len(l.segments)-1]
 	f, err := l.fs.OpenAppend(filepath.Join(l.dir, segmentName(last.number)))
@@ -211,7 +219,7 @@
 
 func (l *Log) removeFile(path string) error {
 	if err := l.fs.Remove(path); err != nil {
-		return &IOError{Op: "removing a file", Err: err}
+		return diskError("removing a file", err)
 	}
 	return nil
 }
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -26,7 +26,7 @@
 }
 
 // SaveSnapshot stores s durably and removes older snapshots. It may run while
-// other goroutines call Save.
+// other goroutines call Save. After a *FullError it may be repeated.
 func (l *Log) SaveSnapshot(s raft.Snapshot) error {
 	if err := l.Err(); err != nil {
 		return err
@@ -36,7 +36,11 @@
 		return fmt.Errorf("wal: encode snapshot: %w", err)
 	}
 	name := snapshotName(s.Index, s.Term)
-	if err := l.writeSnapshot(name, appendFrame(nil, 0, payload)); err != nil {
+	err = l.writeSnapshot(name, appendFrame(nil, 0, payload))
+	if isFullError(err) {
+		return err
+	}
+	if err != nil {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		return l.fail("writing a snapshot", err)
@@ -48,22 +52,20 @@
 // it, so that a file with the final name is always complete.
 func (l *Log) writeSnapshot(name string, b []byte) error {
 	path := filepath.Join(l.dir, name)
-	f, err := l.fs.Create(path + tempSuffix)
-	if err != nil {
-		return err
+	temp := path + tempSuffix
+	f, err := createFile(l.fs, temp, b)
+	if err == nil {
+		err = f.Close()
 	}
-	if _, err := f.Write(b); err != nil {
-		f.Close()
-		return err
+	if err == nil {
+		err = l.fs.Rename(temp, path)
 	}
-	if err := f.Sync(); err != nil {
-		f.Close()
-		return err
+	if isFull(err) {
+		// A file that remains here is removed when the log is opened.
+		_ = l.fs.Remove(temp)
+		return &FullError{Op: "writing a snapshot", Err: err}
 	}
-	if err := f.Close(); err != nil {
-		return err
-	}
-	if err := l.fs.Rename(path+tempSuffix, path); err != nil {
+	if err != nil {
 		return err
 	}
 	return l.fs.SyncDir(l.dir)
