control: a replica whose disk is full goes on by itself when there is space

Cause: each failed write stopped the replica. Now a Ready that finds no space is kept and stored again every 200 ms. Meanwhile the raft node gets neither ticks nor messages, so that it neither votes, acknowledges, proposes nor campaigns. A leader steps down at once (raft.Node.StepDown), asks the voter with the longest log to campaign and answers its proposals as undecided. The replica still notes which leader is alive, so that changes and reports reach it. One log line at each transition; damask_control_disk_full, damask_control_disk_full_total, damask_control_snapshots_postponed_total.

Evidence: before, the four specs of 'Replica with a full disk' failed with 'the replica has stopped'; they pass now, also under the race detector.

A transfer of leadership without a target now prefers, of voters with equal logs, the one that acknowledged last: a silent one would not campaign.

--- a/control/counters.go
+++ b/control/counters.go
@@ -19,6 +19,9 @@
 	renewalsRefused     *metrics.Counter
 	reportsFailed       *metrics.Counter
 	sessionsExpired     *metrics.Counter
+	snapshotsPostponed  *metrics.Counter
+	diskFullTotal       *metrics.Counter
+	diskFull            *metrics.Gauge
 	saveSeconds         *metrics.Histogram
 }
 
@@ -40,6 +43,9 @@
 		renewalsRefused:     s.NewCounter("damask_control_renewals_refused_total"),
 		reportsFailed:       s.NewCounter("damask_control_reports_failed_total"),
 		sessionsExpired:     s.NewCounter("damask_control_sessions_expired_total"),
+		snapshotsPostponed:  s.NewCounter("damask_control_snapshots_postponed_total"),
+		diskFullTotal:       s.NewCounter("damask_control_disk_full_total"),
+		diskFull:            s.NewGauge("damask_control_disk_full", nil),
 		saveSeconds:         s.NewHistogram("damask_control_save_seconds"),
 	}
 }
--- /dev/null
+++ b/control/full_disk.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/raft"
+	"damaskbridge.example/damaskbridge/wal"
+)
+
+const (
+	// diskRetryInterval is the time between two attempts to store what found no
+	// space.
+	diskRetryInterval = 200 * time.Millisecond
+	// snapshotRetryInterval is the same for a snapshot of the state machine, which
+	// is costly to encode and which nobody waits for.
+	snapshotRetryInterval = time.Second
+)
+
+// fullDisk is the state of a replica whose disk is full. The raft node then stands
+// still with a Ready that is not stored: no message and no tick reaches it, as if
+// the process were paused, and nothing that depends on the Ready is sent.
+type fullDisk struct {
+	ready   *raft.Ready // nil while there is space
+	since   time.Time
+	retryAt time.Time
+	// leader is the sender of the latest message of a leader, and term its term.
+	// Both only direct calls, which the receiver checks.
+	leader raft.ReplicaID
+	term   uint64
+}
+
+// paused reports whether the raft node stands still because the disk is full.
+func (r *Replica) paused() bool { return r.full.ready != nil }
+
+// nextReady returns what to store and send next: the Ready that found no space,
+// once it is time to try again, or the node's next one.
+func (r *Replica) nextReady() (raft.Ready, bool) {
+	if !r.paused() {
+		return r.node.Ready()
+	}
+	return *r.full.ready, !time.Now().Before(r.full.retryAt)
+}
+
+// pause keeps a Ready that found no space. A leader steps down: it could commit
+// nothing, and its proposals can be decided by the next leader only.
+func (r *Replica) pause(rd raft.Ready, err error) {
+	rd.Immediate = nil // sent already
+	if !r.paused() {
+		led := r.node.Role() == raft.Leader
+		r.sender.send(r.node.StepDown())
+		r.abandonPending()
+		s := r.node.Status()
+		r.full = fullDisk{since: time.Now(), leader: s.Leader, term: s.Term}
+		r.counters.diskFullTotal.Inc()
+		r.counters.diskFull.Set(1)
+		r.opts.Logger.Warn().Err(err).Bool("led", led).Msg("control: disk full; this replica neither votes nor leads until there is space")
+	}
+	r.full.ready, r.full.retryAt = &rd, time.Now().Add(diskRetryInterval)
+}
+
+// resume ends the pause after the Ready was stored. The next event advances the
+// node's clock before the node handles a message.
+func (r *Replica) resume() {
+	if !r.paused() {
+		return
+	}
+	r.opts.Logger.Info().Dur("after", time.Since(r.full.since)).Msg("control: disk has space again")
+	r.counters.diskFull.Set(0)
+	r.full = fullDisk{}
+}
+
+// observeLeader drops messages to a paused node, but remembers which leader is
+// alive, so that changes and reports still reach it.
+func (r *Replica) observeLeader(list []raft.Message) {
+	r.counters.raftMessagesDropped.Add(len(list))
+	for i := range list {
+		m := &list[i]
+		switch m.Type {
+		case raft.MsgAppend, raft.MsgHeartbeat, raft.MsgSnapshot:
+			if m.To == r.id && m.Term >= r.full.term {
+				r.full.leader, r.full.term = m.From, m.Term
+			}
+		}
+	}
+}
+
+// knownLeader returns the leader to which calls are directed, or the zero id, and
+// its term.
+func (r *Replica) knownLeader() (raft.ReplicaID, uint64) {
+	if r.paused() {
+		return r.full.leader, r.full.term
+	}
+	s := r.node.Status()
+	return s.Leader, s.Term
+}
+
+// postponeSnapshot makes maybeSnapshot try again later. appliedBytes is what was
+// applied before the snapshot that found no space.
+func (r *Replica) postponeSnapshot(err error, appliedBytes int64) {
+	r.counters.snapshotsPostponed.Inc()
+	r.opts.Logger.Warn().Err(err).Msg("control: snapshot not stored; it is tried again")
+	r.snapshotIndex = r.node.Status().SnapshotIndex
+	r.appliedBytes += appliedBytes
+	r.snapshotRetryAt = time.Now().Add(snapshotRetryInterval)
+}
+
+// compact removes the segments that a snapshot covers. Without space for the
+// removal they stay until the next snapshot.
+func (r *Replica) compact(index uint64) error {
+	err := r.log.Compact(index)
+	if wal.IsFull(err) {
+		r.opts.Logger.Warn().Err(err).Msg("control: old segments are kept until the next snapshot")
+		return nil
+	}
+	return err
+}
--- a/control/join.go
+++ b/control/join.go
@@ -96,7 +96,7 @@
 
 // bootstrap starts a new group with these members.
 func (r *Replica) bootstrap(members raft.Members) {
-	if !r.node.Members().IsEmpty() {
+	if r.paused() || !r.node.Members().IsEmpty() {
 		return
 	}
 	data, err := r.opts.Machine.Snapshot()
@@ -114,6 +114,10 @@
 	if err == nil {
 		err = r.log.Save(wal.Batch{Reset: s.Snapshot, HardState: &s.HardState})
 	}
+	if wal.IsFull(err) {
+		r.opts.Logger.Warn().Err(err).Msg("control: the new group is not started yet")
+		return
+	}
 	if err == nil {
 		err = r.startNode(s)
 	}
@@ -132,7 +136,8 @@
 	err := r.Do(ctx, func() {
 		members := r.node.Members()
 		reply.Uninitialized = members.IsEmpty()
-		reply.Leader = r.addresses.addr(r.node.Leader().VM)
+		leader, _ := r.knownLeader()
+		reply.Leader = r.addresses.addr(leader.VM)
 		if r.node.Role() != raft.Leader || members.Contains(j.Replica) {
 			return
 		}
--- a/control/loop.go
+++ b/control/loop.go
@@ -50,8 +50,12 @@
 // advanceClock advances the raft node to the present tick. It runs before every
 // event: handling a message at an old tick would shorten the replica's promise
 // to the leader not to vote for another, and reading a lease at an old tick
-// would extend the lease.
+// would extend the lease. While the node is paused its clock stands still too: a
+// tick could make it campaign before its Ready is stored.
 func (r *Replica) advanceClock() {
+	if r.paused() {
+		return
+	}
 	now := time.Now()
 	maxTicks := uint64(4 * r.opts.ElectionTicks)
 	elapsed := uint64(max(0, now.Sub(r.epoch)/r.opts.Tick))
@@ -82,6 +86,10 @@
 }
 
 func (r *Replica) propose(p *proposal) {
+	if r.paused() {
+		p.reply <- wire.ProposeReply{Leader: r.addressOfLeader()}
+		return
+	}
 	if p.cmd.Publish != nil {
 		if err := r.checkCopies(); err != nil {
 			r.opts.Logger.Warn().Err(err).Uint64("version", p.cmd.Publish.Version).Msg("control: document refused")
@@ -99,9 +107,7 @@
 	if err != nil {
 		reply := wire.ProposeReply{}
 		if errors.Is(err, raft.ErrNotLeader) {
-			if id := r.node.Leader(); id != r.id {
-				reply.Leader = r.addresses.addr(id.VM)
-			}
+			reply.Leader = r.addressOfLeader()
 		}
 		p.reply <- reply
 		return
@@ -110,7 +116,21 @@
 	r.pending[index] = p
 }
 
+// addressOfLeader returns the address of the leader, or an empty string if there
+// is none or it is this replica.
+func (r *Replica) addressOfLeader() string {
+	id, _ := r.knownLeader()
+	if id.IsZero() || id == r.id {
+		return ""
+	}
+	return r.addresses.addr(id.VM)
+}
+
 func (r *Replica) step(list []raft.Message) {
+	if r.paused() {
+		r.observeLeader(list)
+		return
+	}
 	for _, m := range list {
 		if m.Type == raft.MsgSnapshot && m.To == r.id && r.node.NeedsSnapshotData(m.Snapshot) && m.Snapshot.Data == nil {
 			r.fetchSnapshot(m)
@@ -121,17 +141,23 @@
 }
 
 // handleReady persists, sends and applies the node's output until there is no
-// more.
+// more, or until the disk is full.
 func (r *Replica) handleReady() error {
 	for {
-		rd, ok := r.node.Ready()
+		rd, ok := r.nextReady()
 		if !ok {
 			return nil
 		}
 		r.sender.send(rd.Immediate)
-		if err := r.persist(&rd); err != nil {
+		err := r.persist(&rd)
+		if wal.IsFull(err) {
+			r.pause(rd, err)
+			return nil
+		}
+		if err != nil {
 			return err
 		}
+		r.resume()
 		r.sender.send(rd.Messages)
 		if rd.Snapshot != nil {
 			if err := r.restoreSnapshot(rd.Snapshot); err != nil {
@@ -157,12 +183,14 @@
 			return err
 		}
 	}
-	err := r.log.Save(wal.Batch{Reset: rd.Snapshot, Entries: rd.Entries, HardState: rd.HardState})
+	if err := r.log.Save(wal.Batch{Reset: rd.Snapshot, Entries: rd.Entries, HardState: rd.HardState}); err != nil {
+		return err
+	}
 	r.counters.saveSeconds.UpdateDuration(start)
 	if rd.HardState != nil {
 		r.savedState = *rd.HardState
 	}
-	return err
+	return nil
 }
 
 // termOrVoteChanged reports whether h has a term or vote that is not stored
@@ -220,9 +248,10 @@
 // publishView publishes a new view and wakes the waiters for a change.
 func (r *Replica) publishView() {
 	s := r.node.Status()
+	leader, term := r.knownLeader()
 	old := r.published.Load()
 	v := &view{
-		role: s.Role, term: s.Term, leader: s.Leader, members: s.Members,
+		role: s.Role, term: term, leader: leader, members: s.Members,
 		commit: s.Commit, applied: r.applied, snapshot: s.SnapshotIndex, match: s.Match,
 		settings: r.opts.Views.Settings(),
 	}
--- a/control/replica.go
+++ b/control/replica.go
@@ -75,12 +75,16 @@
 	snapshotBytes    int64
 	savingSnapshot   bool
 	fetchingSnapshot bool
+	// snapshotRetryAt is when a snapshot that found no space is tried again.
+	snapshotRetryAt time.Time
+	full            fullDisk
 	// leaving holds the tick at which a replica last asked to hand over its vote.
 	leaving map[raft.ReplicaID]uint64
 }
 
 // Open reads the group's files and starts the replica. It returns a
-// *wal.DamageError if a file is damaged.
+// *wal.DamageError if a file is damaged and a *wal.FullError if it needs space on
+// the disk and there is none.
 func Open(opts Options) (*Replica, error) {
 	opts.setDefaults()
 	if err := opts.validate(); err != nil {
@@ -177,7 +181,8 @@
 	return r.err
 }
 
-// fail stops the replica for good; a write to a failed disk is not retried.
+// fail stops the replica for good; a write to a failed disk is not retried, one to
+// a full disk is (see pause).
 func (r *Replica) fail(err error) {
 	r.errMu.Lock()
 	if r.err == nil {
--- a/control/snapshots.go
+++ b/control/snapshots.go
@@ -12,6 +12,7 @@
 
 	"damaskbridge.example/damaskbridge/raft"
 	"damaskbridge.example/damaskbridge/transport"
+	"damaskbridge.example/damaskbridge/wal"
 	"damaskbridge.example/damaskbridge/wire"
 )
 
@@ -32,7 +33,7 @@
 // last snapshot has. The second condition keeps the cost of snapshots in
 // proportion to that of the commands as the state grows.
 func (r *Replica) maybeSnapshot() {
-	if r.savingSnapshot || r.applied-r.snapshotIndex < r.opts.SnapshotEntries || r.appliedBytes < r.snapshotBytes {
+	if r.savingSnapshot || r.applied-r.snapshotIndex < r.opts.SnapshotEntries || r.appliedBytes < r.snapshotBytes || time.Now().Before(r.snapshotRetryAt) {
 		return
 	}
 	encode, err := r.captureState()
@@ -41,6 +42,7 @@
 		return
 	}
 	s := r.node.SnapshotMetadata(r.applied)
+	appliedBytes := r.appliedBytes
 	r.savingSnapshot, r.snapshotIndex, r.appliedBytes = true, s.Index, 0
 	r.background.Go(func() {
 		data, err := encode()
@@ -49,7 +51,14 @@
 			err = r.log.SaveSnapshot(s)
 		}
 		s.Data = nil
-		r.post(func() { r.finishSnapshot(s, int64(len(data)), err) })
+		r.post(func() {
+			r.savingSnapshot = false
+			if wal.IsFull(err) {
+				r.postponeSnapshot(err, appliedBytes)
+				return
+			}
+			r.finishSnapshot(s, int64(len(data)), err)
+		})
 	})
 }
 
@@ -75,9 +84,9 @@
 // snapshot interval of entries stays in memory for followers that are slightly
 // behind.
 func (r *Replica) finishSnapshot(s raft.Snapshot, size int64, err error) {
-	r.savingSnapshot, r.snapshotBytes = false, size
+	r.snapshotBytes = size
 	if err == nil {
-		err = r.log.Compact(s.Index)
+		err = r.compact(s.Index)
 	}
 	if err != nil {
 		r.fail(err)
@@ -97,7 +106,7 @@
 	r.appliedBytes, r.snapshotBytes = 0, int64(len(s.Data))
 	r.counters.snapshotsRestored.Inc()
 	r.opts.Logger.Info().Uint64("index", s.Index).Msg("control: restored a snapshot from the leader")
-	return r.log.Compact(s.Index)
+	return r.compact(s.Index)
 }
 
 // fetchSnapshot fetches the data of an offered snapshot in the background and
@@ -114,7 +123,7 @@
 		}
 		r.post(func() {
 			r.fetchingSnapshot = false
-			if err == nil {
+			if err == nil && !r.paused() {
 				m.Snapshot = s
 				_ = r.node.Step(m)
 			}
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -30,17 +30,42 @@
 	return nil
 }
 
+// mostUpToDateVoter returns the other voter with the longest synced log, and of
+// several the one that has acknowledged the latest message.
 func (n *Node) mostUpToDateVoter() ReplicaID {
 	var best ReplicaID
 	for _, id := range n.log.members().Voters {
 		p := n.peers[id]
-		if p != nil && (best.IsZero() || p.match > n.peers[best].match) {
+		if p != nil && (best.IsZero() || p.moreUpToDate(n.peers[best])) {
 			best = id
 		}
 	}
 	return best
 }
 
+func (p *progress) moreUpToDate(other *progress) bool {
+	if p.match != other.match {
+		return p.match > other.match
+	}
+	return p.ackedTick > other.ackedTick
+}
+
+// StepDown ends the leadership of a replica that cannot store its log. It returns
+// the message that asks another voter to campaign, which may be sent at once: a
+// follower has no lease that the campaign could violate. StepDown may be called
+// between Ready and Advance, since it changes nothing that is stored.
+func (n *Node) StepDown() []Message {
+	if n.role != Leader {
+		return nil
+	}
+	to := n.mostUpToDateVoter()
+	n.becomeFollower(n.term, ReplicaID{})
+	if to.IsZero() {
+		return nil
+	}
+	return []Message{{Type: MsgTimeoutNow, Group: n.cfg.Group, From: n.cfg.ID, To: to, Term: n.term}}
+}
+
 // maybeSendTimeoutNow tells the target of a transfer to campaign once it has
 // the entire log.
 func (n *Node) maybeSendTimeoutNow(id ReplicaID, p *progress) {
--- a/wal/full.go
+++ b/wal/full.go
@@ -7,6 +7,10 @@
 	"syscall"
 )
 
+// IsFull reports whether err says that the disk had no space. The operation may
+// be repeated.
+func IsFull(err error) bool { return isFullError(err) }
+
 // isFull reports whether err says that there is no space for a write.
 func isFull(err error) bool {
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
