control: a replica that has space again does not campaign at once

The node's clock now goes on where it stood, and the leader that was heard of during the pause counts until the node hears from one, for an election timeout at most.

--- a/control/full_disk.go
+++ b/control/full_disk.go
@@ -18,15 +18,17 @@
 
 // fullDisk is the state of a replica whose disk is full. The raft node then stands
 // still with a Ready that is not stored: no message and no tick reaches it, as if
-// the process were paused, and nothing that depends on the Ready is sent.
+// the process were paused, and nothing that depends on the Ready is sent. The
+// leader outlasts the pause until the node hears from one.
 type fullDisk struct {
 	ready   *raft.Ready // nil while there is space
 	since   time.Time
 	retryAt time.Time
-	// leader is the sender of the latest message of a leader, and term its term.
-	// Both only direct calls, which the receiver checks.
-	leader raft.ReplicaID
-	term   uint64
+	// leader is the sender of the latest message of a leader, term its term and
+	// heardAt its time. They only direct calls, which the receiver checks.
+	leader  raft.ReplicaID
+	term    uint64
+	heardAt time.Time
 }
 
 // paused reports whether the raft node stands still because the disk is full.
@@ -50,7 +52,7 @@
 		r.sender.send(r.node.StepDown())
 		r.abandonPending()
 		s := r.node.Status()
-		r.full = fullDisk{since: time.Now(), leader: s.Leader, term: s.Term}
+		r.full = fullDisk{since: time.Now(), leader: s.Leader, term: s.Term, heardAt: time.Now()}
 		r.counters.diskFullTotal.Inc()
 		r.counters.diskFull.Set(1)
 		r.opts.Logger.Warn().Err(err).Bool("led", led).Msg("control: disk full; this replica neither votes nor leads until there is space")
@@ -58,15 +60,17 @@
 	r.full.ready, r.full.retryAt = &rd, time.Now().Add(diskRetryInterval)
 }
 
-// resume ends the pause after the Ready was stored. The next event advances the
-// node's clock before the node handles a message.
+// resume ends the pause after the Ready was stored. The node's clock goes on where
+// it stood: its promises last longer, it holds no lease, and it does not campaign
+// before it could hear from the leader.
 func (r *Replica) resume() {
 	if !r.paused() {
 		return
 	}
 	r.opts.Logger.Info().Dur("after", time.Since(r.full.since)).Msg("control: disk has space again")
 	r.counters.diskFull.Set(0)
-	r.full = fullDisk{}
+	r.full.ready = nil
+	r.epoch = time.Now().Add(-r.ticksToDuration(r.node.Now()))
 }
 
 // observeLeader drops messages to a paused node, but remembers which leader is
@@ -78,7 +82,7 @@
 		switch m.Type {
 		case raft.MsgAppend, raft.MsgHeartbeat, raft.MsgSnapshot:
 			if m.To == r.id && m.Term >= r.full.term {
-				r.full.leader, r.full.term = m.From, m.Term
+				r.full.leader, r.full.term, r.full.heardAt = m.From, m.Term, time.Now()
 			}
 		}
 	}
@@ -87,11 +91,14 @@
 // knownLeader returns the leader to which calls are directed, or the zero id, and
 // its term.
 func (r *Replica) knownLeader() (raft.ReplicaID, uint64) {
-	if r.paused() {
-		return r.full.leader, r.full.term
-	}
 	s := r.node.Status()
-	return s.Leader, s.Term
+	if !r.paused() && (!s.Leader.IsZero() || s.Term > r.full.term) {
+		return s.Leader, s.Term
+	}
+	if time.Since(r.full.heardAt) > r.ticksToDuration(uint64(r.opts.ElectionTicks)) {
+		return raft.ReplicaID{}, max(s.Term, r.full.term)
+	}
+	return r.full.leader, r.full.term
 }
 
 // postponeSnapshot makes maybeSnapshot try again later. appliedBytes is what was
--- a/raft/network_test.go
+++ b/raft/network_test.go
@@ -43,9 +43,13 @@
 
 // replica is one VM of the network and its replica.
 type replica struct {
-	id      ReplicaID
-	disk    disk
-	node    *Node // nil while the VM is down
+	id   ReplicaID
+	disk disk
+	node *Node // nil while the VM is down
+	// While full is true the disk stores nothing. kept is the Ready that waits for
+	// it; the node then gets neither messages nor ticks.
+	full    bool
+	kept    *Ready
 	applied [][]byte
 	// clockRatePercent is the speed of the VM's clock, clockCreditPercent the
 	// fraction of the next tick that has already elapsed.
@@ -110,7 +114,7 @@
 	if err != nil {
 		n.t.Fatalf("restart of %s: %v", r.id, err)
 	}
-	r.node, r.applied = node, nil
+	r.node, r.applied, r.kept = node, nil, nil
 	if s := r.disk.snapshot; s != nil {
 		r.restore(s.Data)
 	}
@@ -135,11 +139,19 @@
 // processReady processes all Readys of a replica.
 func (n *network) processReady(r *replica, crash crashPoint) {
 	for r.node != nil {
-		rd, ok := r.node.Ready()
+		if r.kept != nil && r.full {
+			return
+		}
+		rd, ok := r.nextReady()
 		if !ok {
 			break
 		}
 		n.enqueue(rd.Immediate)
+		if r.full && rd.MustSync() {
+			rd.Immediate, r.kept = nil, &rd
+			n.enqueue(r.node.StepDown())
+			return
+		}
 		if crash == crashBeforeSync {
 			r.node = nil
 			return
@@ -161,6 +173,17 @@
 	}
 }
 
+func (r *replica) nextReady() (Ready, bool) {
+	if rd := r.kept; rd != nil {
+		r.kept = nil
+		return *rd, true
+	}
+	return r.node.Ready()
+}
+
+// runs reports whether the node may be called.
+func (r *replica) runs() bool { return r.node != nil && r.kept == nil }
+
 // apply verifies that an index is never committed with two different entries.
 func (n *network) apply(r *replica, e Entry) {
 	if first, ok := n.committed[e.Index]; ok && (first.Term != e.Term || !bytes.Equal(first.Data, e.Data)) {
@@ -252,7 +275,7 @@
 		n.messages = slices.Delete(n.messages, i, i+1)
 	}
 	r := n.replicas[m.To.VM]
-	if r.node == nil || n.partitioned[[2]ids.VMID{m.From.VM, m.To.VM}] {
+	if !r.runs() || n.partitioned[[2]ids.VMID{m.From.VM, m.To.VM}] {
 		return
 	}
 	if m.Type == MsgSnapshot && r.node.NeedsSnapshotData(m.Snapshot) {
@@ -278,7 +301,7 @@
 		r.clockCreditPercent += r.clockRatePercent
 		for r.clockCreditPercent >= 100 {
 			r.clockCreditPercent -= 100
-			if r.node != nil {
+			if r.runs() {
 				r.node.Tick()
 				n.processReady(r, noCrash)
 			}
@@ -320,7 +343,7 @@
 }
 
 func (n *network) propose(r *replica, data string) bool {
-	if r == nil || r.node == nil {
+	if r == nil || !r.runs() {
 		return false
 	}
 	_, _, err := r.node.Propose([]byte(data))
--- a/raft/property_test.go
+++ b/raft/property_test.go
@@ -13,7 +13,7 @@
 // TestSafety guards against two leaders in a term, diverging logs, lost or
 // changed committed entries and stale lease reads, while messages are dropped,
 // duplicated, delayed and reordered, links are partitioned in one direction,
-// VMs crash and lose unsynced data, disks are lost and memberships change. The
+// VMs crash and lose unsynced data, disks are full or lost and memberships change. The
 // actions are chosen from a drawn seed, because rapid's own draws favour small
 // values.
 func TestSafety(t *testing.T) {
@@ -62,6 +62,8 @@
 	{3, (*faultInjector).snapshot},
 	{1, (*faultInjector).transfer},
 	{2, (*faultInjector).loseDisk},
+	{4, (*faultInjector).fillDisk},
+	{6, (*faultInjector).freeDisks},
 	{6, (*faultInjector).rejoinReplaced},
 }
 
@@ -180,7 +182,7 @@
 func (f *faultInjector) snapshot() { f.n.takeSnapshot(f.randomReplica()) }
 
 func (f *faultInjector) transfer() {
-	if r := f.randomReplica(); r.node != nil {
+	if r := f.randomReplica(); r.runs() {
 		_ = r.node.TransferLeadership(ReplicaID{})
 		f.n.processReady(r, noCrash)
 	}
@@ -194,12 +196,23 @@
 	}
 }
 
+func (f *faultInjector) fillDisk() { f.randomReplica().full = true }
+
+func (f *faultInjector) freeDisks() {
+	for _, vm := range f.n.vms {
+		r := f.n.replicas[vm]
+		r.full = false
+		f.n.processReady(r, noCrash)
+	}
+}
+
 func (f *faultInjector) rejoinReplaced() { f.n.rejoinReplaced() }
 
 // recover verifies that a healed group elects a leader and commits again.
 func (f *faultInjector) recover() {
 	n := f.n
 	f.heal()
+	f.freeDisks()
 	for _, vm := range n.vms {
 		if n.replicas[vm].node == nil {
 			n.start(n.replicas[vm])
