directory: the quarantine's file is written again after a failure

After a loss of all VMs, parts that had been quarantined while the disk was full ended engines again: a write that failed was repeated at the next change of the quarantine only, which may never come. It is repeated after a second now.

Evidence: before, 'is written again after a failure, without another change' failed with 'Timed out after 20.001s'.

--- a/directory/quarantine_file.go
+++ b/directory/quarantine_file.go
@@ -19,6 +19,9 @@
 	// were quarantined before. It covers the election of a leader, which takes them
 	// over if it knows of no quarantine itself.
 	recallTime = 30 * time.Second
+	// quarantineRetryInterval is the time after which a failed write of the file is
+	// repeated.
+	quarantineRetryInterval = time.Second
 )
 
 // quarantineFile is the content of ServerOptions.QuarantineFile.
@@ -63,9 +66,11 @@
 	kept := s.recalled
 	for {
 		changed := s.lists.nextChange(entryVMChanges)
+		var retry <-chan time.Time
 		if parts := quarantine.NewKnown(s.lists.quarantined()).WithoutTrials(); s.lists.has(quarantineName) && !slices.Equal(parts, kept) {
 			if err := s.writeQuarantine(parts); err != nil {
-				s.opts.Logger.Error().Err(err).Msg("directory: the quarantine cannot be kept; it is tried again with its next change")
+				s.opts.Logger.Error().Err(err).Msg("directory: the quarantine cannot be kept; it is tried again")
+				retry = time.After(quarantineRetryInterval)
 			} else {
 				kept = parts
 			}
@@ -74,6 +79,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-retry:
 		}
 	}
 }
--- a/directory/quarantine_file_test.go
+++ b/directory/quarantine_file_test.go
@@ -8,19 +8,24 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
 
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
 var _ = ginkgo.Describe("the file of the quarantine", func() {
 	var path string
-	ginkgo.BeforeEach(func() { path = filepath.Join(ginkgo.GinkgoT().TempDir(), "quarantine") })
+	var logger *log.Logger
+	ginkgo.BeforeEach(func() { path, logger = filepath.Join(ginkgo.GinkgoT().TempDir(), "quarantine"), nil })
 
 	// start returns a leading control VM with the file, which keeps its quarantine
 	// there until the spec ends.
 	start := func() *Server {
 		opts := newTestServer(newFakeLister()).opts
 		opts.QuarantineFile = path
+		if logger != nil {
+			opts.Logger = logger
+		}
 		s := NewServer(opts)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
@@ -72,6 +77,21 @@
 		Consistently(recalled).WithTimeout(300 * time.Millisecond).Should(Equal([]quarantine.Quarantined{{Part: 4, Failed: 2}}))
 	})
 
+	// Guards against a quarantine that is lost because the disk was full when it
+	// changed last.
+	ginkgo.It("is written again after a failure, without another change", func() {
+		folder := filepath.Dir(path)
+		path = filepath.Join(folder, "folder", "quarantine")
+		lines := make(chan string, 100)
+		logger = &log.Logger{Writer: &log.IOWriter{Writer: lineWriter(lines)}}
+		s := start()
+		report(s, quarantine.Report{Quarantined: []quarantine.Quarantined{{Part: 4, Failed: 2}}})
+		Eventually(lines).WithTimeout(eventTimeout).Should(Receive(ContainSubstring("cannot be kept")))
+		logger = nil
+		Expect(os.Mkdir(filepath.Join(folder, "folder"), 0o700)).To(Succeed())
+		Eventually(recalled).WithTimeout(eventTimeout).Should(Equal([]quarantine.Quarantined{{Part: 4, Failed: 2}}))
+	})
+
 	ginkgo.It("does not keep a control VM from starting when it is damaged or cannot be written", func() {
 		Expect(os.WriteFile(path, []byte("damaged"), 0o600)).To(Succeed())
 		s := start()
