control: a replica that needs space to start waits for it

Evidence: with one attempt, 'starts once there is space' failed: the error was no context.Canceled but 'wal: starting a segment: no space on the disk'.

--- a/control/full_disk.go
+++ b/control/full_disk.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"context"
+	"errors"
 	"time"
 
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/raft"
 	"damaskbridge.example/damaskbridge/wal"
 )
@@ -31,6 +34,25 @@
 	heardAt time.Time
 }
 
+// OpenWhenSpace is Open, but waits while the disk has no space for what Open has to
+// store, until ctx ends. It then returns ctx's error.
+func OpenWhenSpace(ctx context.Context, o Options) (*Replica, error) {
+	waits := false
+	for {
+		r, err := Open(o)
+		if !wal.IsFull(err) {
+			return r, err
+		}
+		if !waits && o.Logger != nil {
+			o.Logger.Warn().Err(err).Msg("control: disk full; the replica starts when there is space")
+		}
+		waits = true
+		if !timer.Sleep(ctx, diskRetryInterval) {
+			return nil, errors.Join(ctx.Err(), err)
+		}
+	}
+}
+
 // paused reports whether the raft node stands still because the disk is full.
 func (r *Replica) paused() bool { return r.full.ready != nil }
 
--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -161,6 +161,33 @@
 		c.expectAllClaims()
 	})
 
+	// Guards against a process that ends, again and again, because the replica finds
+	// no space when it starts.
+	It("starts once there is space", func() {
+		start(nil, "a", "b", "c")
+		m := c.members["a"]
+		c.kill("a")
+		Expect(os.RemoveAll(m.dir)).To(Succeed())
+		disks["a"].fill("")
+		o := m.replica.opts
+		canceled, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := OpenWhenSpace(canceled, o)
+		Expect(err).To(MatchError(context.Canceled))
+		Expect(wal.IsFull(err)).To(BeTrue())
+		opened := make(chan *Replica)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			r, err := OpenWhenSpace(context.Background(), o)
+			Expect(err).NotTo(HaveOccurred())
+			opened <- r
+		}()
+		disks["a"].free()
+		var r *Replica
+		Eventually(opened, waitTimeout).Should(Receive(&r))
+		r.abort()
+	})
+
 	// Guards against a replica that stops because its disk is full while it takes
 	// a snapshot from the leader.
 	It("takes a snapshot from the leader later", func() {
