audit: a store whose disk is full goes on by itself when there is space

Callers saw: after a disk was full once, the audit store of a control VM took no batch until its process was started again.

Cause: each failed write stopped the store. A batch that finds no space is now refused with *FullError, its rest is cut off, and the store goes on; a segment without space for its header is removed, and the rotation goes on from the sealed one. A failed fsync or cut stops the store as before.

Evidence: TestCrashAndResend now fills disks; before, it failed after 0 tests: 'the store stopped after a disk error: no space left on device'.

internal/diskfull says for wal and audit which errors mean a full disk.

--- a/audit/commit.go
+++ b/audit/commit.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/internal/atomicfile"
+	"damaskbridge.example/damaskbridge/internal/diskfull"
 )
 
 // pendingAppend is an append that waits to be written to disk.
@@ -24,7 +26,7 @@
 }
 
 // run commits groups of appends until the store is closed or a disk operation
-// fails.
+// fails for another reason than a full disk.
 func (s *Store) run() {
 	defer close(s.done)
 	for {
@@ -35,7 +37,7 @@
 			for _, g := range group {
 				g.done <- err
 			}
-			if err != nil {
+			if s.Err() != nil {
 				return
 			}
 		case <-s.stop:
@@ -81,13 +83,14 @@
 	return n
 }
 
-// commit makes a group durable. After an error the state of the disk is
-// unknown, so the store stops permanently: a second fsync may report success
-// for data that the first one lost.
+// commit makes a group durable. After a *FullError nothing of it is stored. After
+// any other error the state of the disk is unknown, so the store stops
+// permanently: a second fsync may report success for data that the first one lost.
 func (s *Store) commit(group []*pendingAppend) error {
 	err := s.writeGroup(group)
-	if err == nil {
-		return nil
+	var full *FullError
+	if err == nil || errors.As(err, &full) {
+		return err
 	}
 	stopped := &StoppedError{Err: err}
 	s.mu.Lock()
@@ -155,7 +158,7 @@
 		return fmt.Errorf("the segment would exceed %d bytes; use a smaller group size", int64(maxFrameOffset))
 	}
 	if _, err := s.file.WriteAt(b, s.active.size); err != nil {
-		return err
+		return s.undoWrite(err)
 	}
 	if err := s.file.Sync(); err != nil {
 		return err
@@ -164,6 +167,21 @@
 	return nil
 }
 
+// undoWrite cuts off what a write without enough space has left.
+func (s *Store) undoWrite(err error) error {
+	if !diskfull.Is(err) {
+		return err
+	}
+	cutErr := s.file.Truncate(s.active.size)
+	if cutErr == nil {
+		cutErr = s.file.Sync()
+	}
+	if cutErr != nil {
+		return errors.Join(cutErr, err)
+	}
+	return &FullError{Err: err}
+}
+
 // publish makes durable batches visible to queries.
 func (s *Store) publish(locations []batchLocation) {
 	s.mu.Lock()
@@ -236,10 +254,36 @@
 	return file.Close()
 }
 
-// createSegment creates a segment with its header and makes it active.
+// createSegment creates a segment with its header and makes it active. Without
+// space for it nothing is left of it and the former segment, if there is one,
+// stays the last.
 func (s *Store) createSegment(number uint64, prev hash) error {
+	former := s.active
+	err := s.startSegment(number, prev)
+	var full *FullError
+	if !errors.As(err, &full) {
+		return err
+	}
+	s.active = former
+	if s.file != nil {
+		_ = s.file.Close() // it is removed
+		s.file = nil
+	}
+	if removeErr := os.Remove(segmentPath(s.dir, number)); removeErr != nil && !errors.Is(removeErr, os.ErrNotExist) {
+		return fmt.Errorf("audit: remove a segment without space for its header: %w", removeErr)
+	}
+	if syncErr := atomicfile.SyncDir(s.dir); syncErr != nil {
+		return fmt.Errorf("audit: sync folder: %w", syncErr)
+	}
+	return full
+}
+
+func (s *Store) startSegment(number uint64, prev hash) error {
 	path := segmentPath(s.dir, number)
 	file, err := s.options.openFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
+	if diskfull.Is(err) {
+		return &FullError{Err: err}
+	}
 	if err != nil {
 		return fmt.Errorf("audit: create segment: %w", err)
 	}
@@ -265,9 +309,20 @@
 	return nil
 }
 
-// rotate seals the active segment and creates the next one.
+// rotate seals the active segment, unless an earlier rotation without space for the
+// next one has, and creates the next one.
 func (s *Store) rotate() error {
 	seg := s.active.segment
+	if !seg.sealed {
+		if err := s.seal(seg); err != nil {
+			return err
+		}
+	}
+	return s.createSegment(seg.number+1, seg.chainHead)
+}
+
+// seal ends a segment and closes its file.
+func (s *Store) seal(seg *segment) error {
 	seal := segmentSeal{SealedUnixMS: s.options.Now().UnixMilli(), Records: seg.records}
 	var buf bytes.Buffer
 	head, err := appendFrame(&buf, s.active.chainHead, frameSeal, uint32(s.active.size), seal)
@@ -280,6 +335,7 @@
 	if err := s.file.Close(); err != nil {
 		return err
 	}
+	s.file = nil
 	s.mu.Lock()
 	seg.size, seg.chainHead = s.active.size, head
 	seg.sealed, seg.sealedUnixMS = true, seal.SealedUnixMS
@@ -290,5 +346,5 @@
 		seg.releaseIndex()
 		s.mu.Unlock()
 	}
-	return s.createSegment(seg.number+1, head)
+	return nil
 }
--- a/audit/crash_test.go
+++ b/audit/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"syscall"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -15,6 +16,7 @@
 type crashDisk struct {
 	files    map[string]*crashFile
 	failSync bool // the next Sync fails and makes nothing durable
+	free     int  // bytes that can still be written
 }
 
 type crashFile struct {
@@ -24,11 +26,18 @@
 	synced, size int64
 }
 
-func newCrashDisk() *crashDisk { return &crashDisk{files: map[string]*crashFile{}} }
+func newCrashDisk() *crashDisk {
+	return &crashDisk{files: map[string]*crashFile{}, free: enoughBytes}
+}
+
+const enoughBytes = 1 << 40
 
 var errSync = errors.New("input/output error")
 
 func (d *crashDisk) open(path string, flag int) (segmentFile, error) {
+	if flag&os.O_CREATE != 0 && d.free == 0 {
+		return nil, syscall.ENOSPC
+	}
 	f, err := os.OpenFile(path, flag, fileMode)
 	if err != nil {
 		return nil, err
@@ -46,8 +55,13 @@
 }
 
 func (f *crashFile) WriteAt(p []byte, off int64) (int, error) {
-	f.size = max(f.size, off+int64(len(p)))
-	return f.File.WriteAt(p, off)
+	n, err := f.File.WriteAt(p[:min(len(p), f.disk.free)], off)
+	f.disk.free -= n
+	f.size = max(f.size, off+int64(n))
+	if err == nil && n < len(p) {
+		err = syscall.ENOSPC
+	}
+	return n, err
 }
 
 func (f *crashFile) Truncate(size int64) error {
@@ -103,8 +117,9 @@
 }
 
 // TestCrashAndResend guards against lost or duplicated records and a broken
-// hash chain after any sequence of appends, resends, disk errors and crashes:
-// each record is stored at most once, and no acknowledged record is lost.
+// hash chain after any sequence of appends, resends, full disks, disk errors and
+// crashes: each record is stored at most once, and no acknowledged record is
+// lost. Also guards against a store that stops because a disk was full.
 func TestCrashAndResend(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		dir, err := os.MkdirTemp("", "audit")
@@ -139,8 +154,20 @@
 		}
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			disk.failSync = rapid.IntRange(0, 4).Draw(t, "fail") == 0
+			if rapid.IntRange(0, 2).Draw(t, "fill") == 0 {
+				disk.free = rapid.IntRange(0, 400).Draw(t, "free")
+			}
+			full := disk.free != enoughBytes && !disk.failSync
 			g := group()
-			if store.commit(g) == nil {
+			err := store.commit(g)
+			disk.free = enoughBytes
+			if full && store.Err() != nil {
+				t.Fatal(store.Err())
+			}
+			if err != nil && store.Err() == nil && rapid.Bool().Draw(t, "goes on") {
+				continue
+			}
+			if err == nil {
 				for _, p := range g {
 					id := batchID{p.batch.Session, p.batch.Number}
 					acked[id] = sent[id]
--- a/audit/errors.go
+++ b/audit/errors.go
@@ -39,6 +39,18 @@
 
 func (e *StoppedError) Unwrap() error { return e.Err }
 
+// FullError reports that the disk had no space for a batch. Nothing of the batch is
+// stored, and the store takes it once there is space.
+type FullError struct {
+	Err error
+}
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("audit: no space on the disk: %v; free space or shorten the retention; the writer repeats the batch, at another control VM first", e.Err)
+}
+
+func (e *FullError) Unwrap() error { return e.Err }
+
 // ErrClosed is returned by a store or writer that was closed.
 var ErrClosed = errors.New("audit: the store or writer is closed; open it again")
 
--- a/wal/full.go
+++ b/wal/full.go
@@ -4,18 +4,14 @@
 	"errors"
 	"io/fs"
 	"path/filepath"
-	"syscall"
+
+	"damaskbridge.example/damaskbridge/internal/diskfull"
 )
 
 // IsFull reports whether err says that the disk had no space. The operation may
 // be repeated.
 func IsFull(err error) bool { return isFullError(err) }
 
-// isFull reports whether err says that there is no space for a write.
-func isFull(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
-}
-
 func isFullError(err error) bool {
 	var full *FullError
 	return errors.As(err, &full)
@@ -23,7 +19,7 @@
 
 // diskError returns a *FullError if err says so and an *IOError otherwise.
 func diskError(op string, err error) error {
-	if isFull(err) {
+	if diskfull.Is(err) {
 		return &FullError{Op: op, Err: err}
 	}
 	return ioError(op, err)
@@ -43,7 +39,7 @@
 // cut fails, the end of the file is not known and the Log stops. It is called
 // with mu held.
 func (l *Log) undoWrite(op string, err error) error {
-	if !isFull(err) {
+	if !diskfull.Is(err) {
 		return l.fail(op, err)
 	}
 	path := filepath.Join(l.dir, segmentName(l.segments[len(l.segments)-1].number))
@@ -57,7 +53,7 @@
 // segment came back after a power failure, the records that were written to the
 // old one since would be taken for corruption.
 func (l *Log) undoCreate(op, path string, err error) error {
-	if !isFull(err) {
+	if !diskfull.Is(err) {
 		return ioError(op, err)
 	}
 	if removeErr := l.fs.Remove(path); removeErr != nil && !errors.Is(removeErr, fs.ErrNotExist) {
--- a/wal/log.go
+++ b/wal/log.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"sync"
 
+	"damaskbridge.example/damaskbridge/internal/diskfull"
 	"damaskbridge.example/damaskbridge/raft"
 )
 
@@ -201,7 +202,7 @@
 	}
 	for len(l.segments) > 1 && l.segments[0].compactable(index) {
 		err := l.fs.Remove(filepath.Join(l.dir, segmentName(l.segments[0].number)))
-		if isFull(err) {
+		if diskfull.Is(err) {
 			return &FullError{Op: "removing a segment", Err: err}
 		}
 		if err != nil {
--- a/wal/open.go
+++ b/wal/open.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"path/filepath"
 	"strings"
+
+	"damaskbridge.example/damaskbridge/internal/diskfull"
 )
 
 const (
@@ -31,7 +33,7 @@
 		return nil, nil, diskError("creating the folder", err)
 	}
 	lock, err := fs.Lock(filepath.Join(dir, lockName))
-	if isFull(err) {
+	if diskfull.Is(err) {
 		return nil, nil, &FullError{Op: "creating the lock", Err: err}
 	}
 	if err != nil {
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"damaskbridge.example/damaskbridge/internal/diskfull"
 	"damaskbridge.example/damaskbridge/raft"
 )
 
@@ -60,7 +61,7 @@
 	if err == nil {
 		err = l.fs.Rename(temp, path)
 	}
-	if isFull(err) {
+	if diskfull.Is(err) {
 		// A file that remains here is removed when the log is opened.
 		_ = l.fs.Remove(temp)
 		return &FullError{Op: "writing a snapshot", Err: err}
