controlvm: a control VM that needs space to start waits for it

The process of a control VM ended, and was started and ended again, while its disk was full and the audit store or the replica had to store something at the start. Run now tries again every second.

Evidence: startWhenSpace is new; 'starts once there is space on the disk' fails if it returns the first error. Start on a really full disk was not played: the audit store takes no file system from tests of this package.

--- a/controlvm/run.go
+++ b/controlvm/run.go
@@ -10,6 +10,8 @@
 	"damaskbridge.example/damaskbridge/config"
 	"damaskbridge.example/damaskbridge/control"
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/internal/diskfull"
+	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/keys"
 	"github.com/phuslu/log"
 )
@@ -29,7 +31,7 @@
 	}
 	o.Creds = creds
 	o.Logger = logger
-	v, err := Start(o)
+	v, err := startWhenSpace(ctx, o, Start)
 	if err != nil {
 		return err
 	}
@@ -45,6 +47,24 @@
 	return v.Drain(drainCtx)
 }
 
+// startRetryInterval is the time between two attempts to start on a full disk.
+const startRetryInterval = time.Second
+
+// startWhenSpace calls start, and again while the disk has no space for what it has
+// to store, until ctx ends.
+func startWhenSpace(ctx context.Context, o Options, start func(Options) (*VM, error)) (*VM, error) {
+	for {
+		v, err := start(o)
+		if !diskfull.Is(err) {
+			return v, err
+		}
+		o.Logger.Warn().Err(err).Msg("control: disk full; the VM starts when there is space")
+		if !timer.Sleep(ctx, startRetryInterval) {
+			return nil, err
+		}
+	}
+}
+
 // optionsFromConfig returns the options of a settings file. Creds and Logger are
 // not set.
 func optionsFromConfig(c *config.Control) (Options, error) {
