--- a/control/full_disk.go
+++ b/control/full_disk.go
@@ -27,6 +27,10 @@
 	ready   *raft.Ready // nil while there is space
 	since   time.Time
 	retryAt time.Time
+	// snapshot is the Ready's snapshot once it is stored, while the log has no space
+	// for the reset that follows. It is not stored twice: that takes as much space
+	// again.
+	snapshot *raft.Snapshot
 	// leader is the sender of the latest message of a leader, term its term and
 	// heardAt its time. They only direct calls, which the receiver checks.
 	leader  raft.ReplicaID
@@ -74,7 +78,7 @@
 		r.sender.send(r.node.StepDown())
 		r.abandonPending()
 		s := r.node.Status()
-		r.full = fullDisk{since: time.Now(), leader: s.Leader, term: s.Term, heardAt: time.Now()}
+		r.full = fullDisk{snapshot: r.full.snapshot, since: time.Now(), leader: s.Leader, term: s.Term, heardAt: time.Now()}
 		r.counters.diskFullTotal.Inc()
 		r.counters.diskFull.Set(1)
 		r.opts.Logger.Warn().Err(err).Bool("led", led).Msg("control: disk full; this replica neither votes nor leads until there is space")
--- a/control/loop.go
+++ b/control/loop.go
@@ -178,14 +178,16 @@
 		return nil
 	}
 	start := time.Now()
-	if rd.Snapshot != nil {
+	if rd.Snapshot != r.full.snapshot {
 		if err := r.log.SaveSnapshot(*rd.Snapshot); err != nil {
 			return err
 		}
+		r.full.snapshot = rd.Snapshot
 	}
 	if err := r.log.Save(wal.Batch{Reset: rd.Snapshot, Entries: rd.Entries, HardState: rd.HardState}); err != nil {
 		return err
 	}
+	r.full.snapshot = nil
 	r.counters.saveSeconds.UpdateDuration(start)
 	if rd.HardState != nil {
 		r.savedState = *rd.HardState
