--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -199,6 +200,10 @@
 		Expect(c.start(m.vm)).To(Succeed())
 		disks[m.vm].fill(".tmp")
 		c.claimN(5)
+		disks[m.vm].fill(".seg") // the snapshot is stored, its reset is not
+		stored := func() ([]string, error) { return filepath.Glob(filepath.Join(m.dir, "snap-*.dat")) }
+		Eventually(stored, waitTimeout, time.Millisecond).ShouldNot(BeEmpty())
+		c.claimN(5)
 		expectNoneStopped()
 		disks[m.vm].free()
 		c.expectAllClaims()
