control: entry VMs leave a control VM whose disk is full at once

When the process still ended instead, its connections broke and they moved on at once.

ConfirmationAge is negative while the disk is full, and a watch ends as soon as the state, which was confirmed until then, no longer is.

'ends a watch at once' tests a new function.

--- a/control/documents.go
+++ b/control/documents.go
@@ -33,18 +33,19 @@
 func (s *Server) Document() *catalog.Document { return s.replica.published.Load().document }
 
 // Changed returns a channel that is closed at the next change of the leader,
-// the settings or the document.
+// the settings or the document, and when the disk is full or has space again.
 func (s *Server) Changed() <-chan struct{} { return s.replica.stateChanged() }
 
 // ConfirmationAge returns the maximum staleness of this VM's state: the time
 // since the start of the newest heartbeat round that a majority has confirmed.
-// It is negative if there is no such round.
+// It is negative if there is no such round, and while the disk is full: what is
+// accepted from now on does not reach this VM.
 func (s *Server) ConfirmationAge(now time.Time) time.Duration {
 	v := s.replica.published.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	confirmed := s.state.confirmedAt(v)
-	if confirmed.IsZero() {
+	if confirmed.IsZero() || v.paused {
 		return -1
 	}
 	return now.Sub(confirmed)
--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -131,6 +131,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(result.Code).To(Equal(command.OK))
 		}
+		Expect(follower.server.ConfirmationAge(time.Now())).To(BeNumerically("<", 0))
 		v, age, err := follower.server.Settings()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(v.Version()).To(BeZero())
@@ -140,13 +141,32 @@
 		disks[follower.vm].free()
 		for _, m := range c.members {
 			Eventually(func() uint64 { return m.replica.published.Load().settings.Version() }, waitTimeout, time.Millisecond).Should(BeNumerically("==", 1))
+			Eventually(func() time.Duration { return m.server.ConfirmationAge(time.Now()) }, waitTimeout, time.Millisecond).Should(BeNumerically(">=", 0))
 		}
 	})
 
+	// Guards against a campaign whose term and vote are not stored with the Ready that
+	// waits for space.
+	It("does not advance the node's clock", func() {
+		start(nil, "a", "b", "c")
+		leader := c.members[c.leader()]
+		m := c.members[c.others(leader.vm)[0]]
+		ticks := func(r *Replica) (now uint64) {
+			Expect(r.Do(context.Background(), func() { now = r.node.Now() })).To(Succeed())
+			return now
+		}
+		disks[m.vm].fill("")
+		c.claimN(1)
+		Eventually(func() bool { return m.replica.published.Load().paused }, waitTimeout, time.Millisecond).Should(BeTrue())
+		before, leaderBefore := ticks(m.replica), ticks(leader.replica)
+		Eventually(func() uint64 { return ticks(leader.replica) }, waitTimeout, time.Millisecond).Should(BeNumerically(">", leaderBefore+10))
+		Expect(ticks(m.replica)).To(Equal(before))
+	})
+
 	// Guards against a replica that stops, or stores no snapshot any more, because
 	// one found no space.
 	It("stores a snapshot later", func() {
-		start(func(o *Options) { o.SnapshotEntries = 20 }, "a", "b", "c")
+		start(func(o *Options) { o.SnapshotEntries = 40 }, "a", "b", "c")
 		for _, disk := range disks {
 			disk.fill(".tmp")
 		}
--- a/control/loop.go
+++ b/control/loop.go
@@ -255,7 +255,7 @@
 	v := &view{
 		role: s.Role, term: term, leader: leader, members: s.Members,
 		commit: s.Commit, applied: r.applied, snapshot: s.SnapshotIndex, match: s.Match,
-		settings: r.opts.Views.Settings(),
+		settings: r.opts.Views.Settings(), paused: r.paused(),
 	}
 	if r.opts.Views.Document != nil {
 		v.document = r.opts.Views.Document()
@@ -270,7 +270,7 @@
 		v.leaderSince = r.leaderSince
 	}
 	r.published.Store(v)
-	if old == nil || old.leader != v.leader || old.role != v.role || old.leaderSince != v.leaderSince || old.settings.Version() != v.settings.Version() || old.document != v.document {
+	if old == nil || old.leader != v.leader || old.role != v.role || old.paused != v.paused || old.leaderSince != v.leaderSince || old.settings.Version() != v.settings.Version() || old.document != v.document {
 		if old != nil && old.leader != v.leader && !v.leader.IsZero() {
 			r.counters.leaderChanges.Inc()
 			r.opts.Logger.Info().Str("leader", v.leader.String()).Uint64("term", v.term).Msg("control: leader changed")
--- a/control/view.go
+++ b/control/view.go
@@ -29,6 +29,9 @@
 	// leaderSince is when this replica first held a valid lease as the leader
 	// of this term; zero on other replicas.
 	leaderSince time.Time
+	// paused is true while the disk is full: this replica learns of no newer
+	// settings and of no newer document.
+	paused bool
 }
 
 func (v *view) isLeader() bool { return v.role == raft.Leader }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -198,6 +198,15 @@
 		Eventually(c.version).WithTimeout(eventTimeout).Should(Equal(uint64(4)))
 	})
 
+	// Guards against an entry VM that stays for a second or more at a control VM to
+	// which new documents no longer come.
+	ginkgo.It("ends a watch at once when its control VM's state is no longer confirmed", func() {
+		call := &watchCall{Version: 1}
+		Expect((&watchReply{AgeMS: -1}).endsWatch(call, true)).To(BeTrue())
+		Expect((&watchReply{AgeMS: -1}).endsWatch(call, false)).To(BeFalse(), "it has not been so far")
+		Expect((&watchReply{AgeMS: 5000}).endsWatch(call, true)).To(BeFalse())
+	})
+
 	ginkgo.It("switches away from a stale control VM and never returns to an older version", func() {
 		c := newTestCluster(ctx, "c1", "c2", "c3")
 		for _, control := range c.controls {
--- a/directory/server.go
+++ b/directory/server.go
@@ -143,13 +143,15 @@
 		defer ticker.Stop()
 		confirmationCheck = ticker.C
 	}
+	wasConfirmed := false
 	for expired := false; ; {
 		documentChanged := s.opts.Control.Changed()
 		listsChanged := s.lists.nextChange(awaitedBy(call))
 		reply, err := s.replyTo(call, calledAt)
-		if err != nil || expired || reply.hasAwaited(call) {
+		if err != nil || expired || reply.endsWatch(call, wasConfirmed) {
 			return reply, err
 		}
+		wasConfirmed = reply.AgeMS >= 0
 		select {
 		case <-documentChanged:
 		case <-listsChanged:
@@ -162,6 +164,13 @@
 	}
 }
 
+// endsWatch reports whether the reply is sent before the time of the watch is over:
+// it has what the caller waits for, or this VM's state, which was confirmed until
+// now, no longer is, so that the caller goes on at another control VM.
+func (r *watchReply) endsWatch(call *watchCall, wasConfirmed bool) bool {
+	return r.hasAwaited(call) || wasConfirmed && r.AgeMS < 0
+}
+
 // hasAwaited reports whether the reply has something that the caller waits for.
 func (r *watchReply) hasAwaited(call *watchCall) bool {
 	if r.Document != nil || r.Patch != nil || r.List != nil {
