--- a/control/full_disk.go
+++ b/control/full_disk.go
@@ -115,9 +115,8 @@
 }
 
 // knownLeader returns the leader to which calls are directed, or the zero id, and
-// its term.
-func (r *Replica) knownLeader() (raft.ReplicaID, uint64) {
-	s := r.node.Status()
+// its term. s is the node's status.
+func (r *Replica) knownLeader(s *raft.Status) (raft.ReplicaID, uint64) {
 	if !r.paused() && (!s.Leader.IsZero() || s.Term > r.full.term) {
 		return s.Leader, s.Term
 	}
--- a/control/join.go
+++ b/control/join.go
@@ -136,7 +136,8 @@
 	err := r.Do(ctx, func() {
 		members := r.node.Members()
 		reply.Uninitialized = members.IsEmpty()
-		leader, _ := r.knownLeader()
+		s := r.node.Status()
+		leader, _ := r.knownLeader(&s)
 		reply.Leader = r.addresses.addr(leader.VM)
 		if r.node.Role() != raft.Leader || members.Contains(j.Replica) {
 			return
--- a/control/loop.go
+++ b/control/loop.go
@@ -119,7 +119,8 @@
 // addressOfLeader returns the address of the leader, or an empty string if there
 // is none or it is this replica.
 func (r *Replica) addressOfLeader() string {
-	id, _ := r.knownLeader()
+	s := r.node.Status()
+	id, _ := r.knownLeader(&s)
 	if id.IsZero() || id == r.id {
 		return ""
 	}
@@ -250,7 +251,7 @@
 // publishView publishes a new view and wakes the waiters for a change.
 func (r *Replica) publishView() {
 	s := r.node.Status()
-	leader, term := r.knownLeader()
+	leader, term := r.knownLeader(&s)
 	old := r.published.Load()
 	v := &view{
 		role: s.Role, term: term, leader: leader, members: s.Members,
