entry: an engine that is not read does not count as silent

Cause: the stall timeout of an attempt went on while the attempt waited for space in the replay buffer, although nothing is read from the engine then.

Evidence: 'does not count as silent while it waits for space' failed: the attempt counted as stalled for the whole 5 s of the test.

Change: stream's Pause and Resume suspend the timeout around the wait. They replace ResetStallTimer; its test checks the same and the paused time besides.

Result: the specs of stream and entry pass with the race detector.

--- a/entry/execution.go
+++ b/entry/execution.go
@@ -122,7 +122,10 @@
 		if ok && n > 0 {
 			break
 		}
-		waited = true
+		if !waited {
+			waited = true
+			e.tokens.Pause(attempt)
+		}
 		select {
 		case <-e.readAdvanced:
 		case <-ctx.Done():
@@ -130,7 +133,7 @@
 		}
 	}
 	if waited {
-		e.tokens.ResetStallTimer(attempt, time.Now())
+		e.tokens.Resume(attempt, time.Now())
 	}
 	return nil
 }
--- a/stream/assembler.go
+++ b/stream/assembler.go
@@ -137,10 +137,10 @@
 }
 
 // StallDeadline returns the time at which the attempt counts as stalled unless
-// it sends a token before, or the zero time for an unknown attempt.
+// it sends a token before, or the zero time for an unknown or paused attempt.
 func (a *Assembler) StallDeadline(number int) time.Time {
 	current := a.findAttempt(number)
-	if current == nil {
+	if current == nil || current.paused {
 		return time.Time{}
 	}
 	if current.receivedAny {
@@ -155,11 +155,18 @@
 	return !limit.IsZero() && a.end == nil && !now.Before(limit)
 }
 
-// ResetStallTimer restarts the stall timeout of an attempt. Call it when
-// reading resumes after backpressure from a slow caller, which is no fault of
-// the engine.
-func (a *Assembler) ResetStallTimer(number int, now time.Time) {
+// Pause suspends the stall timeout of an attempt. Call it before reading stops
+// because of backpressure from a slow caller, which is no fault of the engine.
+func (a *Assembler) Pause(number int) {
+	if current := a.findAttempt(number); current != nil {
+		current.paused = true
+	}
+}
+
+// Resume restarts the stall timeout of a paused attempt.
+func (a *Assembler) Resume(number int, now time.Time) {
 	if current := a.findAttempt(number); current != nil {
+		current.paused = false
 		current.lastProgress = now
 	}
 }
--- a/stream/attempt.go
+++ b/stream/attempt.go
@@ -11,4 +11,6 @@
 	nextNumber   uint64
 	lastProgress time.Time
 	receivedAny  bool
+	// paused is true while nothing is read from the engine.
+	paused bool
 }
--- a/stream/shared.go
+++ b/stream/shared.go
@@ -62,11 +62,18 @@
 	return s.assembler.Stalled(number, now)
 }
 
-// ResetStallTimer calls Assembler.ResetStallTimer.
-func (s *SharedAssembler) ResetStallTimer(number int, now time.Time) {
+// Pause calls Assembler.Pause.
+func (s *SharedAssembler) Pause(number int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.assembler.ResetStallTimer(number, now)
+	s.assembler.Pause(number)
+}
+
+// Resume calls Assembler.Resume.
+func (s *SharedAssembler) Resume(number int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.assembler.Resume(number, now)
 }
 
 // FreeTokens calls Assembler.FreeTokens.
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -166,8 +166,11 @@
 		Expect(a.Stalled(1, start.Add(DefaultFirstTokenTimeout))).To(BeTrue())
 		appendAll(1, "a")
 		Expect(a.Stalled(1, start.Add(DefaultTokenTimeout))).To(BeTrue())
-		a.ResetStallTimer(1, start.Add(DefaultTokenTimeout))
+		a.Pause(1)
+		Expect(a.Stalled(1, start.Add(time.Hour))).To(BeFalse())
+		a.Resume(1, start.Add(DefaultTokenTimeout))
 		Expect(a.Stalled(1, start.Add(DefaultTokenTimeout))).To(BeFalse())
+		Expect(a.Stalled(1, start.Add(2*DefaultTokenTimeout))).To(BeTrue())
 	})
 
 	It("replays tokens from the bounded buffer and returns an error for events that have left it", func() {
