upstream: a silent connection ends no stage or service call by itself

What callers saw: a 502 (silent_connection) from a stage or a repeatable service call whose runner was sound and only silent for longer than upstream.progress_timeout, where no other attempt was left: budget or attempts spent.

Cause: a read on the connection failed after the progress timeout, and only then the retry policy looked for another attempt.

Evidence: 'is answered with the retry budget spent' failed at a stage and at a repeatable service: "silent_connection: no progress on the connection within the progress timeout", status 502. A call that may not be repeated passed: its connection never had this timeout. That spec stays, since nothing guarded it in entry.

Change: Stage and Service report a silent runner (Attempt.OnSilent) once per timeout and go on. The report starts a standby attempt over a new connection; the first answer wins, as with a hedge, because a call that is slow would lose its place in the runner's queue. A connection that stays silent ends with its call; the idle connections of its runner, which may be silent as well, are closed as before (seen failing without it). Polls and calls without OnSilent keep the timeout and its test.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -185,6 +185,7 @@
 			if !again {
 				a.OnWritten = func() { signal(signalDelivered) }
 			}
+			a.OnSilent = func() { signal(signalStalled) }
 			result, err := d.attempt(ctx, addr, a, signal)
 			ev.result = result
 			return result.wireBytes(), result.latency(), result.loadReport(), attemptError(ctx, addr, err)
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -14,6 +14,10 @@
 	Number  int
 	// OnWritten, if set, is called when the whole request has been written.
 	OnWritten func()
+	// OnSilent, if set, is called each time Stage or Service has received no byte
+	// for the progress timeout. The call then goes on: it ends with its context or
+	// its connection. Chat does not call it.
+	OnSilent func()
 }
 
 // String returns "request/stage/number", as sent in the Damask-Attempt header.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -112,6 +112,9 @@
 	attempt string
 	// onWritten, if set, is called when the whole request has been written.
 	onWritten func()
+	// watch, if set, reports a silent runner. The connection then has no progress
+	// timeout.
+	watch *silenceWatch
 	// newConnection prevents the reuse of an idle connection.
 	newConnection bool
 	// noProgressTimeout requires a connection without a progress timeout.
@@ -123,7 +126,15 @@
 }
 
 func (spec *callSpec) transportKey() transportKey {
-	return transportKey{addr: spec.addr, noProgressTimeout: spec.noProgressTimeout}
+	return transportKey{addr: spec.addr, noProgressTimeout: spec.noProgressTimeout || spec.watch != nil}
+}
+
+// handleWritten is called when the whole request has been written.
+func (spec *callSpec) handleWritten() {
+	spec.watch.progress()
+	if spec.onWritten != nil {
+		spec.onWritten()
+	}
 }
 
 // open sends the call and waits for the response headers, which checkResponse has
@@ -139,7 +150,7 @@
 	if spec.attempt != "" {
 		req.Header.Set(HeaderAttempt, spec.attempt)
 	}
-	trace := &writeTrace{onWritten: spec.onWritten}
+	trace := &writeTrace{onWritten: spec.handleWritten}
 	req = req.WithContext(trace.attach(req.Context()))
 	t := c.transportFor(spec)
 	resp, err := t.RoundTrip(req)
@@ -160,7 +171,7 @@
 	if spec.guard == nil && !spec.newConnection {
 		return c.sharedTransport(spec.transportKey())
 	}
-	t := c.newTransport(spec.guard, spec.noProgressTimeout || spec.guard != nil)
+	t := c.newTransport(spec.guard, spec.transportKey().noProgressTimeout || spec.guard != nil)
 	t.DisableKeepAlives = true
 	return t
 }
@@ -213,13 +224,13 @@
 }
 
 // readAll reads the body of a response, of at most Options.MaxResponseBytes.
-func (c *Client) readAll(ctx context.Context, addr string, resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.opts.MaxResponseBytes+1))
+func (c *Client) readAll(ctx context.Context, spec callSpec, resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(watchedReader{resp.Body, spec.watch}, c.opts.MaxResponseBytes+1))
 	if err != nil {
-		return nil, c.transportError(ctx, addr, err, true, c.sharedTransport(transportKey{addr: addr}))
+		return nil, c.transportError(ctx, spec.addr, err, true, c.sharedTransport(spec.transportKey()))
 	}
 	if int64(len(body)) > c.opts.MaxResponseBytes {
-		return nil, &Error{Cause: ResponseMismatch, Address: addr, Err: errors.New("response body exceeds the limit")}
+		return nil, &Error{Cause: ResponseMismatch, Address: spec.addr, Err: errors.New("response body exceeds the limit")}
 	}
 	return body, nil
 }
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -44,7 +44,8 @@
 
 // getJSON decodes a JSON document into v. It reuses idle connections.
 func (c *Client) getJSON(ctx context.Context, addr, path string, v any) error {
-	resp, err := c.open(ctx, callSpec{method: http.MethodGet, addr: addr, path: path})
+	spec := callSpec{method: http.MethodGet, addr: addr, path: path}
+	resp, err := c.open(ctx, spec)
 	if err != nil {
 		return err
 	}
@@ -52,7 +53,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return &Error{Cause: ErrorStatus, Address: addr, Status: resp.StatusCode}
 	}
-	raw, err := c.readAll(ctx, addr, resp)
+	raw, err := c.readAll(ctx, spec, resp)
 	if err != nil {
 		return err
 	}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -35,7 +35,10 @@
 	if s.Key != "" {
 		h.Set(HeaderKey, s.Key)
 	}
-	resp, err := c.open(ctx, callSpec{method: http.MethodPost, addr: addr, path: "/call/" + s.Op, header: h, body: s.Body, attempt: a.String(), onWritten: a.OnWritten, guard: s.Guard, newConnection: a.Number > 1})
+	watch := c.newSilenceWatch(addr, a.OnSilent)
+	defer watch.stop()
+	spec := callSpec{method: http.MethodPost, addr: addr, path: "/call/" + s.Op, header: h, body: s.Body, attempt: a.String(), onWritten: a.OnWritten, guard: s.Guard, newConnection: a.Number > 1, watch: watch}
+	resp, err := c.open(ctx, spec)
 	if err != nil {
 		return ServiceResult{}, err
 	}
@@ -43,7 +46,7 @@
 	if !isFinalStatus(resp.StatusCode) {
 		return ServiceResult{}, &Error{Cause: ErrorStatus, Address: addr, Status: resp.StatusCode}
 	}
-	raw, err := c.readAll(ctx, addr, resp)
+	raw, err := c.readAll(ctx, spec, resp)
 	if err != nil {
 		return ServiceResult{}, err
 	}
--- a/upstream/stage.go
+++ b/upstream/stage.go
@@ -38,7 +38,10 @@
 	}
 	h := jsonHeader()
 	h.Set(HeaderPriority, priority)
-	resp, err := c.open(ctx, callSpec{method: http.MethodPost, addr: addr, path: "/v1/stages/" + kind, header: h, body: body, attempt: a.String(), onWritten: a.OnWritten, newConnection: a.Number > 1})
+	watch := c.newSilenceWatch(addr, a.OnSilent)
+	defer watch.stop()
+	spec := callSpec{method: http.MethodPost, addr: addr, path: "/v1/stages/" + kind, header: h, body: body, attempt: a.String(), onWritten: a.OnWritten, newConnection: a.Number > 1, watch: watch}
+	resp, err := c.open(ctx, spec)
 	if err != nil {
 		return StageResult{}, err
 	}
@@ -46,7 +49,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return StageResult{}, &Error{Cause: ErrorStatus, Address: addr, Status: resp.StatusCode}
 	}
-	raw, err := c.readAll(ctx, addr, resp)
+	raw, err := c.readAll(ctx, spec, resp)
 	if err != nil {
 		return StageResult{}, err
 	}
--- a/upstream/trace.go
+++ b/upstream/trace.go
@@ -11,20 +11,18 @@
 // first byte, is recognized by its guardError.
 type writeTrace struct {
 	wrote atomic.Bool
-	// onWritten, if set, is called when the whole request has been written.
+	// onWritten is called when the whole request has been written.
 	onWritten func()
 }
 
 func (w *writeTrace) attach(ctx context.Context) context.Context {
 	trace := &httptrace.ClientTrace{
 		WroteHeaderField: func(string, []string) { w.wrote.Store(true) },
-	}
-	if w.onWritten != nil {
-		trace.WroteRequest = func(info httptrace.WroteRequestInfo) {
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if info.Err == nil {
 				w.onWritten()
 			}
-		}
+		},
 	}
 	return httptrace.WithClientTrace(ctx, trace)
 }
