entry: all attempts that wait for a slow caller are woken

What callers saw: nothing yet. With two attempts open at a full replay buffer (a standby or a hedge beside the first), a stream could hang to its deadline.

Cause: that the caller has read on was signalled through a channel of one element, which wakes one waiting attempt. If that attempt was cancelled at that moment, the one that goes on was never woken.

The hang itself was not seen in a whole request.

Change: the read position wakes all that wait, and never goes back when two connections read one stream.

--- a/entry/backpressure_test.go
+++ b/entry/backpressure_test.go
@@ -14,7 +14,7 @@
 func newFullExecution() *execution {
 	opts := stream.DefaultOptions()
 	opts.ReplayTokens, opts.Overlap = 1, 0
-	e := &execution{tokens: stream.NewSharedAssembler(opts), readAdvanced: make(chan struct{}, 1)}
+	e := &execution{tokens: stream.NewSharedAssembler(opts)}
 	e.tokens.Begin(1, time.Now())
 	_, _, err := e.tokens.Append(1, "a", time.Now())
 	Expect(err).NotTo(HaveOccurred())
@@ -38,8 +38,22 @@
 		muchLater := time.Now().Add(time.Hour)
 		Eventually(func() bool { return e.tokens.Stalled(1, muchLater) }).WithTimeout(5 * time.Second).Should(BeFalse())
 		Consistently(out).WithTimeout(10 * time.Millisecond).ShouldNot(Receive())
-		e.markRead(1)
+		e.lastRead.advance(1)
 		Eventually(out).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
 		Expect(e.tokens.Stalled(1, muchLater)).To(BeTrue())
 	})
+
+	// Guards against a stream that hangs because the attempt that goes on missed the
+	// signal, which the one that was cancelled beside it has received.
+	It("goes on when the caller reads, beside another attempt that waits", func() {
+		e := newFullExecution()
+		e.tokens.Begin(2, time.Now())
+		first, second := e.waitAs(1), e.waitAs(2)
+		for attempt := 1; attempt <= 2; attempt++ {
+			Eventually(func() bool { return e.tokens.Stalled(attempt, time.Now().Add(time.Hour)) }).WithTimeout(5 * time.Second).Should(BeFalse())
+		}
+		e.lastRead.advance(1)
+		Eventually(first).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+		Eventually(second).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+	})
 })
--- a/entry/execution.go
+++ b/entry/execution.go
@@ -26,9 +26,7 @@
 	tokenGap time.Duration
 	cancel   context.CancelCauseFunc
 	// lastRead is the number of the last token that a caller has read.
-	lastRead atomic.Uint64
-	// readAdvanced is signalled when lastRead increases.
-	readAdvanced chan struct{}
+	lastRead readPosition
 	// followers counts the caller connections that read the tokens.
 	followers atomic.Int64
 
@@ -44,12 +42,11 @@
 	opts := stream.DefaultOptions()
 	opts.TokenTimeout = req.tree.Duration(req.branch, settings.StreamTokenGap)
 	return &execution{
-		req:          req,
-		pipeline:     p,
-		tokenGap:     opts.TokenTimeout,
-		tokens:       stream.NewSharedAssembler(opts),
-		readAdvanced: make(chan struct{}, 1),
-		done:         make(chan struct{}),
+		req:      req,
+		pipeline: p,
+		tokenGap: opts.TokenTimeout,
+		tokens:   stream.NewSharedAssembler(opts),
+		done:     make(chan struct{}),
 	}
 }
 
@@ -73,7 +70,7 @@
 				return err
 			}
 			last = t.Number
-			e.markRead(last)
+			e.lastRead.advance(last)
 		}
 		if end != nil && last == end.Count {
 			<-e.done
@@ -100,42 +97,26 @@
 	}
 }
 
-// markRead tells the writer that a caller has read the tokens up to number.
-func (e *execution) markRead(number uint64) {
-	if number <= e.lastRead.Load() {
-		return
-	}
-	e.lastRead.Store(number)
-	select {
-	case e.readAdvanced <- struct{}{}:
-	default:
-	}
-}
-
 // waitForSpace waits until another token fits into the replay buffer. While it
 // waits, the engine's connection is not read, which slows the engine down
 // instead of filling this VM's memory.
 func (e *execution) waitForSpace(ctx context.Context, attempt int) error {
-	waited := false
+	if _, ok := e.tokens.FreeTokens(e.lastRead.load()); ok {
+		return nil
+	}
+	e.tokens.Pause(attempt)
 	for {
-		n, ok := e.tokens.FreeTokens(e.lastRead.Load())
-		if ok && n > 0 {
-			break
-		}
-		if !waited {
-			waited = true
-			e.tokens.Pause(attempt)
+		last, advanced := e.lastRead.watch()
+		if _, ok := e.tokens.FreeTokens(last); ok {
+			e.tokens.Resume(attempt, time.Now())
+			return nil
 		}
 		select {
-		case <-e.readAdvanced:
+		case <-advanced:
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
 	}
-	if waited {
-		e.tokens.Resume(attempt, time.Now())
-	}
-	return nil
 }
 
 // finish ends the execution with err. It must be called once.
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -37,7 +37,7 @@
 		s.failRequest(e.req, e.err)
 		return
 	}
-	_, end, _, _ := e.tokens.Read(e.lastRead.Load())
+	_, end, _, _ := e.tokens.Read(e.lastRead.load())
 	var digest []byte
 	if end != nil {
 		digest, _ = hex.DecodeString(end.SHA256)
--- a/entry/pipeline_api.go
+++ b/entry/pipeline_api.go
@@ -205,7 +205,7 @@
 		Complete: true, Request: e.req.id.String(), Stages: e.stageReports,
 		CrossRegionBytes: int(e.req.crossRegionBytes.Load()),
 	}
-	if _, end, _, _ := e.tokens.Read(e.lastRead.Load()); end != nil {
+	if _, end, _, _ := e.tokens.Read(e.lastRead.load()); end != nil {
 		d.Count = int(end.Count)
 		d.SHA256 = end.SHA256
 	}
