entry, retry: tests for the conditions of standby attempts

Each condition was switched off once. Unnoticed were: a standby that is silent itself takes over; a takeover that is due again and again; a standby at the silent attempt's own engine takes over; a silence reported more than once per gap; the report of progress after a silence; the wait for the attempt that has completed the stream. The specs now fail for each of them, by run. Two conditions had no effect beside others and are removed (a.isStandby in Delivered, the reset of isSilent in Progress).

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -137,8 +137,13 @@
 		env := newSilenceEnv(map[ids.Region]int{"one": 1})
 		out := env.ask(true)
 		Eventually(func() int64 { return env.countersOf(silentEngine).Executed }).WithTimeout(10 * time.Second).Should(BeNumerically(">", 0))
-		time.AfterFunc(longSilence, func() { env.fault(silentEngine, standin.Fault{Kind: standin.FaultReturn}) })
+		given := make(chan int64, 1)
+		time.AfterFunc(longSilence, func() {
+			given <- env.countersOf(silentEngine).PausedGone
+			env.fault(silentEngine, standin.Fault{Kind: standin.FaultReturn})
+		})
 		expectWhole(out)
+		Expect(given).To(Receive(BeZero()), "attempts that ended during the silence")
 	})
 
 	// Guards against a whole request that is cut beside a change of the settings.
@@ -179,26 +184,69 @@
 		expectWhole(out)
 	})
 
-	// Guards against a sound engine that is given up for one that continues another
-	// completion.
-	It("takes no token of another completion for progress", func() {
+	// Guards against standby attempts that follow each other faster than the gap.
+	It("is reported once per gap, and again after its next token", func() {
+		opts := stream.DefaultOptions()
+		opts.FirstTokenTimeout, opts.TokenTimeout = 1, 1
+		e := &execution{tokens: stream.NewSharedAssembler(opts), tokenGap: time.Hour}
+		e.tokens.Begin(1, time.Now().Add(-time.Second))
+		var signals []signalKind
+		w := &stallWatch{execution: e, attempt: 1, signal: func(k signalKind) { signals = append(signals, k) }}
+		w.timer = time.AfterFunc(time.Hour, func() {})
+		w.progress()
+		w.check()
+		w.check()
+		w.progress()
+		w.progress()
+		w.check()
+		w.stop()
+		w.check()
+		Expect(signals).To(Equal([]signalKind{signalProgress, signalStalled, signalProgress, signalStalled}))
+	})
+
+	// newAttempt runs an attempt at an engine whose only token is "other", beside
+	// one that has begun with "one".
+	newAttempt := func(ctx context.Context, e *execution, signal signalFunc) error {
 		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
 			_, _ = io.WriteString(w, `data: {"choices":[{"delta":{"content":"other"}}]}`+"\n\n")
 		}))
 		DeferCleanup(engine.Close)
+		s := &Server{client: upstream.NewClient(upstream.Options{})}
+		_, err := s.chatAttempt(ctx, e, engine.Listener.Addr().String(), upstream.Attempt{Number: 2}, upstream.ChatRequest{}, func(time.Duration) {}, signal)
+		return err
+	}
+	newExecutionWithToken := func() *execution {
 		e := &execution{tokens: stream.NewSharedAssembler(stream.DefaultOptions()), tokenGap: time.Minute}
 		e.tokens.Begin(1, time.Now())
 		_, _, err := e.tokens.Append(1, "one", time.Now())
 		Expect(err).NotTo(HaveOccurred())
-		s := &Server{client: upstream.NewClient(upstream.Options{})}
+		return e
+	}
+
+	// Guards against a sound engine that is given up for one that continues another
+	// completion.
+	It("takes no token of another completion for progress", func() {
 		var signals []signalKind
-		_, err = s.chatAttempt(context.Background(), e, engine.Listener.Addr().String(), upstream.Attempt{Number: 2}, upstream.ChatRequest{},
-			func(time.Duration) {}, func(k signalKind) { signals = append(signals, k) })
+		err := newAttempt(context.Background(), newExecutionWithToken(), func(k signalKind) { signals = append(signals, k) })
 		var diverged *stream.DivergedError
 		Expect(errors.As(err, &diverged)).To(BeTrue())
 		Expect(signals).To(BeEmpty())
 	})
+
+	// Guards against a complete stream that ends as failed, because the other attempt
+	// fails before the end of the first one is known.
+	It("waits for the attempt that has completed the stream", func() {
+		e := newExecutionWithToken()
+		_, err := e.tokens.Finish(1, 1, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- newAttempt(ctx, e, func(signalKind) {}) }()
+		Consistently(ended).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		cancel()
+		Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(MatchError(stream.ErrFinished)))
+	})
 })
 
 // documentWithoutPipeline leaves no pipeline and no pool but that of the service.
--- a/retry/call.go
+++ b/retry/call.go
@@ -28,7 +28,8 @@
 	startedAt time.Time
 	open      bool
 	isHedge   bool
-	// isSilent is true from Stalled to the next Progress.
+	// isSilent is true from Stalled on. When an attempt goes on, the others end, so
+	// it is not read again before the next Stalled.
 	isSilent bool
 	// isStandby is true for an attempt that was started beside silent ones, until
 	// it is the silent one.
@@ -271,11 +272,9 @@
 // other open attempts and prevents a hedge: from now on, only a failure or a
 // silence of this attempt starts another one.
 func (c *Call) Progress(number int) []Action {
-	a := c.openAttempt(number)
-	if c.isEnded || a == nil {
+	if c.isEnded || c.openAttempt(number) == nil {
 		return nil
 	}
-	a.isSilent = false
 	c.hedged = true
 	return c.cancelOthers(number, c.cancelReason(number))
 }
--- a/retry/standby.go
+++ b/retry/standby.go
@@ -49,7 +49,7 @@
 // Policy.MaxOverlap from now on takes over.
 func (c *Call) Delivered(number int, now time.Time) {
 	a := c.openAttempt(number)
-	if a == nil || !a.isStandby || c.policy.MaxOverlap <= 0 || !a.takesOverAt.IsZero() {
+	if a == nil || c.policy.MaxOverlap <= 0 || !a.takesOverAt.IsZero() {
 		return
 	}
 	a.takesOverAt = now.Add(c.policy.MaxOverlap)
--- a/retry/standby_test.go
+++ b/retry/standby_test.go
@@ -59,6 +59,8 @@
 		Expect(at).To(Equal(start.Add(time.Second + overlap)))
 		Expect(c.Tick(at.Add(-1))).To(BeEmpty())
 		Expect(c.Tick(at)).To(Equal(takeover))
+		at, _ = c.NextTick()
+		Expect(at).To(Equal(policy.Deadline), "the takeover is due again")
 		Expect(c.State()).To(Equal(problem.Unknown))
 	})
 
@@ -90,8 +92,10 @@
 
 	It("starts a third attempt only when both open ones are silent", func() {
 		c := stalled(policy)
+		c.Delivered(2, start)
 		Expect(c.Stalled(1, start)).To(BeEmpty())
 		Expect(c.Stalled(2, start)).To(Equal([]Action{{Kind: Dispatch, Attempt: 3, Reason: Standby}}))
+		Expect(c.Tick(start.Add(overlap))).To(BeEmpty(), "a silent standby takes over")
 		c.Delivered(3, start)
 		Expect(c.Tick(start.Add(overlap))).To(Equal([]Action{{Kind: Cancel, Attempt: 1, Reason: TakenOver}, {Kind: Cancel, Attempt: 2, Reason: TakenOver}}))
 	})
