retry: tests for the hedge and the second report beside a standby

With these conditions of Stalled and Delivered off, no spec failed before; now one fails for each, by run. The check for the end of the call in Stalled had no effect, since that closes all attempts, and is removed.

--- a/retry/standby.go
+++ b/retry/standby.go
@@ -13,7 +13,7 @@
 // after one that failed.
 func (c *Call) Stalled(number int, now time.Time) []Action {
 	a := c.openAttempt(number)
-	if c.isEnded || !c.policy.Idempotent || a == nil {
+	if !c.policy.Idempotent || a == nil {
 		return nil
 	}
 	a.isSilent = true
--- a/retry/standby_test.go
+++ b/retry/standby_test.go
@@ -54,6 +54,7 @@
 		c := stalled(policy)
 		Expect(c.Tick(start.Add(time.Second))).To(BeEmpty(), "the standby has not been delivered")
 		c.Delivered(2, start.Add(time.Second))
+		c.Delivered(2, start.Add(2*time.Second))
 		at, ok := c.NextTick()
 		Expect(ok).To(BeTrue())
 		Expect(at).To(Equal(start.Add(time.Second + overlap)))
@@ -73,6 +74,16 @@
 		Expect(c.Tick(start.Add(overlap))).To(BeEmpty())
 	})
 
+	// Guards against a third attempt beside the two that are open.
+	It("sends no hedge beside the standby", func() {
+		p := policy
+		p.HedgeAfter = time.Second
+		c := stalled(p)
+		at, _ := c.NextTick()
+		Expect(at).To(Equal(policy.Deadline))
+		Expect(c.Tick(start.Add(2 * time.Second))).To(BeEmpty())
+	})
+
 	It("keeps both until the first result if the policy has no overlap", func() {
 		p := policy
 		p.MaxOverlap = 0
