--- a/callers/review_test.go
+++ b/callers/review_test.go
@@ -150,6 +150,38 @@
 		counts(s, "stopped")
 	})
 
+	// A caller that does not read keeps the answer from being written.
+	ginkgo.It("is counted if the time to stop was over while its response was written", func() {
+		started := make(chan struct{})
+		s := listen(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			close(started)
+			_, _ = w.Write(make([]byte, 64<<20))
+		})
+		c, _ := dial(s)
+		_, err := io.WriteString(c, headStart+headEnd)
+		Expect(err).NotTo(HaveOccurred())
+		<-started
+		stopAtOnce(s)
+		counts(s, "stopped")
+	})
+
+	ginkgo.It("is counted if it was read whole behind one whose response closes the connection", func() {
+		var s *Server
+		s = listen(func(w http.ResponseWriter, _ *http.Request) {
+			s.DisableKeepAlive()
+			w.WriteHeader(http.StatusOK)
+		})
+		c, r := dial(s)
+		_, err := io.WriteString(c, headStart+headEnd+headStart+headEnd)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = http.ReadResponse(r, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = r.ReadByte()
+		Expect(err).To(Equal(io.EOF))
+		Eventually(func() string { return metricsOf(s) }).WithTimeout(3 * time.Second).Should(ContainSubstring("damask_callers_unanswered_total"))
+	})
+
 	ginkgo.It("is not the caller if the time to stop was over while its head was read", func() {
 		s := listen(func(http.ResponseWriter, *http.Request) {})
 		c, _ := dial(s)
