transport: a freeze of this process is no silence of the peer

What callers saw: after a VM was frozen for longer than the progress timeout, or its time of day was stepped, all its pending calls to other VMs failed although the peers were sound; stage calls were repeated, control VMs were left.

Cause: the time since the last frame was taken from the time of day, and counted also while nobody read.

Change: progressWatch counts checks without a frame, on the steady clock; a check that comes late counts for nothing. A silent peer is found after the same time as before.

--- a/transport/tcp_client.go
+++ b/transport/tcp_client.go
@@ -36,9 +36,9 @@
 	// ready is closed when conn or err is set.
 	ready chan struct{}
 	conn  net.Conn
-	// lastReceivedNanos is the time of the last frame from the peer, in Unix
-	// nanoseconds.
-	lastReceivedNanos atomic.Int64
+	// received counts the frames from the peer, and each call before which no other
+	// was pending.
+	received atomic.Uint64
 
 	writeMu sync.Mutex
 
@@ -132,7 +132,6 @@
 	if err := t.write(encodeFrame(frame{kind: frameHello, body: hello})); err != nil {
 		return
 	}
-	t.lastReceivedNanos.Store(time.Now().UnixNano())
 	go t.readLoop(conn)
 	go t.monitorProgress()
 }
@@ -148,7 +147,7 @@
 	if len(t.pending) == 0 {
 		// The time in which the connection was idle must not count towards the
 		// progress timeout.
-		t.lastReceivedNanos.Store(time.Now().UnixNano())
+		t.received.Add(1)
 	}
 	t.lastCallID++
 	response := make(chan frame, 1)
@@ -212,7 +211,7 @@
 			t.closeWithError(err)
 			return
 		}
-		t.lastReceivedNanos.Store(time.Now().UnixNano())
+		t.received.Add(1)
 		if f.kind != frameResponse {
 			continue
 		}
@@ -226,13 +225,14 @@
 	}
 }
 
-// monitorProgress pings a silent peer while calls are pending, and closes the
-// connection if nothing is received for the progress timeout.
+// monitorProgress pings the peer while calls are pending, and closes the connection
+// if nothing is received for the progress timeout.
 func (t *tcpConn) monitorProgress() {
 	period := t.opts.ProgressTimeout / 2
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	ping := encodeFrame(frame{kind: framePing})
+	watch := progressWatch{period: period, checkedAt: time.Now()}
 	for range ticker.C {
 		if t.closeErr() != nil {
 			return
@@ -240,14 +240,11 @@
 		if t.pendingCalls() == 0 {
 			continue
 		}
-		silence := time.Since(time.Unix(0, t.lastReceivedNanos.Load()))
-		if silence > t.opts.ProgressTimeout {
+		if watch.check(time.Now(), t.received.Load()) {
 			t.closeWithError(ErrProgressTimeout)
 			return
 		}
-		if silence > period/2 {
-			_ = t.write(ping)
-		}
+		_ = t.write(ping)
 	}
 }
 
