--- a/callers/conn.go
+++ b/callers/conn.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -36,6 +37,8 @@
 	net.Conn
 	// server is the HTTP server that handles the connection.
 	server *limitedServer
+	// headTimeout limits the time to read a head; 0 stands for the default.
+	headTimeout time.Duration
 
 	mu    sync.Mutex
 	state connState
@@ -52,6 +55,8 @@
 	// request. If the handler aborted the response, abortReason says why.
 	handled     bool
 	abortReason unansweredReason
+	// writeFailed is true if part of the response could not be written.
+	writeFailed bool
 }
 
 // longAgo is a deadline in the past: a read that is blocked returns at once.
@@ -75,15 +80,21 @@
 func (c *conn) readLate(b []byte, timeout error) (int, error) {
 	c.mu.Lock()
 	state := c.state
+	raised := state == stateWaiting && time.Now().Before(c.deadline())
 	c.mu.Unlock()
-	if state == stateActive {
+	switch {
+	case state == stateActive:
 		// net/http ends its background read in this way.
 		return 0, timeout
-	}
-	if !c.hasUnreadData() {
-		if state == stateWaiting {
-			return 0, io.EOF
+	case c.hasUnreadData():
+	case raised:
+		if err := c.restoreDeadline(); err != nil {
+			return 0, err
 		}
+		return c.Read(b)
+	case state == stateWaiting:
+		return 0, io.EOF
+	default:
 		return 0, timeout
 	}
 	// This read does not block, as no other goroutine reads the connection.
@@ -91,7 +102,10 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
-	return n, errors.Join(err, c.restoreDeadline())
+	if err != nil {
+		return n, err
+	}
+	return n, c.restoreDeadline()
 }
 
 func (c *conn) hasUnreadData() bool {
@@ -103,12 +117,19 @@
 	return err == nil && unread == sockopt.UnreadData
 }
 
-// receive records that bytes were read.
+// receive records that bytes were read. The first ones of a head end the wait: net/http
+// sets the deadline of a head only once it has four bytes of it.
 func (c *conn) receive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != stateActive && c.state != stateReceiving {
-		c.state, c.handled = stateReceiving, false
+	if c.state == stateActive || c.state == stateReceiving {
+		return
+	}
+	waited := c.state == stateWaiting
+	c.state, c.handled, c.abortReason, c.writeFailed = stateReceiving, false, "", false
+	if waited {
+		c.requested = time.Now().Add(cmp.Or(c.headTimeout, defaultHeaderTimeout))
+		_ = c.Conn.SetReadDeadline(c.requested)
 	}
 }
 
@@ -118,7 +139,13 @@
 	c.mu.Lock()
 	c.handled = c.handled || c.state == stateReceiving
 	c.mu.Unlock()
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.mu.Lock()
+		c.writeFailed = true
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 // SetReadDeadline sets the deadline of a request that is being received. net/http
@@ -164,7 +191,7 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.handled, c.abortReason = stateActive, false, ""
+	c.state, c.handled, c.abortReason, c.writeFailed = stateActive, false, "", false
 }
 
 // finishHandler records that the handler has returned, or why it has aborted the
@@ -207,20 +234,23 @@
 	}
 }
 
-// unanswered returns why a connection that is closed now leaves a request without
-// a response, or "" if it does not.
-func (c *conn) unanswered() unansweredReason {
+// unanswered returns why a connection that has been closed leaves a request without
+// a whole response, or "" if it does not. stopped says that the server has closed it.
+func (c *conn) unanswered(stopped bool) unansweredReason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	answered := c.handled && !c.writeFailed
 	switch {
-	case c.handled || c.state == stateNew || c.state == stateWaiting:
+	case answered || c.state == stateNew || c.state == stateWaiting:
 		return ""
+	case stopped:
+		return timeToStopOver
 	case c.state == stateReceiving:
 		return headIncomplete
 	case c.abortReason != "":
 		return c.abortReason
 	}
-	return timeToStopOver
+	return callerLeft
 }
 
 // connKey is the context key of a request's connection.
--- a/callers/server.go
+++ b/callers/server.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	servers       map[*limitedServer]struct{}
 	// conns holds the open client connections.
 	conns map[*conn]struct{}
+	// closed means that Close has been called.
+	closed bool
 	// keepAliveDisabled means that every connection closes after its next response.
 	keepAliveDisabled bool
 	// allClosed is closed once there are no connections, nil while nobody waits for
@@ -115,14 +119,14 @@
 		return
 	}
 	delete(s.servers, server)
-	_ = server.httpServer.Close()
+	go func() { _ = server.httpServer.Close() }()
 }
 
 func (s *Server) accept(raw net.Conn) {
 	s.mu.Lock()
 	server := s.currentServer
 	server.conns++
-	c := &conn{Conn: raw, server: server}
+	c := &conn{Conn: raw, server: server, headTimeout: server.httpServer.ReadHeaderTimeout}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	if !server.listener.deliver(c) {
@@ -158,7 +162,7 @@
 	delete(s.conns, c)
 	c.server.conns--
 	s.endUnused(c.server)
-	if reason := c.unanswered(); reason != "" {
+	if reason := c.unanswered(s.closed); reason != "" {
 		s.metrics.recordUnanswered(reason)
 		s.log.Info().Str("caller", c.RemoteAddr().String()).Str("reason", string(reason)).Msg("callers: a request got no whole response")
 	}
@@ -249,8 +253,11 @@
 func (s *Server) Close() {
 	s.stopListening()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for server := range s.servers {
+	s.closed = true
+	servers := slices.Collect(maps.Keys(s.servers))
+	s.mu.Unlock()
+	// http.Server.Close waits for its accept loop, whose state hook needs the lock.
+	for _, server := range servers {
 		_ = server.httpServer.Close()
 	}
 }
