gateway: a stop passes on only what ends in time, and answers the rest

Callers saw: during a planned stop of an entry VM, requests that came late were passed on, and at the end of the time to stop their connections were cut without a response, among them bookings, which may not be repeated.

Cause: Stop refused new streams only and RefuseUnsent what waited for stages. A buffered request was passed on at any moment, however late, and nothing answered what was still at a runner when http.Server.Close cut it.

Stop now takes the times of the stop. A request is sent to a runner, first or again, only if its deadline lies before the end; until the balancer has taken the VM out, streams and what may be repeated are still taken. Deadlines count, not usual durations: those promise nothing about one request. Resumable streams are broken off 150 ms before the end, others 50 ms. Each request that a stop refuses or ends has a log line and a counter.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,7 +72,7 @@
 // budget. It returns nil if there is none or no time or budget is left.
 func (r *request) reserveRunner(tried []*placement.RunnerState) *reservedRunner {
 	now := time.Now()
-	if r.deadline.Sub(now) <= minTimeLeft {
+	if r.deadline.Sub(now) <= minTimeLeft || !r.mayStart(now) {
 		return nil
 	}
 	reserved := &reservedRunner{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,12 +43,11 @@
 	answers        answerMemory
 	evidence       *quarantine.Evidence
 	// advice holds what runners have asked for in their answers.
-	advice   advice.Book
-	metrics  *gatewayMetrics
-	stopping atomic.Bool
-	// unsentRefused is closed once requests may no longer wait for their stages.
-	unsentRefused chan struct{}
-	refuseOnce    sync.Once
+	advice  advice.Book
+	metrics *gatewayMetrics
+	// stopPlan is nil unless this VM stops. open holds the requests under way.
+	stopPlan atomic.Pointer[StopPlan]
+	open     openRequests
 	// configured is closed once this VM has the catalog, the runner list and,
 	// unless that takes longer than maxRosterWait, the list of entry VMs.
 	configured     chan struct{}
@@ -63,8 +62,7 @@
 		budgets:    newRetryBudgets(o.RetryBudget),
 		metrics:    newGatewayMetrics(),
 		configured: make(chan struct{}),
-
-		unsentRefused: make(chan struct{}),
+		open:       openRequests{set: map[*openRequest]struct{}{}},
 
 		callerTimeouts: newTimeoutTracker(),
 		firstEvents:    newLatencyTracker(),
@@ -160,26 +158,7 @@
 // runner list and is not stopping.
 func (g *Gateway) Ready() bool {
 	s := g.state.Load()
-	return s.Table != nil && s.List != nil && !g.stopping.Load()
-}
-
-// Stop makes the gateway refuse new streaming requests, which might not end
-// before the shutdown. Requests in flight continue.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
-// RefuseUnsent makes the gateway refuse requests that wait for their stages: there
-// is no time left to have them answered before the shutdown, and their callers can
-// still turn to another VM.
-func (g *Gateway) RefuseUnsent() { g.refuseOnce.Do(func() { close(g.unsentRefused) }) }
-
-// refusesUnsent reports whether RefuseUnsent was called.
-func (g *Gateway) refusesUnsent() bool {
-	select {
-	case <-g.unsentRefused:
-		return true
-	default:
-		return false
-	}
+	return s.Table != nil && s.List != nil && g.stopPlan.Load() == nil
 }
 
 // Table returns the current catalog, or nil before the first update.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -61,6 +61,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`damask_gateway_refusals_total{reason=%q}`, r)).Inc()
 }
 
+func (m *gatewayMetrics) recordStopped(o stopOutcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`damask_gateway_stop_requests_total{outcome=%q}`, string(o))).Inc()
+}
+
 func (m *gatewayMetrics) recordRepeat(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`damask_gateway_repeats_total{reason=%q}`, reason)).Inc()
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -26,6 +26,7 @@
 	g         *Gateway
 	call      *Call
 	responder Responder
+	open      *openRequest
 
 	table     *catalog.Table
 	route     *catalog.Route
@@ -61,11 +62,16 @@
 	resumes      int
 	broken       bool
 	lastCause    string
+	// stopped is what a stop did to the request, "" if nothing.
+	stopped stopOutcome
 }
 
 // Serve handles one call and sends exactly one answer.
 func (g *Gateway) Serve(ctx context.Context, c *Call, responder Responder) {
 	r := &request{g: g, call: c, responder: responder}
+	var closeRequest func()
+	r.open, ctx, closeRequest = g.open.open(ctx, c)
+	defer closeRequest()
 	g.awaitConfigured(ctx, c.Timeout)
 	refusal := r.admit()
 	if refusal == nil {
@@ -81,6 +87,7 @@
 		responder.Refuse(refusal)
 	}
 	r.log(refusal)
+	r.recordStop(refusal)
 }
 
 func (r *request) run(ctx context.Context) *Refusal {
@@ -95,13 +102,17 @@
 		if refusal := r.refuseQuarantined(now); refusal != nil {
 			return refusal
 		}
-		if r.stages != nil && r.sends == 0 && r.g.refusesUnsent() {
-			return stoppingRefusal()
+		if !r.mayStart(now) {
+			return r.stopRefusal()
 		}
 		runner := r.pickRunner(now)
 		if runner == nil {
 			return r.noRunnerRefusal(ctx)
 		}
+		if !r.open.enter(phaseSent) {
+			r.g.runners.unpick(runner, r.service, &r.call.Prompt)
+			return r.stopRefusal()
+		}
 		r.sends++
 		r.runner = runner.ID
 		v := r.attempt(ctx, runner)
@@ -155,7 +166,7 @@
 // mayRepeat reports whether another runner may be tried. It charges the retry
 // budget if the last runner has received the request.
 func (r *request) mayRepeat(now time.Time, v *attemptResult) bool {
-	if r.sends >= maxSends || r.deadline.Sub(now) < minTimeLeft {
+	if r.sends >= maxSends || r.deadline.Sub(now) < minTimeLeft || !r.mayStart(now) {
 		return false
 	}
 	if r.executions > 0 && (r.route.RetryPolicy == catalog.RetryNever || r.executions >= r.route.MaxRunners) {
--- a/gateway/request_admission.go
+++ b/gateway/request_admission.go
@@ -3,12 +3,17 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"damaskbridge.example/damaskbridge/catalog"
 )
 
 // admit finds the route, the workspace and the service, and sets the deadlines.
 func (r *request) admit() *Refusal {
 	c := r.call
 	r.table = r.g.state.Load().Table
+	if r.table == nil && r.g.stopPlan.Load() != nil {
+		return r.stopRefusal()
+	}
 	if r.table == nil {
 		return &Refusal{Reason: NoCatalog, RetryAfter: shortRetryDelay()}
 	}
@@ -21,23 +26,34 @@
 	if r.table.NeedsKeys() && !r.route.Public && r.workspace == nil {
 		return &Refusal{Reason: UnknownKey}
 	}
-	if r.g.stopping.Load() && r.route.Streaming {
-		return stoppingRefusal()
+	r.setDeadline()
+	if !r.mayStart(time.Now()) {
+		return r.stopRefusal()
 	}
 	if refusal := r.refuseQuarantined(time.Now()); refusal != nil {
 		return refusal
 	}
 	r.service = r.table.Service(r.route.Pick(rand.Float64()))
-	timeout := r.route.Timeout
-	if c.Timeout > 0 {
-		timeout = min(timeout, c.Timeout)
-	}
-	r.deadline = c.Received.Add(min(timeout, maxRequestTime))
 	r.priorWait = r.g.callerTimeouts.priorWait(r.route.Name, c.Timeout)
 	r.due = c.Received.Add(r.route.LatencyObjective - r.priorWait)
 	return nil
 }
 
+// setDeadline sets the deadline, which is the earlier one of the route and the
+// caller, and tells it to a stop.
+func (r *request) setDeadline() {
+	timeout := min(r.route.Timeout, maxRequestTime)
+	if r.call.Timeout > 0 {
+		timeout = min(timeout, r.call.Timeout)
+	}
+	r.deadline = r.call.Received.Add(timeout)
+	r.open.mu.Lock()
+	defer r.open.mu.Unlock()
+	s := &r.open.subject
+	s.deadline, s.streaming = r.deadline, r.route.Streaming
+	s.repeatable = r.route.RetryPolicy != catalog.RetryNever
+}
+
 // isFirstAttempt reports whether this is probably the caller's first attempt.
 func (r *request) isFirstAttempt() bool { return r.priorWait == 0 }
 
--- a/gateway/request_log.go
+++ b/gateway/request_log.go
@@ -49,6 +49,25 @@
 	event.Int64("ms", now.Sub(r.call.Received).Milliseconds()).Msg("gateway: request ended")
 }
 
+// recordStop logs and counts what a stop did to the request.
+func (r *request) recordStop(refusal *Refusal) {
+	if r.stopped == "" {
+		return
+	}
+	r.g.metrics.recordStopped(r.stopped)
+	event := r.g.log.Info().Str("id", r.call.ID).Str("outcome", string(r.stopped)).Bool("executed", r.executions > 0)
+	if refusal != nil {
+		event.Str("reason", string(refusal.Reason))
+	}
+	if p := r.g.stopPlan.Load(); p != nil {
+		event.Int64("end_ms", time.Until(p.End).Milliseconds())
+		if !r.deadline.IsZero() {
+			event.Int64("past_end_ms", r.deadline.Sub(p.End).Milliseconds())
+		}
+	}
+	event.Msg("gateway: request refused or ended by a stop")
+}
+
 func (r *request) logAttempt(runner *placement.RunnerState, v *attemptResult, began time.Time) {
 	r.g.log.Info().Str("id", r.call.ID).Str("runner", runner.ID).Str("addr", runner.Addr).Str("cause", v.cause).
 		Bool("executed", v.executed).Bool("arrived", v.arrived).Strs("parts", r.call.Prompt.SharedIDs()).Int64("ms", time.Since(began).Milliseconds()).
--- a/gateway/request_refusals.go
+++ b/gateway/request_refusals.go
@@ -12,6 +12,9 @@
 	if r.executions > 0 {
 		return &Refusal{Reason: AnswerLost, Executed: true, Detail: v.cause}
 	}
+	if !r.mayStart(time.Now()) {
+		return r.stopRefusal()
+	}
 	reason := Unreachable
 	if v.arrived {
 		reason = RunnersFull
@@ -27,6 +30,9 @@
 
 // contextRefusal returns the refusal for a request whose context has ended.
 func (r *request) contextRefusal(ctx context.Context) *Refusal {
+	if isStopped(ctx) {
+		return r.stopRefusal()
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &Refusal{Reason: TimedOut, Executed: r.executions > 0, Detail: r.lastCause}
 	}
@@ -49,12 +55,6 @@
 	return &Refusal{Reason: NoRunner, RetryAfter: shortRetryDelay(), Detail: r.service.Name}
 }
 
-// stoppingRefusal returns the refusal for a request that this VM cannot serve
-// before it stops.
-func stoppingRefusal() *Refusal {
-	return &Refusal{Reason: Stopping, RetryAfter: shortRetryDelay()}
-}
-
 const (
 	shortRetryMin    = 200 * time.Millisecond
 	shortRetryJitter = 400 * time.Millisecond
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -87,7 +86,6 @@
 	ended := make(chan stageResult, len(r.route.Stages))
 	started := make([]bool, len(r.route.Stages))
 	running := 0
-	unsentRefused := r.g.unsentRefused
 	for {
 		if refusal == nil {
 			running += r.startStages(ctx, started, ended)
@@ -95,16 +93,7 @@
 		if running == 0 {
 			break
 		}
-		var end stageResult
-		select {
-		case end = <-ended:
-		case <-unsentRefused:
-			unsentRefused = nil
-			refusal = cmp.Or(refusal, stoppingRefusal())
-			again = false
-			cancel()
-			continue
-		}
+		end := <-ended
 		running--
 		r.stages.results[end.stage] = end.results
 		r.stages.done[end.stage] = true
--- /dev/null
+++ b/gateway/stop_plan.go
@@ -0,0 +1,88 @@
+package gateway
+
+import "time"
+
+const (
+	// refusalMargin before the end of a stop, requests that no runner has are
+	// refused: their callers can still turn to another VM.
+	refusalMargin = 500 * time.Millisecond
+	// answerMargin before the end, requests of whose answers nothing was written are
+	// answered in place of their runners.
+	answerMargin = 300 * time.Millisecond
+	// resumableMargin before the end, streams that can go on elsewhere are broken
+	// off, and abortMargin before it the others, which lose their rest.
+	resumableMargin = 150 * time.Millisecond
+	abortMargin     = 50 * time.Millisecond
+)
+
+// StopPlan holds the times of a planned stop. Its methods are pure.
+type StopPlan struct {
+	// LeftRotation is when the balancer sends no new connections any more.
+	LeftRotation time.Time
+	// End is when the connections of callers are closed.
+	End time.Time
+}
+
+// requestPhase is how far a request has come.
+type requestPhase int
+
+const (
+	// phaseUnsent: no runner was asked.
+	phaseUnsent requestPhase = iota
+	// phaseSent: a runner was asked, nothing was written to the caller.
+	phaseSent
+	// phaseBegun: part of the answer was written to the caller.
+	phaseBegun
+)
+
+// stopSubject is what the decisions of a stop depend on.
+type stopSubject struct {
+	phase requestPhase
+	// received is when the request arrived, deadline when it ends at the latest.
+	received, deadline time.Time
+	// repeatable is true if another VM may execute the request too, or go on with
+	// it. streaming is true if its answer is a stream.
+	repeatable bool
+	streaming  bool
+}
+
+// mayStart reports whether the request may be sent to a runner, for the first time
+// or again. What certainly ends in time may. Deadlines count, not usual durations:
+// those promise nothing about one request, and another VM can serve it at once.
+// As long as the balancer sends requests here, those that may be cut are taken:
+// streams, since a refusal of each would cost more than the few that do not end in
+// time, and what may be repeated. The latter may also be sent later.
+func (p *StopPlan) mayStart(now time.Time, s *stopSubject) bool {
+	switch {
+	case !now.Before(p.End.Add(-refusalMargin)):
+		return false
+	case !s.deadline.After(p.End.Add(-answerMargin)):
+		return true
+	case now.Before(p.LeftRotation):
+		return s.repeatable || s.streaming
+	}
+	return s.repeatable && s.received.Before(p.LeftRotation)
+}
+
+// mustEnd reports whether the request must not go on.
+func (p *StopPlan) mustEnd(now time.Time, s *stopSubject) bool {
+	margin := abortMargin
+	switch {
+	case s.phase == phaseUnsent:
+		return !p.mayStart(now, s)
+	case s.phase == phaseSent:
+		margin = answerMargin
+	case s.repeatable:
+		margin = resumableMargin
+	}
+	return !now.Before(p.End.Add(-margin))
+}
+
+// checkTimes returns the times at which mustEnd changes for requests that wait.
+func (p *StopPlan) checkTimes() []time.Time {
+	times := []time.Time{p.LeftRotation}
+	for _, margin := range []time.Duration{refusalMargin, answerMargin, resumableMargin, abortMargin} {
+		times = append(times, p.End.Add(-margin))
+	}
+	return times
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,7 +88,7 @@
 		var gone *callerGoneError
 		if errors.As(err, &gone) {
 			r.lastCause = err.Error()
-			return r.abort(s)
+			return r.abort(ctx, s)
 		}
 		if s.writer == nil {
 			r.executions-- // run counts this execution
@@ -98,7 +98,7 @@
 		r.logAttempt(leg.runner, &n.attemptResult, time.Now())
 		r.tried = append(r.tried, leg.runner)
 		if leg = r.nextLeg(ctx, s); leg == nil {
-			return r.abort(s)
+			return r.abort(ctx, s)
 		}
 		r.runner = leg.runner.ID
 		r.g.metrics.resumes.Inc()
@@ -107,8 +107,11 @@
 }
 
 // abort ends a stream whose rest cannot be had.
-func (r *request) abort(s *eventStream) attemptResult {
+func (r *request) abort(ctx context.Context, s *eventStream) attemptResult {
 	r.broken = true
+	if isStopped(ctx) {
+		r.stopped = stopAborted
+	}
 	s.writer.Abort()
 	return attemptResult{done: true}
 }
@@ -214,6 +217,9 @@
 		}
 	}
 	if len(events) > 0 {
+		if !r.open.enter(phaseBegun) {
+			return errVMStops
+		}
 		if err := r.writeEvents(leg.response, s, events); err != nil {
 			return &callerGoneError{err}
 		}
--- a/gateway/stream_standby.go
+++ b/gateway/stream_standby.go
@@ -185,7 +185,7 @@
 	if !r.mayResume() || position == "" || ctx.Err() != nil || r.resumes >= maxResumes {
 		return nil
 	}
-	if r.executions >= r.route.MaxRunners || r.deadline.Sub(now) < minTimeLeft || r.refuseQuarantined(now) != nil {
+	if r.executions >= r.route.MaxRunners || r.deadline.Sub(now) < minTimeLeft || !r.mayStart(now) || r.refuseQuarantined(now) != nil {
 		return nil
 	}
 	if !r.g.budgets.forService(r.service.Name).TrySpend(now) {
