gateway: a VM that stops hands back the stage calls that it assembles

Callers of other VMs saw: requests whose stages were assembled by a VM that stopped waited until its process had ended, up to the whole time to stop, or until their deadline.

Cause: the assembling VM neither answered the calls that waited with it nor refused new ones. Only the end of the process closed their connections.

Evidence: "hands them back, and the other VM assembles them" of gateway, with the mechanism off: "Expected 0 to equal 200" after 5 s, the deadline, in both rows. After: both pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,9 @@
 	// stopPlan is nil unless this VM stops. open holds the requests under way.
 	stopPlan atomic.Pointer[StopPlan]
 	open     openRequests
+	// assembling ends once this VM runs no more pieces for other VMs.
+	assembling     context.Context
+	stopAssembling context.CancelFunc
 	// configured is closed once this VM has the catalog, the runner list and,
 	// unless that takes longer than maxRosterWait, the list of entry VMs.
 	configured     chan struct{}
@@ -73,6 +76,7 @@
 	// propagation of the runner list and the transfer of the request.
 	g.runners = newRunnerSet(o.Topology, o.DrainTime/2, &g.advice)
 	g.pieces = newPieceScheduler(g)
+	g.assembling, g.stopAssembling = context.WithCancel(context.Background())
 	g.state.Store(&directory.State{})
 	return g
 }
--- a/gateway/pieces_rpc.go
+++ b/gateway/pieces_rpc.go
@@ -25,8 +25,7 @@
 		return results, err
 	}
 	results, err := p.runPiecesAt(ctx, at, c)
-	var remote *transport.RemoteError
-	if err == nil || ctx.Err() != nil || errors.As(err, &remote) {
+	if !isAssemblerMissing(ctx, err) {
 		return results, err
 	}
 	p.g.log.Warn().Err(err).Str("id", c.Request).Str("vm", at).Str("service", c.Service).Msg("gateway: the assembling VM did not answer")
@@ -67,8 +66,8 @@
 }
 
 // errNoAssembler reports that a VM does not know the service, for example
-// because it has just started.
-var errNoAssembler = errors.New("gateway: the assembling VM does not know the service yet; using another VM")
+// because it has just started, or that it stops.
+var errNoAssembler = errors.New("gateway: the assembling VM does not know the service yet, or stops; using another VM")
 
 // assemblerVM returns the VM that assembles the calls of a service. All VMs
 // that use the runners of the same zone choose the same one.
@@ -112,7 +111,7 @@
 	var results []batch.Result
 	if len(c.Items) > 0 {
 		var err error
-		if results, err = p.assemble(ctx, &c); err != nil {
+		if results, err = p.assembleForPeer(ctx, &c); err != nil {
 			return nil, err
 		}
 	}
--- a/gateway/stop_plan.go
+++ b/gateway/stop_plan.go
@@ -78,6 +78,12 @@
 	return !now.Before(p.End.Add(-margin))
 }
 
+// mayAssemble reports whether this VM may run pieces for another VM that are of
+// use for the time left.
+func (p *StopPlan) mayAssemble(now time.Time, left time.Duration) bool {
+	return now.Before(p.LeftRotation) || now.Add(left).Before(p.End.Add(-refusalMargin))
+}
+
 // checkTimes returns the times at which mustEnd changes for requests that wait.
 func (p *StopPlan) checkTimes() []time.Time {
 	times := []time.Time{p.LeftRotation}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -22,6 +22,8 @@
 	stopUnanswered stopOutcome = "unanswered"
 	// stopAborted: a stream was broken off.
 	stopAborted stopOutcome = "aborted"
+	// stopHandedBack: pieces of another VM were not run.
+	stopHandedBack stopOutcome = "handed_back"
 )
 
 // openRequest lets a stop end a request. It is safe for concurrent use.
@@ -98,7 +100,11 @@
 
 // checkStop ends what the plan does not let go on.
 func (g *Gateway) checkStop(now time.Time) {
-	g.open.endDue(g.stopPlan.Load(), now)
+	p := g.stopPlan.Load()
+	g.open.endDue(p, now)
+	if !p.mayAssemble(now, 0) {
+		g.stopAssembling()
+	}
 }
 
 // mayStart reports whether a stop lets the request be sent to a runner.
