gateway: a zone runs pieces itself that another zone does not take

Callers saw: 503 with stages_failed for requests whose stage calls had been forwarded to the assembling VM of another zone, when that VM stopped, had ended or did not know the service yet.

Cause: runPieces assembles at home when the VM of its own zone does not take a call; forward returned the error as the end of the stage.

Evidence: "hands back calls of another zone, which that zone runs itself" of gateway failed before: a refusal with stages_failed. After: it passes.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -94,12 +94,19 @@
 	_, _ = p.runPiecesAt(ctx, key.vm, &piecesCall{Service: key.service, Forwarded: true})
 }
 
-// forward runs the pieces at the assembler of another zone.
+// forward runs the pieces at the assembler of another zone, or here if that one
+// does not take them.
 func (p *pieceScheduler) forward(ctx context.Context, vm string, c *piecesCall) ([]batch.Result, error) {
 	forwarded := *c
 	forwarded.Forwarded = true
 	p.g.metrics.forwarded.Inc()
-	return p.runPiecesAt(ctx, vm, &forwarded)
+	results, err := p.runPiecesAt(ctx, vm, &forwarded)
+	if !isAssemblerMissing(ctx, err) {
+		return results, err
+	}
+	p.g.log.Warn().Err(err).Str("id", c.Request).Str("vm", vm).Str("service", c.Service).Msg("gateway: the assembling VM did not answer")
+	p.markUnavailable(vm)
+	return p.assemble(ctx, &forwarded)
 }
 
 // localDelay returns the delay of one additional piece at this VM. It returns an
--- a/gateway/pieces_stop_test.go
+++ b/gateway/pieces_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"time"
 
@@ -54,4 +55,38 @@
 		ginkgo.Entry("calls that wait when its time is over", true),
 		ginkgo.Entry("new calls that may not end in time", false),
 	)
+
+	// Guards against requests that fail because another zone's VM stops.
+	ginkgo.It("hands back calls of another zone, which that zone runs itself", func() {
+		p := newGatewayPair(map[string]string{"one": "y", "two": "z"})
+		release := make(chan struct{})
+		p.runners["one"].release = release
+		two := p.gateways["two"]
+		two.Stop(leftRotation(3 * time.Second))
+		answers := make(chan *fakeResponder, 1000)
+		sent := 0
+		begin := func() {
+			c := stagedCallWithID(fmt.Sprint("a", sent))
+			sent++
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				answers <- serve(p.gateways["one"], c)
+			}()
+		}
+		for range 6 {
+			begin()
+		}
+		Eventually(func() bool {
+			begin()
+			return handedBack(two)()
+		}).WithTimeout(20 * time.Second).WithPolling(50 * time.Millisecond).Should(BeTrue())
+		close(release)
+		for range sent {
+			var out *fakeResponder
+			Eventually(answers).WithTimeout(20 * time.Second).Should(Receive(&out))
+			if out.refusal != nil {
+				Expect(out.refusal.Reason).NotTo(Equal(StagesFailed), out.refusal.Detail)
+			}
+		}
+	})
 })
