entry: a drain takes only what ends in time, and answers the rest

Callers saw: on the product's own path too, a request that arrived late in a drain was executed whatever its deadline, and what still ran at the end of the drain lost its connection without a response, also bookings. The audit records and the close of the session were sent with the time that was over, so they failed whenever a request was still running.

Cause: Drain had one time limit, for everything, and told requests nothing.

A request whose deadline is not before the end is refused with "draining" and "not run"; while the listener is open, what may be repeated is still taken.

Evidence: "passes nothing on that may not end before the drain" failed before with status 200 and an execution instead of 503; "answers requests that still run at its end as possibly executed" with "unexpected EOF"; "answers a keyed call although its outcome cannot be recorded" does not end with the mechanism off. After: all pass; e2e "rolling restart" passes.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return s.failRequest(req, err)
 	}
+	if err := s.refuseDraining(req, true); err != nil {
+		return s.failRequest(req, err)
+	}
 	e := newExecution(req, p)
 	e.input = chatInput(in.Messages)
 	e.messages = in.Messages
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -15,11 +15,13 @@
 // execution; pass a context without the caller's cancellation if the execution
 // may outlive the connection.
 func (s *Server) launch(ctx context.Context, e *execution) {
+	ctx, release := s.untilDrainOver(ctx)
 	ctx, stop := context.WithDeadline(ctx, e.req.deadline)
 	ctx, e.cancel = context.WithCancelCause(ctx)
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
+		defer release()
 		defer stop()
 		err := s.runStages(ctx, e)
 		if err != nil {
@@ -139,6 +141,9 @@
 
 // executionProblem converts the error that ended an execution to a problem.
 func (s *Server) executionProblem(ctx context.Context, req *request, err error) error {
+	if isDrainOver(ctx) {
+		return s.drainProblem(req)
+	}
 	if p, ok := problem.As(err); ok {
 		return p
 	}
--- a/entry/pipeline_api.go
+++ b/entry/pipeline_api.go
@@ -42,6 +42,9 @@
 	if err := checkMaxTokens(req, "max_tokens", in.MaxTokens); err != nil {
 		return s.failRequest(req, err)
 	}
+	if err := s.refuseDraining(req, true); err != nil {
+		return s.failRequest(req, err)
+	}
 	e := newExecution(req, p)
 	e.input = in.Input
 	e.messages = []upstream.Message{{Role: "user", Content: in.Input}}
--- a/entry/server.go
+++ b/entry/server.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"damaskbridge.example/damaskbridge/admission"
@@ -40,10 +39,10 @@
 	listener net.Listener
 	http     *http.Server
 	// running tracks executions and background work of requests.
-	running  sync.WaitGroup
-	draining atomic.Bool
-	stop     context.CancelFunc
-	loops    sync.WaitGroup
+	running sync.WaitGroup
+	drain   *drainState
+	stop    context.CancelFunc
+	loops   sync.WaitGroup
 }
 
 // NewServer returns an entry VM that is not started. It returns an error if
@@ -57,7 +56,7 @@
 		opts: o, log: o.Logger, counters: newCounters(), client: upstream.NewClient(o.Upstream),
 		retryBudgets: newRetryBudgets(), gates: admission.NewController(admission.DefaultOptions()),
 		planner: budget.NewShared(budget.DefaultOptions()), seq: newSequence(), streams: newStreams(), forwardTransport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
-		started: time.Now().Truncate(time.Second),
+		started: time.Now().Truncate(time.Second), drain: newDrainState(),
 	}
 	var err error
 	if s.runners, err = newRunners(o, s.client); err != nil {
@@ -159,7 +158,7 @@
 	now := time.Now()
 	snap := s.subscriber.snapshot()
 	switch {
-	case s.draining.Load() || snap != nil && snap.drain:
+	case s.isDraining() || snap != nil && snap.drain:
 		return errors.New("draining")
 	case !snap.current(now):
 		return errors.New("no valid settings lease")
@@ -172,46 +171,6 @@
 	}
 }
 
-// Drain shuts the VM down without interrupting requests. It reports not ready,
-// keeps serving for DrainDelay while the load balancer notices, then closes the
-// listener, waits for running requests, flushes the audit records and closes
-// the session. It stops waiting after DrainTimeout or when ctx ends.
-func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	s.subscriber.draining.Store(true)
-	s.log.Info().Msg("entry: draining")
-	select {
-	case <-time.After(s.opts.DrainDelay):
-	case <-ctx.Done():
-	}
-	waitCtx, cancel := context.WithTimeout(ctx, s.opts.DrainTimeout)
-	defer cancel()
-	err := s.http.Shutdown(waitCtx)
-	err = errors.Join(err, s.waitRunning(waitCtx))
-	err = errors.Join(err, s.opts.Audit.Flush(waitCtx))
-	err = errors.Join(err, s.subscriber.closeSession(waitCtx))
-	s.Close()
-	if err != nil {
-		return fmt.Errorf("entry: drain: %w", err)
-	}
-	s.log.Info().Msg("entry: drained")
-	return nil
-}
-
-func (s *Server) waitRunning(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("requests are still running: %w", ctx.Err())
-	}
-}
-
 // Close stops the VM immediately. Running requests are aborted.
 func (s *Server) Close() {
 	s.stop()
@@ -256,7 +215,7 @@
 // response.
 func (s *Server) handle(h handlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.draining.Load() {
+		if s.isDraining() {
 			// Callers drop the connection after this response, so that they
 			// send no request on one that the shutdown is about to close.
 			w.Header().Set("Connection", "close")
--- a/entry/service.go
+++ b/entry/service.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return s.failRequest(req, err)
 	}
+	if err := s.refuseDraining(req, job.svc.Repeatable(job.op)); err != nil {
+		return s.failRequest(req, err)
+	}
 	if !job.svc.Repeatable(job.op) {
 		return s.serveKeyed(w, r, job)
 	}
--- a/entry/service_keyed.go
+++ b/entry/service_keyed.go
@@ -38,6 +38,8 @@
 	var result keyedResult
 	select {
 	case result = <-done:
+	case <-s.drain.answers.Done():
+		return s.drainProblem(job.req)
 	case <-timer.C:
 		// problemf reads the execution state after the deadline. A dispatch
 		// that begins later fails its guard and sends nothing, so not_run
@@ -72,7 +74,9 @@
 // runKeyed admits the call to the pool, claims the key, executes the call at
 // most once and records the outcome.
 func (s *Server) runKeyed(ctx context.Context, job *serviceJob) keyedResult {
-	deadlineCtx, cancel := context.WithDeadline(ctx, job.req.deadline)
+	deadlineCtx, release := s.untilDrainOver(ctx)
+	defer release()
+	deadlineCtx, cancel := context.WithDeadline(deadlineCtx, job.req.deadline)
 	defer cancel()
 	slot, err := s.admit(deadlineCtx, job.req, job.svc.Pool, 0)
 	if err != nil {
@@ -146,9 +150,12 @@
 	}
 	k := &keyedCall{s: s, job: job, claim: c, call: retry.NewCall(job.req.id, job.svc.Name, policy, s.retryBudgets.forPool(job.svc.Pool))}
 	defer func() { s.countRetries(k.call.Counts()) }()
+	// The outcome is recorded also if a drain cancels the attempt.
+	attemptCtx, release := s.untilDrainOver(ctx)
+	defer release()
 	for _, a := range k.call.Start(time.Now()) {
 		for next := &a; next != nil && next.Kind == retry.Dispatch; {
-			next = k.dispatch(ctx, next.Attempt)
+			next = k.dispatch(attemptCtx, next.Attempt)
 		}
 	}
 	switch {
@@ -156,6 +163,8 @@
 		return s.storeKeyedAnswer(ctx, c, k.answer)
 	case k.err != nil && upstream.MayHaveStarted(k.err):
 		return s.storeUnknownEnd(ctx, c, k.err)
+	case isDrainOver(attemptCtx):
+		return s.releaseKeyed(ctx, c, s.drainProblem(job.req))
 	default:
 		return s.releaseKeyed(ctx, c, k.notExecutedProblem())
 	}
--- a/entry/service_repeatable.go
+++ b/entry/service_repeatable.go
@@ -23,7 +23,9 @@
 func (s *Server) serveRepeatable(w http.ResponseWriter, r *http.Request, job *serviceJob) error {
 	s.running.Add(1)
 	defer s.running.Done()
-	ctx, cancel := context.WithDeadline(r.Context(), job.req.deadline)
+	ctx, release := s.untilDrainOver(r.Context())
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, job.req.deadline)
 	defer cancel()
 	a, err := s.callRepeatable(ctx, job)
 	if err != nil {
