gateway: a stop sends requests that have waited if they usually end in time

A request that was taken while the VM was in rotation, other than a buffered one that may not be repeated, is now sent while twice the usual duration of its route at a runner leaves time. Waiting requests are checked every 500 ms.

Evidence: "sends streams that it has taken while it was in rotation if they usually end in time" of gateway fails before in its first row (refused).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,9 +39,11 @@
 	pieces         *pieceScheduler
 	callerTimeouts *timeoutTracker
 	firstEvents    *latencyTracker
-	holds          *inputHoldTimes
-	answers        answerMemory
-	evidence       *quarantine.Evidence
+	// durations holds the time of requests at the runners that have answered them.
+	durations *latencyTracker
+	holds     *inputHoldTimes
+	answers   answerMemory
+	evidence  *quarantine.Evidence
 	// advice holds what runners have asked for in their answers.
 	advice  advice.Book
 	metrics *gatewayMetrics
@@ -69,6 +71,7 @@
 
 		callerTimeouts: newTimeoutTracker(),
 		firstEvents:    newLatencyTracker(),
+		durations:      newLatencyTracker(),
 		holds:          newInputHoldTimes(),
 		evidence:       quarantine.NewEvidence(),
 	}
--- a/gateway/predict.go
+++ b/gateway/predict.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// latencyTracker keeps, for each route, a moving average of the time from the
-// end of the stages to the first event.
+// latencyTracker keeps a moving average of a duration for each route, such as that
+// from the end of the stages to the first event.
 type latencyTracker struct {
 	mu       sync.Mutex
 	averages map[string]time.Duration
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -117,6 +117,7 @@
 		r.runner = runner.ID
 		v := r.attempt(ctx, runner)
 		if v.done {
+			r.recordDuration(now)
 			return v.refusal
 		}
 		r.tried = append(r.tried, runner)
--- a/gateway/request_admission.go
+++ b/gateway/request_admission.go
@@ -52,6 +52,7 @@
 	s := &r.open.subject
 	s.deadline, s.streaming = r.deadline, r.route.Streaming
 	s.repeatable = r.route.RetryPolicy != catalog.RetryNever
+	s.usual = r.g.durations.average(r.route.Name)
 }
 
 // isFirstAttempt reports whether this is probably the caller's first attempt.
--- a/gateway/stop_plan.go
+++ b/gateway/stop_plan.go
@@ -13,6 +13,11 @@
 	// off, and abortMargin before it the others, which lose their rest.
 	resumableMargin = 150 * time.Millisecond
 	abortMargin     = 50 * time.Millisecond
+	// usualFactor times the usual duration of a route's requests at a runner is how
+	// long the next one is expected to take.
+	usualFactor = 2
+	// checkInterval is the time between two checks of requests that wait.
+	checkInterval = 500 * time.Millisecond
 )
 
 // StopPlan holds the times of a planned stop. Its methods are pure.
@@ -40,6 +45,9 @@
 	phase requestPhase
 	// received is when the request arrived, deadline when it ends at the latest.
 	received, deadline time.Time
+	// usual is how long requests of this kind usually take at a runner, 0 if that is
+	// not known.
+	usual time.Duration
 	// repeatable is true if another VM may execute the request too, or go on with
 	// it. streaming is true if its answer is a stream.
 	repeatable bool
@@ -47,11 +55,13 @@
 }
 
 // mayStart reports whether the request may be sent to a runner, for the first time
-// or again. What certainly ends in time may. Deadlines count, not usual durations:
-// those promise nothing about one request, and another VM can serve it at once.
-// As long as the balancer sends requests here, those that may be cut are taken:
-// streams, since a refusal of each would cost more than the few that do not end in
-// time, and what may be repeated. The latter may also be sent later.
+// or again. What certainly ends in time may, also if it may not be repeated.
+// Deadlines count for new requests, not usual durations: those promise nothing
+// about one request, and another VM can serve it at once. While the balancer sends
+// requests here, streams and what may be repeated are taken too, since a refusal
+// of each would cost more than the few that do not end in time. Those that wait
+// longer, for their stages, have spent time that a refusal would lose: they may
+// still be sent while the usual duration leaves enough time.
 func (p *StopPlan) mayStart(now time.Time, s *stopSubject) bool {
 	switch {
 	case !now.Before(p.End.Add(-refusalMargin)):
@@ -60,8 +70,11 @@
 		return true
 	case now.Before(p.LeftRotation):
 		return s.repeatable || s.streaming
+	case s.phase == phaseBegun:
+		return s.repeatable
 	}
-	return s.repeatable && s.received.Before(p.LeftRotation)
+	taken := s.received.Before(p.LeftRotation) && (s.repeatable || s.streaming)
+	return taken && !now.Add(usualFactor*s.usual).After(p.End.Add(-answerMargin))
 }
 
 // mustEnd reports whether the request must not go on.
@@ -86,7 +99,10 @@
 
 // checkTimes returns the times at which mustEnd changes for requests that wait.
 func (p *StopPlan) checkTimes() []time.Time {
-	times := []time.Time{p.LeftRotation}
+	var times []time.Time
+	for at := p.LeftRotation; at.Before(p.End); at = at.Add(checkInterval) {
+		times = append(times, at)
+	}
 	for _, margin := range []time.Duration{refusalMargin, answerMargin, resumableMargin, abortMargin} {
 		times = append(times, p.End.Add(-margin))
 	}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -118,6 +118,14 @@
 	return p.mayStart(now, &r.open.subject)
 }
 
+// recordDuration records how long a runner took that was asked at sentAt and has
+// answered the request, so that a stop knows what is usual.
+func (r *request) recordDuration(sentAt time.Time) {
+	if !r.broken && r.status/100 == 2 {
+		r.g.durations.observe(r.route.Name, time.Since(sentAt))
+	}
+}
+
 const (
 	stopRetryMin    = 20 * time.Millisecond
 	stopRetryJitter = 40 * time.Millisecond
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -116,10 +116,32 @@
 		Eventually(f.freedCount).WithTimeout(10 * time.Second).Should(BeNumerically(">", 0))
 	})
 
+	// Guards against refusals of requests that have waited and would end in time.
+	ginkgo.DescribeTable("sends streams that it has taken while it was in rotation if they usually end in time",
+		func(usual time.Duration, sent bool) {
+			g, f := newTestGateway()
+			f.any = []reply{{status: 200, body: events(1, 1)}}
+			g.durations.observe("staged", usual)
+			c := stagedCallWithID("a")
+			plan := StopPlan{LeftRotation: c.Received.Add(time.Nanosecond), End: c.Received.Add(shorterThanTimeout)}
+			g.stopPlan.Store(&plan)
+			if out := serve(g, c); sent {
+				Expect(out.status).To(Equal(200))
+				Expect(g.durations.average("staged")).NotTo(Equal(usual))
+			} else {
+				expectRefused(f, out)
+			}
+		},
+		ginkgo.Entry("they do", 10*time.Millisecond, true),
+		ginkgo.Entry("they do not", 1500*time.Millisecond, false),
+	)
+
 	ginkgo.It("does not repeat what may not end in time", func() {
 		g, f := newTestGateway()
-		f.any = []reply{{status: 503, notExecuted: true, onSent: func() { g.Stop(leftRotation(shorterThanTimeout)) }}}
-		out := serve(g, call("once"))
+		c := call("once")
+		plan := StopPlan{LeftRotation: c.Received.Add(time.Nanosecond), End: c.Received.Add(shorterThanTimeout)}
+		f.any = []reply{{status: 503, notExecuted: true, onSent: func() { g.Stop(plan) }}}
+		out := serve(g, c)
 		Expect(out.refusal.Reason).To(Equal(Stopping))
 		Expect(out.refusal.Executed).To(BeFalse())
 		Expect(f.sends()).To(HaveLen(1))
