entry: a kept connection is not closed while its next request is read

Callers saw: a drain closed kept connections on which the beginning of the next request had already been read, without a response.

Cause: http.Server.Shutdown counts a connection as idle until the head of its next request is complete.

Evidence: "answers a request of which it had read the beginning on a kept connection" failed before with "unexpected EOF". After: 503 with "not_run".

The test environment of the fuzz tests set a listener for its address only; it starts a callers.Server for that now.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -52,7 +52,7 @@
 	}
 	connsCtx, cancelConns := context.WithDeadline(ctx, plan.connsClose)
 	defer cancelConns()
-	err := s.http.Shutdown(connsCtx)
+	err := s.callers.Shutdown(connsCtx)
 	running := s.waitRunning(connsCtx)
 	err = errors.Join(err, running, s.opts.Audit.Flush(ctx))
 	if running == nil {
@@ -73,6 +73,7 @@
 	plan := newDrainPlan(now, s.opts.DrainDelay, s.opts.DrainTimeout)
 	s.drain.plan.Store(&plan)
 	s.subscriber.draining.Store(true)
+	s.callers.DisableKeepAlive()
 	s.log.Info().Msg("entry: draining")
 	time.AfterFunc(time.Until(plan.requestsEnd), s.drain.endRequests)
 	time.AfterFunc(time.Until(plan.answersEnd), s.drain.endAnswers)
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -45,6 +45,17 @@
 		Expect(err).NotTo(HaveOccurred())
 		return resp.StatusCode, body
 	}
+	// awaitClosed waits until the listener is closed.
+	awaitClosed := func(env *testEnv) {
+		GinkgoHelper()
+		Eventually(func() error {
+			c, err := net.Dial("tcp", env.server.Addr())
+			if err == nil {
+				_ = c.Close()
+			}
+			return err
+		}).WithTimeout(10 * time.Second).Should(HaveOccurred())
+	}
 	holdBack := func(env *testEnv, pool string) {
 		GinkgoHelper()
 		late := standin.Fault{Kind: standin.FaultLate, DelayMS: 60_000}
@@ -63,13 +74,7 @@
 			conns[path] = c
 		}
 		done := drain(env)
-		Eventually(func() error {
-			c, err := net.Dial("tcp", env.server.Addr())
-			if err == nil {
-				_ = c.Close()
-			}
-			return err
-		}).WithTimeout(10 * time.Second).Should(HaveOccurred())
+		awaitClosed(env)
 		for path, c := range conns {
 			_, err := io.WriteString(c, bodies[path])
 			Expect(err).NotTo(HaveOccurred())
@@ -128,6 +133,24 @@
 		Eventually(done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
 	})
 
+	// Guards against a kept connection that is closed while its next request is read.
+	It("answers a request of which it had read the beginning on a kept connection", func() {
+		env := newTestEnv()
+		c := begin(env, "/v1/services/bookings/lookup", "", head("slot"))
+		status, _ := read(c)
+		Expect(status).To(Equal(http.StatusOK))
+		_, err := fmt.Fprintf(c, "POST /v1/services/bookings/lookup HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n", testToken)
+		Expect(err).NotTo(HaveOccurred())
+		done := drain(env)
+		awaitClosed(env)
+		_, err = io.WriteString(c, head("slot"))
+		Expect(err).NotTo(HaveOccurred())
+		status, raw := read(c)
+		Expect(status).To(Equal(http.StatusServiceUnavailable), string(raw))
+		Expect(decodeProblem(raw).Execution).To(Equal(problem.NotRun))
+		Eventually(done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+	})
+
 	It("answers a keyed call although its outcome cannot be recorded in time", func() {
 		env := newTestEnv()
 		holdBack(env, "bookings")
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/audit"
+	"damaskbridge.example/damaskbridge/callers"
 	"damaskbridge.example/damaskbridge/command"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
@@ -50,7 +51,11 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	env.server.listener = l
+	// Only its address is used.
+	if env.server.callers, err = callers.Listen("127.0.0.1:0", http.NotFoundHandler(), env.server.log); err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = env.server.callers.Shutdown(context.Background()) })
 	session := ids.SessionID{VM: "entry-1", Incarnation: 1}
 	open := command.Command{OpenSession: &command.OpenSession{Session: session, Region: "one"}}
 	if r, err := control.Propose(context.Background(), ids.SettingsGroup, open); err != nil || r.Code != command.OK {
--- a/entry/server.go
+++ b/entry/server.go
@@ -12,6 +12,7 @@
 
 	"damaskbridge.example/damaskbridge/admission"
 	"damaskbridge.example/damaskbridge/budget"
+	"damaskbridge.example/damaskbridge/callers"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
@@ -36,8 +37,7 @@
 	forwardTransport *http.Transport
 	started          time.Time
 
-	listener net.Listener
-	http     *http.Server
+	callers *callers.Server
 	// running tracks executions and background work of requests.
 	running sync.WaitGroup
 	drain   *drainState
@@ -74,31 +74,23 @@
 // Start listens for callers and starts the background loops. The VM becomes
 // ready once it has settings and a membership list.
 func (s *Server) Start() error {
-	l, err := net.Listen("tcp", s.opts.Listen)
-	if err != nil {
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	var err error
+	if s.callers, err = callers.Listen(s.opts.Listen, s.mux(), s.log); err != nil {
+		stop()
 		return fmt.Errorf("entry: listen on %s: %w; choose a free address", s.opts.Listen, err)
 	}
-	s.listener = l
+	s.callers.SetLimits(callers.Limits{
+		MaxHeaderBytes: s.opts.MaxHeaderBytes, HeaderTimeout: s.opts.HeaderTimeout, IdleTimeout: s.opts.IdleTimeout,
+	})
 	s.subscriber.advertisedAddr = s.advertisedAddr()
-	s.http = &http.Server{
-		Handler:           s.mux(),
-		ReadHeaderTimeout: s.opts.HeaderTimeout,
-		IdleTimeout:       s.opts.IdleTimeout,
-		MaxHeaderBytes:    s.opts.MaxHeaderBytes,
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	s.stop = stop
 	s.startLoop(func() { s.subscriber.run(ctx) })
 	s.startLoop(func() { s.subscriber.runReservations(ctx) })
 	s.startLoop(func() { s.runners.run(ctx) })
 	s.startLoop(func() { s.runAdmission(ctx) })
 	s.startLoop(func() { (&modelLoader{s: s}).run(ctx) })
 	s.startLoop(func() { newEnginePoller(s.runners, s.enginePools).run(ctx) })
-	s.startLoop(func() {
-		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.log.Error().Err(err).Msg("entry: HTTP server failed")
-		}
-	})
 	return nil
 }
 
@@ -116,7 +108,7 @@
 }
 
 // Addr returns the address of the caller listener.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.callers.Addr() }
 
 // Version returns the settings version in effect on this VM.
 func (s *Server) Version() uint64 {
@@ -174,7 +166,9 @@
 // Close stops the VM immediately. Running requests are aborted.
 func (s *Server) Close() {
 	s.stop()
-	_ = s.http.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = s.callers.Shutdown(ctx)
 	s.loops.Wait()
 	s.client.Close()
 	s.forwardTransport.CloseIdleConnections()
@@ -196,6 +190,7 @@
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		s.counters.write(w)
 		s.writeGauges(w)
+		s.callers.WriteMetrics(w)
 	})
 	m.Handle("/", s.handle(func(_ http.ResponseWriter, r *http.Request) error {
 		return problem.New(problem.NotFound, problem.NotRun, "%s %s", r.Method, r.URL.Path)
@@ -215,11 +210,6 @@
 // response.
 func (s *Server) handle(h handlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.isDraining() {
-			// Callers drop the connection after this response, so that they
-			// send no request on one that the shutdown is about to close.
-			w.Header().Set("Connection", "close")
-		}
 		err := h(w, r)
 		if err == nil {
 			return
