--- a/gateway/stop_plan.go
+++ b/gateway/stop_plan.go
@@ -3,6 +3,11 @@
 import "time"
 
 const (
+	// exitMargin is kept of the time to stop for the end of the process.
+	exitMargin = 250 * time.Millisecond
+	// rotationDivisor is the part of a short time to stop in which the VM leaves the
+	// rotation: the rest is for requests under way.
+	rotationDivisor = 2
 	// refusalMargin before the end of a stop, requests that no runner has are
 	// refused: their callers can still turn to another VM.
 	refusalMargin = 500 * time.Millisecond
@@ -28,6 +33,13 @@
 	End time.Time
 }
 
+// NewStopPlan returns the plan of a stop that begins now: the balancer needs
+// leaveRotation to send no more connections, and the process lives for timeToStop.
+func NewStopPlan(now time.Time, leaveRotation, timeToStop time.Duration) StopPlan {
+	rotation := min(leaveRotation, timeToStop/rotationDivisor)
+	return StopPlan{LeftRotation: now.Add(rotation), End: now.Add(timeToStop - exitMargin)}
+}
+
 // requestPhase is how far a request has come.
 type requestPhase int
 
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -235,6 +235,18 @@
 	})
 })
 
+// Guards against a stop that leaves no time to answer after the VM has left the
+// rotation, or that lasts longer than the platform lets it.
+var _ = ginkgo.DescribeTable("the times of a stop",
+	func(timeToStop, rotation, end time.Duration) {
+		now := time.Now()
+		Expect(NewStopPlan(now, 2500*time.Millisecond, timeToStop)).To(Equal(StopPlan{LeftRotation: now.Add(rotation), End: now.Add(end)}))
+	},
+	ginkgo.Entry("usual", 8*time.Second, 2500*time.Millisecond, 8*time.Second-exitMargin),
+	ginkgo.Entry("short", 3*time.Second, 1500*time.Millisecond, 3*time.Second-exitMargin),
+	ginkgo.Entry("the shortest that the settings allow", time.Second, 500*time.Millisecond, time.Second-exitMargin),
+)
+
 // openCount returns the number of requests under way.
 func openCount(g *Gateway) int {
 	g.open.mu.Lock()
