gateway: half a second to answer what is under way at the end of a stop

A VM with a fraction of a core may have to answer many requests between their end and the close of its connections, 300 ms after it. Requests are answered 500 ms before the end and those that no runner has are refused 700 ms before it.

--- a/gateway/stop_plan.go
+++ b/gateway/stop_plan.go
@@ -10,10 +10,10 @@
 	rotationDivisor = 2
 	// refusalMargin before the end of a stop, requests that no runner has are
 	// refused: their callers can still turn to another VM.
-	refusalMargin = 500 * time.Millisecond
+	refusalMargin = 700 * time.Millisecond
 	// answerMargin before the end, requests of whose answers nothing was written are
-	// answered in place of their runners.
-	answerMargin = 300 * time.Millisecond
+	// answered in place of their runners. A small VM may have to answer many at once.
+	answerMargin = 500 * time.Millisecond
 	// resumableMargin before the end, streams that can go on elsewhere are broken
 	// off, and abortMargin before it the others, which lose their rest.
 	resumableMargin = 150 * time.Millisecond
