--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,16 +39,20 @@
 	pieces         *pieceScheduler
 	callerTimeouts *timeoutTracker
 	firstEvents    *latencyTracker
-	holds          *inputHoldTimes
-	answers        answerMemory
-	evidence       *quarantine.Evidence
+	// durations holds the time of requests at the runners that have answered them.
+	durations *latencyTracker
+	holds     *inputHoldTimes
+	answers   answerMemory
+	evidence  *quarantine.Evidence
 	// advice holds what runners have asked for in their answers.
-	advice   advice.Book
-	metrics  *gatewayMetrics
-	stopping atomic.Bool
-	// unsentRefused is closed once requests may no longer wait for their stages.
-	unsentRefused chan struct{}
-	refuseOnce    sync.Once
+	advice  advice.Book
+	metrics *gatewayMetrics
+	// stopPlan is nil unless this VM stops. open holds the requests under way.
+	stopPlan atomic.Pointer[StopPlan]
+	open     openRequests
+	// assembling ends once this VM runs no more pieces for other VMs.
+	assembling     context.Context
+	stopAssembling context.CancelFunc
 	// configured is closed once this VM has the catalog, the runner list and,
 	// unless that takes longer than maxRosterWait, the list of entry VMs.
 	configured     chan struct{}
@@ -63,11 +67,11 @@
 		budgets:    newRetryBudgets(o.RetryBudget),
 		metrics:    newGatewayMetrics(),
 		configured: make(chan struct{}),
-
-		unsentRefused: make(chan struct{}),
+		open:       openRequests{set: map[*openRequest]struct{}{}},
 
 		callerTimeouts: newTimeoutTracker(),
 		firstEvents:    newLatencyTracker(),
+		durations:      newLatencyTracker(),
 		holds:          newInputHoldTimes(),
 		evidence:       quarantine.NewEvidence(),
 	}
@@ -75,6 +79,7 @@
 	// propagation of the runner list and the transfer of the request.
 	g.runners = newRunnerSet(o.Topology, o.DrainTime/2, &g.advice)
 	g.pieces = newPieceScheduler(g)
+	g.assembling, g.stopAssembling = context.WithCancel(context.Background())
 	g.state.Store(&directory.State{})
 	return g
 }
@@ -160,26 +165,7 @@
 // runner list and is not stopping.
 func (g *Gateway) Ready() bool {
 	s := g.state.Load()
-	return s.Table != nil && s.List != nil && !g.stopping.Load()
-}
-
-// Stop makes the gateway refuse new streaming requests, which might not end
-// before the shutdown. Requests in flight continue.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
-// RefuseUnsent makes the gateway refuse requests that wait for their stages: there
-// is no time left to have them answered before the shutdown, and their callers can
-// still turn to another VM.
-func (g *Gateway) RefuseUnsent() { g.refuseOnce.Do(func() { close(g.unsentRefused) }) }
-
-// refusesUnsent reports whether RefuseUnsent was called.
-func (g *Gateway) refusesUnsent() bool {
-	select {
-	case <-g.unsentRefused:
-		return true
-	default:
-		return false
-	}
+	return s.Table != nil && s.List != nil && g.stopPlan.Load() == nil
 }
 
 // Table returns the current catalog, or nil before the first update.
