exchange: the body of a request is not copied to be sent

Callers saw entry VMs killed for memory: each send of a request joined its head and body into a new buffer, so a body of 4 MiB took 8 MiB and 4 MiB more for each further runner.

The body is now a list of parts. A request over 16 KiB is written head first, then part by part; a small one is still one write. OnBodyRead tells when the body is read no more: if a response comes before all of a large request is sent, that is after the end of Do.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -31,22 +31,10 @@
 // response is read. The peer may answer a larger one before all of it is sent.
 const maxSequentialWriteBytes = 16 << 10
 
-// roundTrip writes the encoded request and returns its response.
-func (e *exchange) roundTrip(r *Request, encoded []byte) (*http.Response, error) {
-	if len(encoded) <= maxSequentialWriteBytes {
-		if _, err := e.conn.Write(encoded); err != nil {
-			return nil, err
-		}
-		r.notifySent()
-	} else {
-		e.writeResult = make(chan error, 1)
-		go func() {
-			_, err := e.conn.Write(encoded)
-			if err == nil {
-				r.notifySent()
-			}
-			e.writeResult <- err
-		}()
+// roundTrip writes the request, whose head is encoded, and returns its response.
+func (e *exchange) roundTrip(r *Request, head []byte) (*http.Response, error) {
+	if err := e.writeRequest(r, head); err != nil {
+		return nil, err
 	}
 	for range maxResponsesRead {
 		resp, err := e.conn.readHead(r)
@@ -72,6 +60,25 @@
 	return nil, errNoMatchingResponse
 }
 
+// writeRequest writes the request. A large one is written while its response is
+// read.
+func (e *exchange) writeRequest(r *Request, head []byte) error {
+	write := func() error {
+		defer r.notifyBodyRead()
+		err := r.write(e.conn, head)
+		if err == nil {
+			r.notifySent()
+		}
+		return err
+	}
+	if len(head)+r.bodyLen() <= maxSequentialWriteBytes {
+		return write()
+	}
+	e.writeResult = make(chan error, 1)
+	go func() { e.writeResult <- write() }()
+	return nil
+}
+
 // discard reads a response to another request to its end. It fails if no further
 // response can follow on the connection.
 func discard(resp *http.Response) error {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 
@@ -73,7 +74,7 @@
 
 func newRequest(id string) *Request {
 	return &Request{
-		Method: "POST", Target: "/p/a%2Fb?q=1", Host: "h.example", Header: http.Header{"X-Id": {id}}, Body: []byte("in"),
+		Method: "POST", Target: "/p/a%2Fb?q=1", Host: "h.example", Header: http.Header{"X-Id": {id}}, Body: net.Buffers{[]byte("in")},
 		Match: func(r *http.Response) Match {
 			switch r.Header.Get("X-Id") {
 			case id:
@@ -272,7 +273,7 @@
 		})
 		pool := NewPool()
 		r := newRequest("a")
-		r.Body = []byte(strings.Repeat("x", 32<<20))
+		r.Body = net.Buffers{[]byte(strings.Repeat("x", 32<<20))}
 		Expect(send(pool, server.addr(), r)).To(Equal("early"))
 		pool.mu.Lock()
 		defer pool.mu.Unlock()
@@ -298,3 +299,41 @@
 		Expect(<-serverReadErr).To(HaveOccurred())
 	})
 })
+
+// Guards against another copy of a large body for each runner to which it is sent.
+var _ = ginkgo.It("a large body is not copied to be sent", func() {
+	const size = 32 << 20
+	server := newScriptedServer(func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err == nil {
+			_, err = io.Copy(io.Discard, req.Body)
+		}
+		if err == nil {
+			fmt.Fprint(c, responseText(req.Header.Get("X-Id"), "x"))
+		}
+	})
+	r := newRequest("a")
+	r.Body = net.Buffers{make([]byte, size/2), make([]byte, size/2)}
+	read := make(chan struct{})
+	r.OnBodyRead = func() { close(read) }
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	Expect(send(NewPool(), server.addr(), r)).To(Equal("x"))
+	<-read
+	runtime.ReadMemStats(&after)
+	Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", size/4))
+})
+
+var _ = ginkgo.It("tells when the body is read no more, also if nothing was sent", func() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(l.Close()).To(Succeed())
+	r := newRequest("a")
+	told := 0
+	r.OnBodyRead = func() { told++ }
+	_, err = send(NewPool(), l.Addr().String(), r)
+	Expect(WasSent(err)).To(BeFalse())
+	Expect(told).To(Equal(1))
+	Expect(send(NewPool(), newEchoServer("x").addr(), r)).To(Equal("x"))
+	Expect(told).To(Equal(2))
+})
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -51,7 +51,13 @@
 // caller must read and close the body. The end of ctx aborts the exchange, also
 // while the body is read. Errors returned by Do are of type *Error.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*http.Response, error) {
-	encoded, err := r.encode()
+	writing := false
+	defer func() {
+		if !writing {
+			r.notifyBodyRead()
+		}
+	}()
+	head, err := r.encodeHead()
 	if err != nil {
 		return nil, &Error{Addr: addr, Err: err}
 	}
@@ -67,7 +73,8 @@
 		e.abandon()
 		return nil, &Error{Addr: addr, Err: ctx.Err()}
 	}
-	resp, err := e.roundTrip(r, encoded)
+	writing = true
+	resp, err := e.roundTrip(r, head)
 	if err != nil {
 		responseStarted := c.bytesRead > e.bytesReadBefore
 		e.abandon()
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -14,7 +16,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is sent as it is, part by part. It must not change until OnBodyRead.
+	Body net.Buffers
 	// NewConn forces a new connection.
 	NewConn bool
 	// MaxIdle is the maximum number of idle connections to keep to the address
@@ -25,6 +28,10 @@
 	// OnSent, if not nil, is called once the whole request is written. For a large
 	// request it is called from another goroutine.
 	OnSent func()
+	// OnBodyRead, if not nil, is called once when Body is read no more, also if it
+	// was not sent. If the response comes before all of a large request is sent, it
+	// is called from another goroutine, perhaps after the end of Do.
+	OnBodyRead func()
 }
 
 // Match is the result of comparing a response with a request.
@@ -53,24 +60,59 @@
 	}
 }
 
-// encode returns the request as it is sent.
-func (r *Request) encode() ([]byte, error) {
+func (r *Request) notifyBodyRead() {
+	if r.OnBodyRead != nil {
+		r.OnBodyRead()
+	}
+}
+
+func (r *Request) bodyLen() int {
+	n := 0
+	for _, part := range r.Body {
+		n += len(part)
+	}
+	return n
+}
+
+// encodeHead returns the head of the request as it is sent.
+func (r *Request) encodeHead() ([]byte, error) {
+	bodyLen := r.bodyLen()
 	var b bytes.Buffer
-	b.Grow(typicalHeadBytes + len(r.Body))
+	b.Grow(typicalHeadBytes)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	if err := r.Header.WriteSubset(&b, framingHeaders); err != nil {
 		return nil, err
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if bodyLen > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(bodyLen) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes(), nil
 }
 
+// write writes the request. A small one is written at once, the body of a larger one
+// without another copy of it.
+func (r *Request) write(w io.Writer, head []byte) error {
+	if len(head)+r.bodyLen() <= maxSequentialWriteBytes {
+		for _, part := range r.Body {
+			head = append(head, part...)
+		}
+		_, err := w.Write(head)
+		return err
+	}
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	for _, part := range r.Body {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // typicalHeadBytes is the expected size of the request line and headers.
 const typicalHeadBytes = 1 << 10
 
-// framingHeaders are the headers that encode sets itself or never sends.
+// framingHeaders are the headers that encodeHead sets itself or never sends.
 var framingHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Connection": true, "Trailer": true}
