buffers: one bound for bodies of requests and answers

Callers saw neither an answer nor a refusal from an entry VM that was killed for memory: only buffered answers had a bound. The whole body of each request was read before admission and kept to its end, up to 4 MiB each.

Package buffers accounts for bytes of others against a quarter of the VM's memory. A request that finds no room is refused as not executed with a short Retry-After (reason no_memory): before its body is read where the head tells its length, while it is read otherwise. Requests leave a quarter of the room to answers, which cannot be had again. The first 16 KiB of a request and 64 KiB of an answer are not counted. A body is given back once the request may not be sent again and nothing of it is being written any more. Bodies that are too large by their Content-Length are refused with 413 before they are read.

The tests of buffered answers use the common accounting; they check the same bounds as before.

--- /dev/null
+++ b/buffers/request.go
@@ -0,0 +1,28 @@
+package buffers
+
+import "net/http"
+
+// ReadRequest reads the body of a caller's request, of up to limit bytes. It returns
+// a *http.MaxBytesError if the body is larger, and a *FullError if the request finds
+// no room. Such a body is not read if the head tells its length.
+func (m *Memory) ReadRequest(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	return m.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, HeaderBytes(r.Header))
+}
+
+// headerFieldBytes is what a field of a head takes beside its name and value.
+const headerFieldBytes = 128
+
+// HeaderBytes returns the memory that the fields of a head take, in bytes.
+func HeaderBytes(h http.Header) int64 {
+	var n int
+	for name, values := range h {
+		n += headerFieldBytes + len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return int64(n)
+}
--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -6,25 +6,20 @@
 	"fmt"
 	"io"
 	"sync"
+
+	"damaskbridge.example/damaskbridge/buffers"
 )
 
 const (
 	// maxAnswerBytes is the maximum size of an answer that is buffered.
 	maxAnswerBytes = 32 << 20
-	// maxBufferedBytes is the maximum size of all answers beyond freeAnswerBytes
-	// that are buffered at a time. A runner in trouble may send bytes without end
-	// to many requests at once.
-	maxBufferedBytes = 48 << 20
 	// freeAnswerBytes is the part of each answer that is not counted.
 	freeAnswerBytes = 64 << 10
 	// answerStepBytes is by how much an answer's share of the memory grows.
 	answerStepBytes = 256 << 10
 )
 
-var (
-	errAnswerTooLarge = fmt.Errorf("the answer exceeds %d bytes", maxAnswerBytes)
-	errAnswerMemory   = fmt.Errorf("the answers under way exceed %d bytes together", maxBufferedBytes)
-)
+var errAnswerTooLarge = fmt.Errorf("the answer exceeds %d bytes", maxAnswerBytes)
 
 // Body is a whole answer in parts, so that its memory never has to be copied into
 // a larger piece. It is valid until the call that received it returns.
@@ -56,18 +51,21 @@
 	return written, nil
 }
 
-// answerMemory bounds the memory of buffered answers. The zero value is ready for
-// use. It is safe for concurrent use.
+// answerMemory allocates the memory of buffered answers. A runner in trouble may
+// send bytes without end to many requests at once. It is safe for concurrent use.
 type answerMemory struct {
-	mu   sync.Mutex
-	used int64
+	memory *buffers.Memory
+
+	mu sync.Mutex
+	// inUse is the number of buffers in use.
+	inUse int
 	// unused holds buffers of answerStepBytes that can be used again. They are kept
 	// only while others are in use.
 	unused [][]byte
 }
 
-// readAll reads a whole answer. It returns errAnswerTooLarge or errAnswerMemory
-// if the answer does not fit. release must be called when the answer is of no
+// readAll reads a whole answer. It returns errAnswerTooLarge or a
+// *buffers.FullError if the answer does not fit. release must be called when the answer is of no
 // more use.
 func (m *answerMemory) readAll(r io.Reader) (body *Body, release func(), err error) {
 	var first bytes.Buffer
@@ -104,12 +102,12 @@
 
 // allocate returns a buffer of answerStepBytes.
 func (m *answerMemory) allocate() ([]byte, error) {
+	if err := m.memory.Reserve(buffers.Answer, answerStepBytes); err != nil {
+		return nil, err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.used+answerStepBytes > maxBufferedBytes {
-		return nil, errAnswerMemory
-	}
-	m.used += answerStepBytes
+	m.inUse++
 	last := len(m.unused) - 1
 	if last < 0 {
 		return make([]byte, answerStepBytes), nil
@@ -123,11 +121,12 @@
 func (m *answerMemory) free(steps [][]byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.memory.Release(int64(len(steps)) * answerStepBytes)
+	m.inUse -= len(steps)
 	for _, step := range steps {
-		m.used -= answerStepBytes
 		m.unused = append(m.unused, step[:answerStepBytes])
 	}
-	if m.used == 0 {
+	if m.inUse == 0 {
 		m.unused = nil
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -136,6 +136,7 @@
 	r.g.recordAdvice(runner.Addr, r.g.runners.startOf(runner), response.Advice)
 	r.g.runners.updateLoad(runner, response.Load)
 	if !response.NotExecuted {
+		r.dropBodyIfUnneeded()
 		return response, sendResult{}
 	}
 	defer response.Body.Close()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/placement"
 )
 
@@ -18,7 +19,9 @@
 	Host   string
 	// Header holds the headers that are forwarded unchanged.
 	Header http.Header
-	Body   []byte
+	// Body is nil if there is none. The gateway drops it once the request cannot be
+	// sent again.
+	Body *buffers.Body
 	// Key is the caller's API key, or "" if none was sent.
 	Key string
 	// Received is when the request headers arrived.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"damaskbridge.example/damaskbridge/advice"
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
@@ -25,8 +26,11 @@
 	// DrainTime is how long a draining runner may still receive requests.
 	DrainTime time.Duration
 	Upstreams Upstreams
-	Caller    transport.Caller
-	Logger    *log.Logger
+	// Memory bounds what is buffered of requests and answers. Without it there is no
+	// bound.
+	Memory *buffers.Memory
+	Caller transport.Caller
+	Logger *log.Logger
 }
 
 // Gateway routes callers' requests to runners. It is safe for concurrent use.
@@ -75,6 +79,7 @@
 	// propagation of the runner list and the transfer of the request.
 	g.runners = newRunnerSet(o.Topology, o.DrainTime/2, &g.advice)
 	g.pieces = newPieceScheduler(g)
+	g.answers.memory = o.Memory
 	g.state.Store(&directory.State{})
 	return g
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -33,6 +33,8 @@
 	PromptQuarantined Reason = "prompt_quarantined"
 	// Stopping: this VM is stopping.
 	Stopping Reason = "stopping"
+	// NoMemory: this VM has no room for the request's head and body.
+	NoMemory Reason = "no_memory"
 
 	// AnswerLost: a runner may have executed the request, but its answer was lost.
 	AnswerLost Reason = "answer_lost"
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -63,6 +63,28 @@
 	lastCause    string
 }
 
+// mayExecuteAgain reports whether the route allows another runner after executions,
+// which is greater than 0.
+func (r *request) mayExecuteAgain(executions int) bool {
+	return r.route.RetryPolicy != catalog.RetryNever && executions < r.route.MaxRunners
+}
+
+// dropBodyIfUnneeded gives the body back if the request may not be sent again after
+// the runner that answers now. That one counts as executed only later.
+func (r *request) dropBodyIfUnneeded() {
+	if !r.mayExecuteAgain(r.executions + 1) {
+		r.call.Body.Drop()
+	}
+}
+
+// Refuse answers a call that is not served, because its body was not read.
+func (g *Gateway) Refuse(c *Call, responder Responder, refusal *Refusal) {
+	r := &request{g: g, call: c, responder: responder}
+	g.metrics.recordRefusal(refusal.Reason)
+	responder.Refuse(refusal)
+	r.log(refusal)
+}
+
 // Serve handles one call and sends exactly one answer.
 func (g *Gateway) Serve(ctx context.Context, c *Call, responder Responder) {
 	r := &request{g: g, call: c, responder: responder}
@@ -158,7 +180,7 @@
 	if r.sends >= maxSends || r.deadline.Sub(now) < minTimeLeft {
 		return false
 	}
-	if r.executions > 0 && (r.route.RetryPolicy == catalog.RetryNever || r.executions >= r.route.MaxRunners) {
+	if r.executions > 0 && !r.mayExecuteAgain(r.executions) {
 		return false
 	}
 	return !v.arrived || r.g.budgets.forService(r.service.Name).TrySpend(now)
--- a/gateway/request_refusals.go
+++ b/gateway/request_refusals.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"damaskbridge.example/damaskbridge/buffers"
 )
 
 // finalRefusal returns the refusal after the last attempt.
@@ -55,6 +57,12 @@
 	return &Refusal{Reason: Stopping, RetryAfter: shortRetryDelay()}
 }
 
+// NewMemoryRefusal returns the refusal for a request that has found no room in this
+// VM.
+func NewMemoryRefusal(err *buffers.FullError) *Refusal {
+	return &Refusal{Reason: NoMemory, RetryAfter: shortRetryDelay(), Detail: err.Error()}
+}
+
 const (
 	shortRetryMin    = 200 * time.Millisecond
 	shortRetryJitter = 400 * time.Millisecond
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"runtime"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/directory"
 )
@@ -40,7 +42,7 @@
 		Expect(out.refusal.Executed).To(BeTrue())
 		Expect(f.sends()).To(HaveLen(1))
 		Expect(f.any[0].endless.read).To(BeNumerically("<=", 2*maxAnswerBytes))
-		Expect(g.answers.used).To(BeZero())
+		Expect(g.answers.inUse).To(BeZero())
 	})
 
 	ginkgo.It("whose refusal has no end is passed by", func() {
@@ -92,14 +94,15 @@
 	})
 
 	ginkgo.It("shares the memory for answers with all others", func() {
-		m := &answerMemory{}
+		m := newAnswerMemory()
 		var releases []func()
 		refused := 0
 		for range 4 {
 			_, release, err := m.readAll(io.LimitReader(&repeating{text: "x"}, maxAnswerBytes/2))
 			releases = append(releases, release)
 			if err != nil {
-				Expect(err).To(MatchError(errAnswerMemory))
+				var full *buffers.FullError
+				Expect(errors.As(err, &full)).To(BeTrue())
 				refused++
 			}
 		}
@@ -107,7 +110,7 @@
 		for _, release := range releases {
 			release()
 		}
-		Expect(m.used).To(BeZero())
+		Expect(m.memory.Used()).To(BeZero())
 		body, release, err := m.readAll(iotest.OneByteReader(strings.NewReader("small")))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(bytesOf(body)).To(Equal([]byte("small")))
@@ -118,10 +121,15 @@
 		Expect(body.Len()).To(Equal(len(whole)))
 		Expect(bytesOf(body)).To(Equal(whole))
 		release()
-		Expect(m.used).To(BeZero())
+		Expect(m.memory.Used()).To(BeZero())
 	})
 })
 
+// maxBufferedBytes is the bound of the answers in these tests.
+const maxBufferedBytes = 48 << 20
+
+func newAnswerMemory() *answerMemory { return &answerMemory{memory: buffers.New(maxBufferedBytes)} }
+
 // bytesOf returns the whole content of a body.
 func bytesOf(body *Body) []byte {
 	var b bytes.Buffer
@@ -133,7 +141,7 @@
 // Guards against memory that doubles while an answer grows: many answers without end
 // at once then take several times the bound.
 var _ = ginkgo.It("the memory of buffered answers stays at its bound", func() {
-	m := &answerMemory{}
+	m := newAnswerMemory()
 	allocated := func() uint64 {
 		var s runtime.MemStats
 		runtime.ReadMemStats(&s)
@@ -154,18 +162,18 @@
 		}
 	}
 	releaseOne()
-	Expect(m.used).To(BeZero())
+	Expect(m.memory.Used()).To(BeZero())
 	Expect(m.unused).To(BeEmpty())
 	Expect(allocated() - before).To(BeNumerically("<", 3*maxBufferedBytes))
 })
 
 // Guards against a truncated answer that is taken for a whole one.
 var _ = ginkgo.It("an answer that breaks off after its first part is not whole", func() {
-	m := &answerMemory{}
+	m := newAnswerMemory()
 	_, release, err := m.readAll(io.MultiReader(bytes.NewReader(make([]byte, freeAnswerBytes+10)), &failingReader{}))
 	release()
 	Expect(err).To(MatchError(io.ErrUnexpectedEOF))
-	Expect(m.used).To(BeZero())
+	Expect(m.memory.Used()).To(BeZero())
 })
 
 // zeros is a reader without end that allocates nothing.
