--- a/buffers/account.go
+++ b/buffers/account.go
@@ -5,7 +5,7 @@
 // stepBytes is the unit in which an Account reserves memory.
 const stepBytes = 64 << 10
 
-// Account is the share of one buffer in a Memory. It is not safe for concurrent use.
+// Account is the share of one buffer in a Memory. A nil Account counts nothing. It is not safe for concurrent use.
 type Account struct {
 	memory *Memory
 	kind   Kind
@@ -24,6 +24,9 @@
 // nothing if a larger one finds no room. It is called before the buffer grows, and
 // after it has shrunk.
 func (a *Account) Resize(n int64) error {
+	if a == nil {
+		return nil
+	}
 	want := (max(n-a.free, 0) + stepBytes - 1) / stepBytes * stepBytes
 	switch {
 	case want > a.reserved:
--- a/buffers/body.go
+++ b/buffers/body.go
@@ -34,14 +34,15 @@
 	closed  bool
 }
 
-// ReadBody reads a request's body. length is its size in bytes, negative if that is
-// not known; head is the size of the request's head. It returns a *FullError if the
-// request finds no room, before anything is read if the length is known.
-func (m *Memory) ReadBody(r io.Reader, length, head int64) (*Body, error) {
+// ReadBody reads a request's body of up to limit bytes. length is its size, negative
+// if that is not known; head is the size of the request's head. It returns a
+// *FullError if the request finds no room, before anything is read if the length is
+// known.
+func (m *Memory) ReadBody(r io.Reader, length, limit, head int64) (*Body, error) {
 	b := &Body{head: head, account: m.NewAccount(Request, FreeRequestBytes)}
 	err := b.account.Resize(head + max(length, 0))
 	for err == nil {
-		err = b.readPart(r, length)
+		err = b.readPart(r, length, limit)
 	}
 	if !errors.Is(err, io.EOF) {
 		b.account.Close()
@@ -52,7 +53,7 @@
 }
 
 // readPart reads the next part. It returns io.EOF at the end of the body.
-func (b *Body) readPart(r io.Reader, length int64) error {
+func (b *Body) readPart(r io.Reader, length, limit int64) error {
 	next := max(b.size, minPartBytes)
 	if b.size < length {
 		next = length - b.size
@@ -62,7 +63,7 @@
 	}
 	next = min(next, maxPartBytes)
 	if length < 0 {
-		if err := b.account.Resize(b.head + b.size + next); err != nil {
+		if err := b.account.Resize(b.head + expectedSize(b.head, b.size+next, limit)); err != nil {
 			return err
 		}
 	}
@@ -78,6 +79,19 @@
 	return err
 }
 
+// expectedSize returns the size for which room is taken before a body of unknown
+// length grows to n bytes. It is the largest size from the second part on: of many
+// bodies that grow at once, some are read to their end while the others are refused.
+func expectedSize(head, n, limit int64) int64 {
+	switch {
+	case head+n <= FreeRequestBytes:
+		return n
+	case n <= maxPartBytes:
+		return maxPartBytes
+	}
+	return max(n, limit)
+}
+
 // fill reads until b is full or an error occurs.
 func fill(r io.Reader, b []byte) (n int, err error) {
 	for n < len(b) && err == nil {
--- a/buffers/buffers_test.go
+++ b/buffers/buffers_test.go
@@ -45,7 +45,7 @@
 		a := m.NewAccount(Events, 1000)
 		Expect(a.Resize(1000)).To(Succeed())
 		Expect(isFull(a.Resize(1001))).To(BeTrue())
-		body, err := m.ReadBody(strings.NewReader("small"), 5, 100)
+		body, err := m.ReadBody(strings.NewReader("small"), 5, mib, 100)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(bodyBytes(body)).To(Equal([]byte("small")))
 	})
@@ -63,17 +63,30 @@
 
 var _ = ginkgo.Describe("the body of a request", func() {
 	ginkgo.It("is not read if its length finds no room", func() {
-		_, err := New(mib).ReadBody(unreadable{}, mib, 0)
+		_, err := New(mib).ReadBody(unreadable{}, mib, mib, 0)
 		Expect(isFull(err)).To(BeTrue())
 	})
 
 	ginkgo.It("of unknown length is read until it finds no room, and then given back", func() {
 		m := New(mib)
-		_, err := m.ReadBody(zeros{}, -1, 0)
+		_, err := m.ReadBody(zeros{}, -1, 4*mib, 0)
 		Expect(isFull(err)).To(BeTrue())
 		Expect(m.Used()).To(BeZero())
 	})
 
+	// Guards against bodies that take each other's room until none is read whole.
+	ginkgo.It("of unknown length has the room for all of it before its second part is read", func() {
+		m := New(8 * mib)
+		inSecondPart := readerFunc(func(p []byte) (int, error) {
+			Expect(m.Used()).To(BeEquivalentTo(4 * mib))
+			return 0, io.EOF
+		})
+		body, err := m.ReadBody(io.MultiReader(io.LimitReader(zeros{}, maxPartBytes), inSecondPart), -1, 4*mib, FreeRequestBytes)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Used()).To(BeEquivalentTo(maxPartBytes))
+		body.Close()
+	})
+
 	ginkgo.DescribeTable("is whole", func(size int, declared bool) {
 		m := New(4 * mib)
 		sent := bytes.Repeat([]byte("0123456"), size/7+1)[:size]
@@ -81,7 +94,7 @@
 		if declared {
 			length = int64(size)
 		}
-		body, err := m.ReadBody(iotest.HalfReader(bytes.NewReader(sent)), length, 0)
+		body, err := m.ReadBody(iotest.HalfReader(bytes.NewReader(sent)), length, 3*mib, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(bodyBytes(body)).To(Equal(sent))
 		Expect(m.Used()).To(BeNumerically("<", size+stepBytes))
@@ -96,14 +109,14 @@
 	// Guards against a truncated body that is sent on as a whole one.
 	ginkgo.It("that breaks off is no body", func() {
 		m := New(mib)
-		_, err := m.ReadBody(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, 0)
+		_, err := m.ReadBody(io.MultiReader(strings.NewReader("half"), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, mib, 0)
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	})
 
 	ginkgo.It("is counted until it was dropped and nobody sends it any more", func() {
 		m := New(4 * mib)
 		head := int64(FreeRequestBytes + 1)
-		body, err := m.ReadBody(bytes.NewReader(make([]byte, mib)), mib, head)
+		body, err := m.ReadBody(bytes.NewReader(make([]byte, mib)), mib, mib, head)
 		Expect(err).NotTo(HaveOccurred())
 		_, ok := body.Hold()
 		Expect(ok).To(BeTrue())
@@ -142,3 +155,7 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/buffers/request.go
+++ b/buffers/request.go
@@ -9,7 +9,7 @@
 	if r.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	return m.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, HeaderBytes(r.Header))
+	return m.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, HeaderBytes(r.Header))
 }
 
 // headerFieldBytes is what a field of a head takes beside its name and value.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"damaskbridge.example/damaskbridge/buffers"
 )
 
 // exchange is one request and its response on one connection.
@@ -104,6 +106,14 @@
 	return b, err
 }
 
+// ReadCounted is ReadBody for a body that an account counts. It fails with a
+// *buffers.FullError if the body finds no room.
+func ReadCounted(resp *http.Response, limit int64, account *buffers.Account) ([]byte, error) {
+	counted := *resp
+	counted.Body = io.NopCloser(account.Reader(resp.Body))
+	return ReadBody(&counted, limit)
+}
+
 // Abandon closes the connection of a response that Pool.Do has returned, so that
 // no other request is sent on it. The body must still be closed.
 func Abandon(resp *http.Response) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -137,6 +137,9 @@
 	r.g.runners.updateLoad(runner, response.Load)
 	if !response.NotExecuted {
 		r.dropBodyIfUnneeded()
+		if err := r.g.countHead(response); err != nil {
+			return nil, r.failedSend(ctx, runner, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
+		}
 		return response, sendResult{}
 	}
 	defer response.Body.Close()
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -16,7 +16,7 @@
 	m := buffers.New(4 << 20)
 	c := call(route)
 	var err error
-	c.Body, err = m.ReadBody(bytes.NewReader(make([]byte, 1<<20)), 1<<20, 0)
+	c.Body, err = m.ReadBody(bytes.NewReader(make([]byte, 1<<20)), 1<<20, 1<<20, 0)
 	Expect(err).NotTo(HaveOccurred())
 	more := make(chan struct{})
 	sends := 0
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,12 +5,23 @@
 	"errors"
 	"fmt"
 	"strconv"
+
+	"damaskbridge.example/damaskbridge/buffers"
 )
 
 // maxEventBytes is the maximum size of one event, and of the comments before the
 // first event.
 const maxEventBytes = 1 << 20
 
+const (
+	// freeEventBytes is the part of each stream's buffers that is not counted.
+	freeEventBytes = 32 << 10
+	// eventBytesFactor covers a buffer that is copied into a larger one.
+	eventBytesFactor = 2
+	// maxKeptEventBytes is the size up to which a buffer is kept for later events.
+	maxKeptEventBytes = 16 << 10
+)
+
 var errEventTooLarge = fmt.Errorf("an event of the stream, or what precedes its first event, exceeds %d bytes", maxEventBytes)
 
 // eventSplitter splits a byte stream into complete server-sent events and drops
@@ -32,6 +43,8 @@
 	// answer has shown a numbered event.
 	resumed bool
 	proved  bool
+	// account counts pending and preamble.
+	account *buffers.Account
 }
 
 var (
@@ -47,8 +60,12 @@
 
 // push appends bytes and returns the events that they complete. It drops events
 // that were already seen, because a resumed stream may repeat them. progressed
-// is true if one of the events has content.
+// is true if one of the events has content. It returns a *buffers.FullError if the
+// incomplete events find no room.
 func (s *eventSplitter) push(b []byte) (events []byte, progressed bool, err error) {
+	if err := s.count(len(b)); err != nil {
+		return nil, false, err
+	}
 	s.pending = append(s.pending, b...)
 	rest := s.pending
 	for {
@@ -75,12 +92,27 @@
 		}
 	}
 	s.pending = append(s.pending[:0], rest...)
+	s.shrink()
 	if len(s.pending) > maxEventBytes || len(s.preamble) > maxEventBytes {
 		err = errEventTooLarge
 	}
 	return events, progressed, err
 }
 
+// count counts the buffers before they grow by n bytes.
+func (s *eventSplitter) count(n int) error {
+	return s.account.Resize(eventBytesFactor * int64(len(s.pending)+len(s.preamble)+n))
+}
+
+// shrink gives back the memory of a large event that has been passed on.
+func (s *eventSplitter) shrink() {
+	if cap(s.pending) > max(maxKeptEventBytes, eventBytesFactor*len(s.pending)) {
+		s.pending = bytes.Clone(s.pending)
+	}
+	// What shrinks always finds room.
+	_ = s.count(0)
+}
+
 // takePreamble returns what came before the first event with content.
 func (s *eventSplitter) takePreamble() []byte {
 	b := s.preamble
@@ -131,7 +163,8 @@
 // beginResumedLeg discards an incomplete event and prepares for the answer to a
 // resume. Until that has shown an event of the stream, nothing of it is returned.
 func (s *eventSplitter) beginResumedLeg() {
-	s.pending, s.preamble = s.pending[:0], nil
+	s.pending, s.preamble = nil, nil
+	s.shrink()
 	s.started, s.resumed, s.proved = false, true, false
 }
 
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -45,6 +46,8 @@
 	advice advice.Advice
 	// unsigned leaves out the runner's signature.
 	unsigned bool
+	// header holds further headers of the answer.
+	header http.Header
 	// ended is closed when the gateway ends the exchange during the silence.
 	ended chan struct{}
 	// after is the delay before the runner answers.
@@ -123,9 +126,11 @@
 	if r.silentUntil != nil {
 		body = io.MultiReader(body, &silentReader{ctx: ctx, until: r.silentUntil, ended: r.ended}, strings.NewReader(r.rest))
 	}
+	header := http.Header{"X-From": {d.RunnerID}}
+	maps.Copy(header, r.header)
 	return &Response{
 		Signed: !r.unsigned, Advice: r.advice,
-		Status: r.status, Header: http.Header{"X-From": {d.RunnerID}}, Body: io.NopCloser(body),
+		Status: r.status, Header: header, Body: io.NopCloser(body),
 		NotExecuted: r.notExecuted, Misdirected: r.misdirected, EndsWithConnection: r.endsWithConnection,
 	}, nil
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/exchange"
 	"damaskbridge.example/damaskbridge/placement"
 )
@@ -60,6 +61,7 @@
 // where the route allows that, and aborted otherwise.
 func (r *request) attemptStream(ctx context.Context, runner *placement.RunnerState) attemptResult {
 	s := &eventStream{}
+	s.splitter.account = r.g.opts.Memory.NewAccount(buffers.Events, freeEventBytes)
 	if r.call.ResumeAfter != "" {
 		s.splitter.resumeAfter(r.call.ResumeAfter)
 	}
--- a/gateway/stream_standby.go
+++ b/gateway/stream_standby.go
@@ -259,6 +259,7 @@
 func (s *eventStream) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.splitter.account.Close()
 	b := s.standby
 	s.abandonStandby()
 	if b == nil || !b.accepted {
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing/iotest"
@@ -180,3 +181,50 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against the memory of many streams with an event without end.
+var _ = ginkgo.It("the incomplete events of all streams share one memory, which small ones do not need", func() {
+	m := buffers.New(maxEventBytes)
+	streams := make([]eventSplitter, 4)
+	for i := range streams {
+		streams[i].account = m.NewAccount(buffers.Events, freeEventBytes)
+		for range maxEventBytes / len(streams) / streamReadBytes {
+			_, _, err := streams[i].push(make([]byte, streamReadBytes))
+			if i < 2 {
+				Expect(err).NotTo(HaveOccurred())
+			} else if err != nil {
+				var full *buffers.FullError
+				Expect(errors.As(err, &full)).To(BeTrue())
+			}
+		}
+	}
+	Expect(m.Used()).To(BeEquivalentTo(maxEventBytes), "it is full")
+	sound := eventSplitter{account: m.NewAccount(buffers.Events, freeEventBytes)}
+	passed, _, err := sound.push([]byte(events(1, 2)))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(passed)).To(Equal(events(1, 2)))
+	for i := range streams {
+		streams[i].beginResumedLeg()
+		Expect(cap(streams[i].pending)).To(BeNumerically("<=", maxKeptEventBytes))
+	}
+	Expect(m.Used()).To(BeZero())
+})
+
+// Guards against the memory of large heads, which streams keep to their end.
+var _ = ginkgo.It("an answer whose head finds no room is lost, and a small one is not", func() {
+	g, f := newTestGateway()
+	g.opts.Memory = buffers.New(0)
+	f.any = []reply{{status: 200, body: "ok", header: http.Header{"X-Large": {strings.Repeat("x", freeHeadBytes)}}}, {status: 200, body: "ok"}}
+	Expect(serve(g, call("once")).refusal.Reason).To(Equal(AnswerLost))
+	Expect(serve(g, call("once")).body).To(Equal("ok"))
+})
+
+var _ = ginkgo.It("a stream gives back the memory of its head and its events", func() {
+	g, f := newTestGateway()
+	g.opts.Memory = buffers.New(maxBufferedBytes)
+	large := http.Header{"X-Large": {strings.Repeat("x", freeHeadBytes)}}
+	f.any = []reply{{status: 200, body: events(1, 2) + "data: " + strings.Repeat("x", maxEventBytes/2), cut: true, header: large}, {status: 200, body: events(3, 4), header: large}}
+	Expect(serve(g, call("resume")).body).To(Equal(events(1, 4)))
+	Expect(g.opts.Memory.Peak()).To(BeNumerically(">", maxEventBytes/2))
+	Expect(g.opts.Memory.Used()).To(BeZero())
+})
