platform: a body that does not arrive in time gives its room back

What callers saw: nothing yet; with one bound, a few callers that announce bodies of 4 MiB and do not send them would have had all others with large bodies refused. Before, such a request was held for as long as its connection.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -38,3 +38,11 @@
 	// there is none.
 	ResumeAfter string
 }
+
+// BodyDeadline returns when the body of the request is of no more use.
+func (c *Call) BodyDeadline() time.Time {
+	if c.Timeout > 0 {
+		return c.Received.Add(min(c.Timeout, maxRequestTime))
+	}
+	return c.Received.Add(maxRequestTime)
+}
