--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -35,9 +36,11 @@
 		defer ginkgo.GinkgoRecover()
 		out <- serve(g, c)
 	}()
-	Eventually(m.Used).Should(BeZero())
+	Eventually(m.Used).WithTimeout(10 * time.Second).Should(BeZero())
 	close(more)
-	Expect((<-out).status).To(Equal(200))
+	var answer *fakeResponder
+	Eventually(out).WithTimeout(10 * time.Second).Should(Receive(&answer))
+	Expect(answer.status).To(Equal(200))
 	Expect(sends).To(Equal(len(replies)))
 },
 	ginkgo.Entry("a booking", "once", reply{status: 200, body: "ok"}),
