--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -139,6 +139,10 @@
 		if err := response.checkProof(); err != nil {
 			return nil, r.damagedAnswer(ctx, runner, response, err)
 		}
+		r.dropBodyIfUnneeded()
+		if err := r.g.countHead(response); err != nil {
+			return nil, r.failedSend(ctx, runner, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
+		}
 		return response, sendResult{}
 	}
 	defer response.Body.Close()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/placement"
 )
 
@@ -18,7 +19,9 @@
 	Host   string
 	// Header holds the headers that are forwarded unchanged.
 	Header http.Header
-	Body   []byte
+	// Body is nil if there is none. The gateway drops it once the request cannot be
+	// sent again.
+	Body *buffers.Body
 	// Key is the caller's API key, or "" if none was sent.
 	Key string
 	// Received is when the request headers arrived.
@@ -35,3 +38,22 @@
 	// there is none.
 	ResumeAfter string
 }
+
+// BodyDeadline returns when the body of the request is of no more use.
+func (c *Call) BodyDeadline() time.Time {
+	if c.Timeout > 0 {
+		return c.Received.Add(min(c.Timeout, maxRequestTime))
+	}
+	return c.Received.Add(maxRequestTime)
+}
+
+// defaultBodyBytes bounds a caller's body until a configuration sets a limit.
+const defaultBodyBytes = 4 << 20
+
+// MaxBodyBytes returns the maximum size of a caller's body in bytes.
+func (g *Gateway) MaxBodyBytes() int64 {
+	if t := g.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
+		return t.Limits.MaxBodyBytes
+	}
+	return defaultBodyBytes
+}
