gateway: an event that comes in small pieces is searched once

What callers saw: nothing yet. A runner that sends an incomplete event in small pieces had the entry VM search and copy all of it again for each piece: 1 MiB byte by byte took over 20 s of processor time, at a VM with 0.2 to 0.4 of a core.

Cause: the search for the end of an event began at its start each time, and what was left was copied onto itself.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -66,15 +66,18 @@
 	if err := s.count(len(b)); err != nil {
 		return nil, false, err
 	}
+	// What is pending has no end of an event, but may have the first byte of one.
+	searched := max(len(s.pending)-len(eventEnd)+1, 0)
 	s.pending = append(s.pending, b...)
 	rest := s.pending
 	for {
-		i := bytes.Index(rest, eventEnd)
+		i := bytes.Index(rest[searched:], eventEnd)
 		if i < 0 {
 			break
 		}
-		event := rest[:i+len(eventEnd)]
-		rest = rest[i+len(eventEnd):]
+		event := rest[:searched+i+len(eventEnd)]
+		rest = rest[len(event):]
+		searched = 0
 		content := hasContent(event)
 		if s.resumed && !isContinuation(event, content) {
 			return events, progressed, errNotTheStream
@@ -91,7 +94,9 @@
 			s.preamble = append(s.preamble, event...)
 		}
 	}
-	s.pending = append(s.pending[:0], rest...)
+	if len(rest) < len(s.pending) {
+		s.pending = append(s.pending[:0], rest...)
+	}
 	s.shrink()
 	if len(s.pending) > maxEventBytes || len(s.preamble) > maxEventBytes {
 		err = errEventTooLarge
--- a/gateway/trouble_test.go
+++ b/gateway/trouble_test.go
@@ -210,6 +210,20 @@
 	Expect(m.Used()).To(BeZero())
 })
 
+// Guards against a search through all of an incomplete event for each byte that comes:
+// this took a minute of processor time.
+var _ = ginkgo.It("an event that comes byte by byte is searched once", func(ctx ginkgo.SpecContext) {
+	s := eventSplitter{}
+	for n := 0; n < maxEventBytes && ctx.Err() == nil; n++ {
+		if _, _, err := s.push([]byte("x")); err != nil {
+			ginkgo.Fail(err.Error())
+		}
+	}
+	passed, _, err := s.push([]byte("\n"))
+	Expect(err).To(MatchError(errEventTooLarge))
+	Expect(passed).To(BeEmpty())
+}, ginkgo.SpecTimeout(20*time.Second))
+
 // Guards against the memory of large heads, which streams keep to their end.
 var _ = ginkgo.It("an answer whose head finds no room is lost, and a small one is not", func() {
 	g, f := newTestGateway()
