--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,5 +1,5 @@
 // Package daemon implements the command line of the long-running programs: their
-// flags, signal handling and version output.
+// flags, signal handling and version output, and their plain HTTP servers.
 package daemon
 
 import (
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,3 +46,14 @@
 	}
 	return c.Received.Add(maxRequestTime)
 }
+
+// defaultBodyBytes bounds a caller's body until a configuration sets a limit.
+const defaultBodyBytes = 4 << 20
+
+// MaxBodyBytes returns the maximum size of a caller's body in bytes.
+func (g *Gateway) MaxBodyBytes() int64 {
+	if t := g.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
+		return t.Limits.MaxBodyBytes
+	}
+	return defaultBodyBytes
+}
