--- a/buffers/account.go
+++ b/buffers/account.go
@@ -5,7 +5,8 @@
 // stepBytes is the unit in which an Account reserves memory.
 const stepBytes = 64 << 10
 
-// Account is the share of one buffer in a Memory. A nil Account counts nothing. It is not safe for concurrent use.
+// Account is the share of one buffer in a Memory. A nil Account counts nothing. It is
+// not safe for concurrent use.
 type Account struct {
 	memory *Memory
 	kind   Kind
--- a/callers/server.go
+++ b/callers/server.go
@@ -119,6 +119,7 @@
 		return
 	}
 	delete(s.servers, server)
+	// Not under the lock, for the reason given in Close.
 	go func() { _ = server.httpServer.Close() }()
 }
 
