relay: a region is isolated also from regions that it had no traffic with

Cause: Isolate cut the directions that existed, and a direction exists only once a connection has used it. The spec "isolates a region and lets it rejoin" isolates before its first connection, so nothing was cut; it passed because the echo takes 120 ms through the simulated link and the spec listens for 100 ms, and failed once beside load when the listening began late.

Change: the network remembers isolated regions and creates their directions cut.

--- a/relay/network.go
+++ b/relay/network.go
@@ -21,8 +21,11 @@
 // Network simulates the links between regions: it holds their directions and the
 // relays that use them. It is safe for concurrent use.
 type Network struct {
-	mu             sync.Mutex
-	directions     map[RegionPair]*Direction
+	mu         sync.Mutex
+	directions map[RegionPair]*Direction
+	// isolated holds the regions whose directions are cut, also those that are used
+	// for the first time later.
+	isolated       map[ids.Region]bool
 	relays         []relay
 	delay          time.Duration
 	bytesPerSecond int64
@@ -40,7 +43,7 @@
 // (0 means no limit) are the initial ones of every direction between different
 // regions.
 func NewNetwork(delay time.Duration, bytesPerSecond int64) *Network {
-	return &Network{directions: map[RegionPair]*Direction{}, delay: delay, bytesPerSecond: bytesPerSecond}
+	return &Network{directions: map[RegionPair]*Direction{}, isolated: map[ids.Region]bool{}, delay: delay, bytesPerSecond: bytesPerSecond}
 }
 
 // Direction returns the direction from one region to another.
@@ -53,6 +56,7 @@
 		d = newDirection()
 		if from != to {
 			d.delay, d.bytesPerSecond = n.delay, n.bytesPerSecond
+			d.cut = n.isolated[from] || n.isolated[to]
 		}
 		n.directions[p] = d
 	}
@@ -71,19 +75,25 @@
 	n.Direction(b, a).Restore()
 }
 
-// Isolate cuts all existing directions between a region and the others.
+// Isolate cuts all directions between a region and the others.
 func (n *Network) Isolate(region ids.Region) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated[region] = true
 	n.forEachDirection(region, (*Direction).Cut)
 }
 
 // Rejoin restores all directions between a region and the others.
 func (n *Network) Rejoin(region ids.Region) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.isolated, region)
 	n.forEachDirection(region, (*Direction).Restore)
 }
 
+// forEachDirection runs do on each used direction between a region and the others.
+// n.mu is held.
 func (n *Network) forEachDirection(region ids.Region, do func(*Direction)) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	for p, d := range n.directions {
 		if p.From != p.To && (p.From == region || p.To == region) {
 			do(d)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -157,6 +157,23 @@
 		Expect(got).To(Equal("x"))
 	})
 
+	// Guards against a cut of those directions only that were used before: the first
+	// connection went through, later than expectSilence waited.
+	It("isolates a region that nothing was sent to yet", func() {
+		near := relay.NewNetwork(0, 0)
+		DeferCleanup(near.Close)
+		r, err := near.ListenTCP("127.0.0.1:0", startTCPEcho(), "a", "b")
+		Expect(err).NotTo(HaveOccurred())
+		near.Isolate("b")
+		c := dial("tcp", r.Addr())
+		send(c, "x")
+		expectSilence(c)
+		near.Rejoin("b")
+		got, err := receive(c, 1, 10*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal("x"))
+	})
+
 	It("freezes existing connections permanently while new ones work", func() {
 		old := dial("tcp", addr)
 		expectEcho(old, "before")
