gateway, residency: requests stay in the regions that route and workspace allow

Cause: allowed_regions was dropped when a document was decoded; nothing kept a request in its regions.

Change: residency.Regions joins route and workspace; runnerSet asks it under every choice of a runner, for the catalog of admission and for the one in force. Stage calls name their pool (service and data centre) and regions, and assemblers are kept by pool; pieces whose pool has lost its runners are placed anew. A request for which no runner is listed where it may run is refused before its stages, as not executed (no_allowed_region).

--- a/batch/memory.go
+++ b/batch/memory.go
@@ -1,5 +1,8 @@
 package batch
 
+// HasRunner reports whether a runner at an address is listed.
+func (a *Assembler) HasRunner(addr string) bool { return a.runners[addr] != nil }
+
 // Release removes results that are no longer needed from the accounted memory.
 func (a *Assembler) Release(runner string, handles []string) {
 	rs := a.runners[runner]
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/residency"
+)
 
 // Catalog is a decoded document.
 type Catalog struct {
@@ -32,4 +36,7 @@
 	// priority of the route if HasPriority is true.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions are the regions in which the workspace's requests may be
+	// processed. Those of the route hold as well.
+	AllowedRegions residency.Regions
 }
--- a/catalog/route.go
+++ b/catalog/route.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"damaskbridge.example/damaskbridge/residency"
+)
 
 // RetryPolicy tells whether a request may be executed more than once.
 type RetryPolicy uint8
@@ -42,6 +46,9 @@
 	Public bool
 	// PromptAffinity is true if requests identify the parts of their prompt.
 	PromptAffinity bool
+	// AllowedRegions are the regions in which requests may be processed. Those of
+	// the workspace hold as well.
+	AllowedRegions residency.Regions
 	Targets        []Target
 	Stages         []Stage
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -77,7 +77,7 @@
 		return nil
 	}
 	reserved := &reservedRunner{}
-	reserved.runner, reserved.cacheAddr = r.g.runners.pick(now, r.service, &r.call.Prompt, tried)
+	reserved.runner, reserved.cacheAddr = r.g.runners.pick(now, r.query(tried))
 	if reserved.runner == nil {
 		return nil
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -6,6 +6,7 @@
 
 	"damaskbridge.example/damaskbridge/batch"
 	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/residency"
 )
 
 // Pieces are forwarded to another zone's assembler when the runners of the
@@ -30,60 +31,63 @@
 	delayQueryTimeout  = 300 * time.Millisecond
 )
 
-// fasterPeer returns the VM of another zone whose assembler would finish the
-// pieces clearly earlier, or "" if there is none.
-func (o *pieceOwner) fasterPeer(now time.Time, c *piecesCall, localDelay time.Duration) string {
+// fasterPeer returns the assembler of another zone that would finish the pieces
+// clearly earlier, or nil if there is none.
+func (o *pieceOwner) fasterPeer(now time.Time, c *piecesCall, localDelay time.Duration) *peerKey {
 	t := o.g.Table()
 	if t == nil {
-		return ""
+		return nil
 	}
 	s := t.Service(c.Service)
 	if s == nil || s.StageRunner == nil {
-		return ""
+		return nil
 	}
 	if localDelay < s.StageRunner.Estimate(len(c.Items))+forwardThreshold {
-		return ""
+		return nil
 	}
 	gain := smallResultGain
 	if c.ResultBytes*int64(len(c.Items)) >= largeResultBytes {
 		gain = largeResultGain
 	}
-	best, bestDelay := "", localDelay-gain
-	for _, vm := range o.peerAssemblers(c.Service) {
-		delay, ok := o.peers.cached(now, peerKey{c.Service, vm})
+	var best *peerKey
+	bestDelay := localDelay - gain
+	for _, peer := range o.peerAssemblers(c) {
+		delay, ok := o.peers.cached(now, peer)
 		if ok && delay+peerRoundTrip < bestDelay {
-			best, bestDelay = vm, delay+peerRoundTrip
+			best, bestDelay = &peer, delay+peerRoundTrip
 		}
 	}
-	if best != "" {
-		o.peers.increase(peerKey{c.Service, best}, time.Duration(len(c.Items))*s.StageRunner.PieceTime)
+	if best != nil {
+		o.peers.increase(*best, time.Duration(len(c.Items))*s.StageRunner.PieceTime)
 	}
 	return best
 }
 
-// peerAssemblers returns the assembler VM of each other zone with runners of
-// the service.
-func (o *pieceOwner) peerAssemblers(service string) []string {
-	preferred := o.zones[service]
+// peerAssemblers returns the assembler of each other zone whose runners may run the
+// pieces of a call.
+func (o *pieceOwner) peerAssemblers(c *piecesCall) []peerKey {
 	byZone := map[string][]string{}
 	for _, e := range o.g.state.Load().Entries {
-		if e.Zone != preferred && !e.Draining {
+		if e.Zone != c.Zone && !e.Draining {
 			byZone[e.Zone] = append(byZone[e.Zone], e.Addr)
 		}
 	}
-	var list []string
+	allowed := residency.Of(c.AllowedRegions)
+	var list []peerKey
 	for zone, names := range byZone {
-		if len(o.g.runners.runnersInZone(service, zone)) > 0 {
-			list = append(list, placement.PickRendezvous(service, names))
+		pool := poolKey{c.Service, zone}
+		if o.g.runners.zoneEligible(zone, allowed) && len(o.g.runners.inPool(pool)) > 0 {
+			list = append(list, peerKey{pool, placement.PickRendezvous(c.Service, names)})
 		}
 	}
 	return list
 }
 
-// currentDelay returns the last reported delay of a service in the preferred
-// zone, or 0 if there is no recent report.
-func (p *pieceScheduler) currentDelay(now time.Time, service string) time.Duration {
-	return p.peers.recent(now, peerKey{service, p.assemblerVM(service)})
+// currentDelay returns the last reported delay of a service in the zone that this
+// VM prefers among the allowed regions, or 0 if there is no recent report.
+func (p *pieceScheduler) currentDelay(now time.Time, service string, allowed residency.Regions) time.Duration {
+	pool := poolKey{service, p.g.runners.preferredZone(service, allowed)}
+	return p.peers.recent(now, peerKey{pool, p.assemblerVM(pool)})
 }
 
 // queryDelay queries the delay of an assembler with a call without pieces.
@@ -91,29 +95,30 @@
 	ctx, cancel := context.WithTimeout(context.Background(), delayQueryTimeout)
 	defer cancel()
 	// If the query fails, the assembler is not used.
-	_, _ = p.runPiecesAt(ctx, key.vm, &piecesCall{Service: key.service, Forwarded: true})
+	_, _ = p.runPiecesAt(ctx, key.vm, &piecesCall{Service: key.pool.service, Zone: key.pool.zone, Forwarded: true})
 }
 
 // forward runs the pieces at the assembler of another zone, or here if that one
 // does not take them.
-func (p *pieceScheduler) forward(ctx context.Context, vm string, c *piecesCall) ([]batch.Result, error) {
+func (p *pieceScheduler) forward(ctx context.Context, to peerKey, c *piecesCall) ([]batch.Result, error) {
 	forwarded := *c
-	forwarded.Forwarded = true
+	forwarded.Forwarded, forwarded.Zone = true, to.pool.zone
 	p.g.metrics.forwarded.Inc()
-	results, err := p.runPiecesAt(ctx, vm, &forwarded)
+	results, err := p.runPiecesAt(ctx, to.vm, &forwarded)
 	if !isAssemblerMissing(ctx, err) {
 		return results, err
 	}
-	p.g.log.Warn().Err(err).Str("id", c.Request).Str("vm", vm).Str("service", c.Service).Msg("gateway: the assembling VM did not answer")
-	p.markUnavailable(vm)
+	p.g.log.Warn().Err(err).Str("id", c.Request).Str("vm", to.vm).Str("service", c.Service).Msg("gateway: the assembling VM did not answer")
+	p.markUnavailable(to.vm)
+	forwarded.Zone = c.Zone
 	return p.assemble(ctx, &forwarded)
 }
 
 // localDelay returns the delay of one additional piece at this VM. It returns an
 // error if ctx ends or the VM stops before that is known.
-func (p *pieceScheduler) localDelay(ctx context.Context, service string) (time.Duration, error) {
+func (p *pieceScheduler) localDelay(ctx context.Context, pool poolKey) (time.Duration, error) {
 	answer := make(chan time.Duration, 1)
-	p.post(func(o *pieceOwner, now time.Time) { answer <- o.delay(now, service) })
+	p.post(func(o *pieceOwner, now time.Time) { answer <- o.delay(now, pool) })
 	select {
 	case d := <-answer:
 		return d, nil
@@ -125,8 +130,8 @@
 }
 
 // delay returns the delay of one additional piece at this VM.
-func (o *pieceOwner) delay(now time.Time, service string) time.Duration {
-	a := o.assembler(service)
+func (o *pieceOwner) delay(now time.Time, pool poolKey) time.Duration {
+	a := o.assembler(pool)
 	if a == nil {
 		return batch.NoRunnerDelay
 	}
--- a/gateway/peer_delays.go
+++ b/gateway/peer_delays.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// peerKey identifies the assembler of a service at a VM.
-type peerKey struct{ service, vm string }
+// peerKey identifies the assembler of a pool at a VM.
+type peerKey struct {
+	pool poolKey
+	vm   string
+}
 
 // peerDelay is the delay that an assembler last reported, increased by the work
 // forwarded to it since.
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -95,8 +95,11 @@
 	ps := p.gateways[vm].pieces
 	ps.post(func(o *pieceOwner, _ time.Time) {
 		var total int64
-		if a := o.assemblers[service]; a != nil {
-			for _, r := range p.gateways[vm].runners.runnersInZone(service, o.zones[service]) {
+		for pool, a := range o.assemblers {
+			if pool.service != service {
+				continue
+			}
+			for _, r := range p.gateways[vm].runners.inPool(pool) {
 				total += a.UsedBytes(r.Addr)
 			}
 		}
--- a/gateway/pieces.go
+++ b/gateway/pieces.go
@@ -134,12 +134,12 @@
 	}
 	select {
 	case <-w.done:
-		if w.forwardTo != "" {
-			return p.forward(ctx, w.forwardTo, c)
+		if w.forwardTo != nil {
+			return p.forward(ctx, *w.forwardTo, c)
 		}
 		return w.results, nil
 	case <-ctx.Done():
-		p.post(func(o *pieceOwner, _ time.Time) { o.cancel(c.Service, w) })
+		p.post(func(o *pieceOwner, _ time.Time) { o.cancel(c.pool(), w) })
 		return nil, ctx.Err()
 	case <-p.stopped:
 		return nil, errStopping
--- a/gateway/pieces_assemblers.go
+++ b/gateway/pieces_assemblers.go
@@ -8,24 +8,19 @@
 
 // updateAssemblers applies the current catalog and list of runners.
 func (o *pieceOwner) updateAssemblers() {
-	for service, a := range o.assemblers {
-		o.updateAssembler(service, a)
+	for pool, a := range o.assemblers {
+		o.updateAssembler(pool, a)
 	}
 }
 
-func (o *pieceOwner) updateAssembler(service string, a *batch.Assembler) {
+func (o *pieceOwner) updateAssembler(pool poolKey, a *batch.Assembler) {
 	if t := o.g.Table(); t != nil {
-		if s := t.Service(service); s != nil && s.StageRunner != nil {
+		if s := t.Service(pool.service); s != nil && s.StageRunner != nil {
 			a.SetSpec(*s.StageRunner)
 		}
 	}
-	zone := o.g.runners.preferredZone(service)
-	if zone == "" {
-		zone = o.zones[service]
-	}
-	o.zones[service] = zone
 	var runners []batch.Runner
-	for _, r := range o.g.runners.runnersInZone(service, zone) {
+	for _, r := range o.g.runners.inPool(pool) {
 		runners = append(runners, batch.Runner{
 			ID: r.ID, Addr: r.Addr, Draining: r.Draining || !o.g.advice.LeavingSince(r.process).IsZero(),
 			PausedUntil: o.g.advice.PausedUntil(time.Now(), r.process),
@@ -34,22 +29,33 @@
 	a.SetRunners(runners)
 }
 
-// assembler returns the assembler of a service, or nil if the catalog has no
-// such service.
-func (o *pieceOwner) assembler(service string) *batch.Assembler {
-	if a := o.assemblers[service]; a != nil {
+// assembler returns the assembler of a pool, or nil if the catalog has no such
+// service or the pool has no runners.
+func (o *pieceOwner) assembler(pool poolKey) *batch.Assembler {
+	if a := o.assemblers[pool]; a != nil {
 		return a
 	}
 	t := o.g.Table()
 	if t == nil {
 		return nil
 	}
-	s := t.Service(service)
-	if s == nil || s.StageRunner == nil {
+	s := t.Service(pool.service)
+	if s == nil || s.StageRunner == nil || len(o.g.runners.inPool(pool)) == 0 {
 		return nil
 	}
 	a := batch.NewAssembler(*s.StageRunner)
-	o.assemblers[service] = a
-	o.updateAssembler(service, a)
+	o.assemblers[pool] = a
+	o.updateAssembler(pool, a)
 	return a
 }
+
+// assemblerOf returns the assembler that accounts the memory of a service's runner
+// at an address, or nil if this VM has none.
+func (o *pieceOwner) assemblerOf(service, runner string) *batch.Assembler {
+	for pool, a := range o.assemblers {
+		if pool.service == service && a.HasRunner(runner) {
+			return a
+		}
+	}
+	return nil
+}
--- a/gateway/pieces_free.go
+++ b/gateway/pieces_free.go
@@ -99,7 +99,7 @@
 // freeLocal frees results of runners whose memory this VM accounts.
 func (o *pieceOwner) freeLocal(c *freeCall) {
 	handles := c.Handles
-	if a := o.assemblers[c.Service]; a != nil {
+	if a := o.assemblerOf(c.Service, c.Runner); a != nil {
 		if c.Fetched && !a.IsLowOnMemory(c.Runner) {
 			return
 		}
@@ -115,7 +115,7 @@
 }
 
 func (o *pieceOwner) recordFreed(c *freeCall) {
-	a := o.assemblers[c.Service]
+	a := o.assemblerOf(c.Service, c.Runner)
 	switch {
 	case a == nil:
 	case c.Fetched:
--- a/gateway/pieces_inputs.go
+++ b/gateway/pieces_inputs.go
@@ -70,8 +70,8 @@
 
 // scheduleInputRelease frees the inputs of pieces once all of the pieces are in
 // a call and the hold has expired.
-func (o *pieceOwner) scheduleInputRelease(service string, call *batch.Call) {
-	startsAtOnce := o.assemblers[service].IsOnTime(call.Runner)
+func (o *pieceOwner) scheduleInputRelease(pool poolKey, call *batch.Call) {
+	startsAtOnce := o.assemblers[pool].IsOnTime(call.Runner)
 	for _, item := range call.Items {
 		w := o.waiters[item.Ref]
 		if w == nil || len(w.inputs.producers) == 0 {
@@ -82,7 +82,7 @@
 			continue
 		}
 		returned := w.inputs.returned
-		hold := o.g.holds.duration(service, o.farthestProducer(w.inputs.producers))
+		hold := o.g.holds.duration(pool.service, o.farthestProducer(w.inputs.producers))
 		o.later.after(hold, func(o *pieceOwner, _ time.Time) { o.releaseInputs(w, returned) })
 	}
 }
--- a/gateway/pieces_messages.go
+++ b/gateway/pieces_messages.go
@@ -26,8 +26,17 @@
 	Forwarded bool `cbor:"11,keyasint,omitempty"`
 	// Producers lists the producers of the inputs, in the order of the inputs.
 	Producers []inputProducer `cbor:"12,keyasint,omitempty"`
+	// Zone is the data centre whose runners are to run the pieces. A VM of the
+	// release before sends none; the answering VM then uses the one it prefers.
+	Zone string `cbor:"13,keyasint,omitempty"`
+	// AllowedRegions are the regions in which the pieces may be run. If there are
+	// none, all are allowed.
+	AllowedRegions []string `cbor:"14,keyasint,omitempty"`
 }
 
+// pool returns the runners that are to run the pieces.
+func (c *piecesCall) pool() poolKey { return poolKey{c.Service, c.Zone} }
+
 // inputProducer is the producer of Count consecutive inputs of a stage.
 type inputProducer struct {
 	Service string `cbor:"1,keyasint"`
--- a/gateway/pieces_owner.go
+++ b/gateway/pieces_owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/batch"
+	"damaskbridge.example/damaskbridge/residency"
 )
 
 // ownerTask runs on the goroutine of a pieceOwner.
@@ -29,17 +30,15 @@
 	later taskScheduler
 	peers *peerDelays
 
-	assemblers map[string]*batch.Assembler
-	// zones holds the zone whose runners are used, by service.
-	zones   map[string]string
-	waiters map[uint64]*pieceWaiter
-	nextRef uint64
+	assemblers map[poolKey]*batch.Assembler
+	waiters    map[uint64]*pieceWaiter
+	nextRef    uint64
 }
 
 func newPieceOwner(ctx context.Context, p *pieceScheduler) *pieceOwner {
 	return &pieceOwner{
 		g: p.g, ctx: ctx, later: p, peers: p.peers,
-		assemblers: map[string]*batch.Assembler{}, zones: map[string]string{}, waiters: map[uint64]*pieceWaiter{},
+		assemblers: map[poolKey]*batch.Assembler{}, waiters: map[uint64]*pieceWaiter{},
 	}
 }
 
@@ -47,11 +46,11 @@
 // run.
 func (o *pieceOwner) dispatchDue(now time.Time) time.Duration {
 	wake := time.Hour
-	for service, a := range o.assemblers {
+	for pool, a := range o.assemblers {
 		calls, ended := a.Next(now)
-		o.deliver(service, ended)
+		o.deliver(pool.service, ended)
 		for _, call := range calls {
-			o.startCall(service, call)
+			o.startCall(pool, call)
 		}
 		if at := a.NextWake(now); !at.IsZero() {
 			wake = min(wake, at.Sub(now))
@@ -60,32 +59,32 @@
 	return max(wake, time.Millisecond)
 }
 
-func (o *pieceOwner) startCall(service string, call batch.Call) {
+func (o *pieceOwner) startCall(pool poolKey, call batch.Call) {
 	o.g.metrics.callPieces.Update(float64(len(call.Items)))
-	o.scheduleInputRelease(service, &call)
+	o.scheduleInputRelease(pool, &call)
 	o.later.spawn(func() ownerTask {
 		began := time.Now()
 		result := o.g.opts.Upstreams.RunPieces(o.ctx, &call)
 		if result.Lost || result.Refused {
-			o.g.log.Info().Str("service", service).Str("runner", call.RunnerID).Str("addr", call.Runner).Int("pieces", len(call.Items)).
+			o.g.log.Info().Str("service", pool.service).Str("zone", pool.zone).Str("runner", call.RunnerID).Str("addr", call.Runner).Int("pieces", len(call.Items)).
 				Bool("lost", result.Lost).Bool("refused", result.Refused).Int64("ms", time.Since(began).Milliseconds()).Msg("gateway: stage call failed")
 		}
-		return func(o *pieceOwner, now time.Time) { o.endCall(now, service, &call, &result) }
+		return func(o *pieceOwner, now time.Time) { o.endCall(now, pool, &call, &result) }
 	})
 }
 
-func (o *pieceOwner) endCall(now time.Time, service string, call *batch.Call, result *batch.CallResult) {
-	a := o.assemblers[service]
+func (o *pieceOwner) endCall(now time.Time, pool poolKey, call *batch.Call, result *batch.CallResult) {
+	a := o.assemblers[pool]
 	if a == nil {
 		return
 	}
 	if o.g.recordAdviceAt(call.Runner, call.RunnerID, result.Advice) {
-		o.updateAssembler(service, a)
+		o.updateAssembler(pool, a)
 	}
-	o.logOutOfMemory(service, call, result, a.UsedBytes(call.Runner))
+	o.logOutOfMemory(pool.service, call, result, a.UsedBytes(call.Runner))
 	ended, surplus := a.Done(now, *call, *result)
-	o.free(service, surplus)
-	o.deliver(service, ended)
+	o.free(pool.service, surplus)
+	o.deliver(pool.service, ended)
 	o.markUnfinished(call)
 }
 
@@ -128,12 +127,9 @@
 }
 
 func (o *pieceOwner) addPieces(now, began time.Time, c *piecesCall, w *pieceWaiter) {
-	a := o.assembler(c.Service)
-	if a == nil {
-		for i := range w.results {
-			w.results[i] = batch.Result{Reason: batch.NoRunner}
-		}
-		close(w.done)
+	a := o.assembler(c.pool())
+	if a == nil || !o.g.runners.zoneEligible(c.Zone, residency.Of(c.AllowedRegions)) {
+		w.endAll(batch.NoRunner)
 		return
 	}
 	item := batch.Item{
@@ -143,7 +139,7 @@
 	}
 	delay := a.Delay(now, &item, len(c.Items))
 	if !c.Forwarded {
-		if peer := o.fasterPeer(now, c, delay); peer != "" {
+		if peer := o.fasterPeer(now, c, delay); peer != nil {
 			w.forwardTo = peer
 			close(w.done)
 			return
@@ -151,10 +147,7 @@
 	}
 	if now.Add(delay).After(item.Deadline) {
 		// The pieces cannot finish in time, so they are refused immediately.
-		for i := range w.results {
-			w.results[i] = batch.Result{Reason: batch.Late}
-		}
-		close(w.done)
+		w.endAll(batch.Late)
 		return
 	}
 	w.firstRef = o.nextRef
@@ -169,7 +162,7 @@
 
 // cancel drops the waiting pieces of a request that has ended and frees its
 // results. Results of calls in flight are freed when they arrive.
-func (o *pieceOwner) cancel(service string, w *pieceWaiter) {
+func (o *pieceOwner) cancel(pool poolKey, w *pieceWaiter) {
 	w.cancelled = true
 	refs := map[uint64]bool{}
 	for i := range w.results {
@@ -178,7 +171,7 @@
 			refs[ref] = true
 		}
 	}
-	if a := o.assemblers[service]; a != nil {
+	if a := o.assemblers[pool]; a != nil {
 		for _, ref := range a.Cancel(refs) {
 			delete(o.waiters, ref)
 		}
@@ -189,5 +182,5 @@
 			done = append(done, r)
 		}
 	}
-	o.free(service, done)
+	o.free(pool.service, done)
 }
--- a/gateway/pieces_rpc.go
+++ b/gateway/pieces_rpc.go
@@ -8,19 +8,46 @@
 
 	"damaskbridge.example/damaskbridge/batch"
 	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/residency"
 	"damaskbridge.example/damaskbridge/transport"
 	"damaskbridge.example/damaskbridge/wire"
 )
 
-// runPieces runs the pieces at the VM that assembles the calls of the service
-// for its preferred zone. If that VM does not answer, this VM assembles them
-// itself and does not use that VM for assemblerBackoff.
-func (p *pieceScheduler) runPieces(ctx context.Context, c *piecesCall) ([]batch.Result, error) {
-	at := p.assemblerVM(c.Service)
+// maxPoolTries is how many pools are tried for pieces if a pool loses its runners
+// while they wait.
+const maxPoolTries = 3
+
+// runPieces runs the pieces at the VM that assembles the calls of the preferred pool
+// in the allowed regions. If that pool has no runner left when their turn comes, the
+// pieces go to the pool that is preferred then.
+func (p *pieceScheduler) runPieces(ctx context.Context, c *piecesCall) (results []batch.Result, err error) {
+	allowed := residency.Of(c.AllowedRegions)
+	for range maxPoolTries {
+		c.Zone = p.g.runners.preferredZone(c.Service, allowed)
+		results, err = p.runPiecesInPool(ctx, c)
+		if err != nil || !lacksRunner(results) || p.g.runners.preferredZone(c.Service, allowed) == c.Zone {
+			break
+		}
+		p.free(c.Service, results)
+	}
+	return results, err
+}
+
+// lacksRunner reports whether pieces have no result because no runner takes them.
+func lacksRunner(results []batch.Result) bool {
+	return slices.ContainsFunc(results, func(r batch.Result) bool { return r.Reason == batch.NoRunner })
+}
+
+// runPiecesInPool runs the pieces at the VM that assembles the calls of their pool.
+// If that VM does not answer, this VM assembles them itself and does not use that VM
+// for assemblerBackoff.
+func (p *pieceScheduler) runPiecesInPool(ctx context.Context, c *piecesCall) ([]batch.Result, error) {
+	pool := c.pool()
+	at := p.assemblerVM(pool)
 	if at == p.g.opts.Self {
 		results, err := p.assemble(ctx, c)
-		if delay, err := p.localDelay(ctx, c.Service); err == nil {
-			p.peers.record(peerKey{c.Service, at}, delay)
+		if delay, err := p.localDelay(ctx, pool); err == nil {
+			p.peers.record(peerKey{pool, at}, delay)
 		}
 		return results, err
 	}
@@ -47,7 +74,7 @@
 		return nil, err
 	}
 	delay := time.Duration(reply.DelayMS) * time.Millisecond
-	p.peers.record(peerKey{c.Service, at}, delay)
+	p.peers.record(peerKey{c.pool(), at}, delay)
 	results := make([]batch.Result, 0, len(reply.Results))
 	for _, r := range reply.Results {
 		result := batch.Result{Handle: r.Handle, Runner: r.Runner, Reason: r.Reason, Assembler: r.Assembler}
@@ -56,7 +83,7 @@
 		}
 		results = append(results, result)
 	}
-	if slices.ContainsFunc(results, func(r batch.Result) bool { return r.Reason == batch.NoRunner }) {
+	if lacksRunner(results) {
 		return nil, errNoAssembler
 	}
 	if len(results) != len(c.Items) {
@@ -69,15 +96,14 @@
 // because it has just started, or that it stops.
 var errNoAssembler = errors.New("gateway: the assembling VM does not know the service yet, or stops; using another VM")
 
-// assemblerVM returns the VM that assembles the calls of a service. All VMs
-// that use the runners of the same zone choose the same one.
-func (p *pieceScheduler) assemblerVM(service string) string {
-	zone := p.g.runners.preferredZone(service)
+// assemblerVM returns the VM that assembles the calls of a pool. All VMs choose the
+// same one.
+func (p *pieceScheduler) assemblerVM(pool poolKey) string {
 	now := time.Now()
 	var names []string
 	p.mu.Lock()
 	for _, e := range p.g.state.Load().Entries {
-		if e.Zone == zone && !e.Draining && now.After(p.backoffUntil[e.Addr]) {
+		if e.Zone == pool.zone && !e.Draining && now.After(p.backoffUntil[e.Addr]) {
 			names = append(names, e.Addr)
 		}
 	}
@@ -85,7 +111,7 @@
 	if len(names) == 0 {
 		return p.g.opts.Self
 	}
-	return placement.PickRendezvous(service, names)
+	return placement.PickRendezvous(pool.service, names)
 }
 
 func (p *pieceScheduler) markUnavailable(vm string) {
@@ -108,6 +134,9 @@
 	if err := wire.Decode(body, &c); err != nil {
 		return nil, err
 	}
+	if c.Zone == "" {
+		c.Zone = p.g.runners.preferredZone(c.Service, residency.Of(c.AllowedRegions))
+	}
 	var results []batch.Result
 	if len(c.Items) > 0 {
 		var err error
@@ -115,7 +144,7 @@
 			return nil, err
 		}
 	}
-	delay, err := p.localDelay(ctx, c.Service)
+	delay, err := p.localDelay(ctx, c.pool())
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/pieces_stop_test.go
+++ b/gateway/pieces_stop_test.go
@@ -26,7 +26,7 @@
 	ginkgo.DescribeTable("hands them back, and the other VM assembles them",
 		func(alreadyWaiting bool) {
 			p := newGatewayPair(map[string]string{"one": "z", "two": "z"})
-			assembler := p.gateways["one"].pieces.assemblerVM("encode")
+			assembler := p.gateways["one"].pieces.assemblerVM(poolKey{"encode", "z"})
 			other := map[string]string{"one": "two", "two": "one"}[assembler]
 			g := p.gateways[assembler]
 			plan := leftRotation(3 * time.Second)
--- a/gateway/pieces_waiter.go
+++ b/gateway/pieces_waiter.go
@@ -10,9 +10,17 @@
 	// cancelled is set when the request has ended, so that later results are
 	// freed.
 	cancelled bool
-	// forwardTo is the VM to which the call is forwarded, or "" if it is served
-	// here.
-	forwardTo string
+	// forwardTo is the assembler to which the call is forwarded, nil if it is
+	// served here.
+	forwardTo *peerKey
 	done      chan struct{}
 	inputs    inputUse
 }
+
+// endAll ends a call of which nothing was queued.
+func (w *pieceWaiter) endAll(reason batch.Reason) {
+	for i := range w.results {
+		w.results[i] = batch.Result{Reason: reason}
+	}
+	close(w.done)
+}
--- a/gateway/predict.go
+++ b/gateway/predict.go
@@ -42,6 +42,7 @@
 func (r *request) estimateFirstEvent(now time.Time) time.Duration {
 	ends := make([]time.Duration, len(r.route.Stages))
 	var last time.Duration
+	allowed := r.allowedRegions()
 	for i := range r.route.Stages {
 		own := r.stageTime(i)
 		if own == 0 {
@@ -50,7 +51,7 @@
 		for _, a := range r.route.Stages[i].After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		ends[i] += max(own, r.g.pieces.currentDelay(now, r.route.Stages[i].Service))
+		ends[i] += max(own, r.g.pieces.currentDelay(now, r.route.Stages[i].Service, allowed))
 		last = max(last, ends[i])
 	}
 	return last + r.g.firstEvents.average(r.route.Name)
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -19,6 +19,9 @@
 	UnknownKey Reason = "unknown_key"
 	// NoRunner: the service has no known runner.
 	NoRunner Reason = "no_runner"
+	// RegionNotAllowed: no runner of a service that the request needs is listed in
+	// the regions that its route and workspace allow.
+	RegionNotAllowed Reason = "no_allowed_region"
 	// RunnersFull: every runner that was tried refused the request.
 	RunnersFull Reason = "runners_full"
 	// RunnersPaused: every runner has asked for a pause.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -116,6 +116,9 @@
 }
 
 func (r *request) run(ctx context.Context) *Refusal {
+	if refusal := r.refuseUnplaceable(); refusal != nil {
+		return refusal
+	}
 	if refusal := r.runStages(ctx); refusal != nil {
 		return refusal
 	}
@@ -172,7 +175,7 @@
 		return runner
 	}
 	var runner *placement.RunnerState
-	runner, r.cacheAddr = r.g.runners.pick(now, r.service, &r.call.Prompt, r.tried)
+	runner, r.cacheAddr = r.g.runners.pick(now, r.query(r.tried))
 	return runner
 }
 
--- a/gateway/request_refusals.go
+++ b/gateway/request_refusals.go
@@ -51,6 +51,9 @@
 	if r.sends > 0 {
 		return &Refusal{Reason: RunnersFull, RetryAfter: r.runnersRetryDelay(), Detail: r.lastCause}
 	}
+	if refusal := r.refuseUnplaceable(); refusal != nil {
+		return refusal
+	}
 	if r.g.runners.pauseLeft(time.Now(), r.service.Name) > 0 {
 		return &Refusal{Reason: RunnersPaused, RetryAfter: r.runnersRetryDelay(), Detail: r.service.Name}
 	}
--- a/gateway/runner_advice_test.go
+++ b/gateway/runner_advice_test.go
@@ -113,8 +113,8 @@
 		}
 		g.runners.mu.Lock()
 		defer g.runners.mu.Unlock()
-		Expect(g.runners.candidates(time.Now(), "ledger", nil)).To(HaveLen(3))
-		Expect(g.runners.candidates(time.Now().Add(g.runners.drainGrace), "ledger", nil)).To(BeEmpty())
+		Expect(g.runners.candidates(time.Now(), &runnerQuery{service: g.Table().Service("ledger")})).To(HaveLen(3))
+		Expect(g.runners.candidates(time.Now().Add(g.runners.drainGrace), &runnerQuery{service: g.Table().Service("ledger")})).To(BeEmpty())
 	})
 
 	// Guards against requests that wait for runners which want none.
@@ -130,7 +130,7 @@
 		Expect(f.sends()).To(BeEmpty())
 		g.runners.mu.Lock()
 		defer g.runners.mu.Unlock()
-		Expect(g.runners.candidates(time.Now().Add(21*time.Second), "ledger", nil)).To(HaveLen(1))
+		Expect(g.runners.candidates(time.Now().Add(21*time.Second), &runnerQuery{service: g.Table().Service("ledger")})).To(HaveLen(1))
 	})
 
 	// Guards against a word that outlives its process: an address, or an ID, may be
@@ -142,7 +142,7 @@
 		usable := func() int {
 			g.runners.mu.Lock()
 			defer g.runners.mu.Unlock()
-			return len(g.runners.candidates(time.Now(), "ledger", nil))
+			return len(g.runners.candidates(time.Now(), &runnerQuery{service: g.Table().Service("ledger")}))
 		}
 		Expect(usable()).To(Equal(1))
 		relist(g, func(r *directory.Runner) { r.StartedUnixMS = 5 })
@@ -159,7 +159,7 @@
 			// The assembler is made with the first pause.
 			made := make(chan struct{})
 			g.pieces.post(func(o *pieceOwner, _ time.Time) {
-				o.assembler("encode")
+				o.assembler(poolKey{"encode", "z"})
 				close(made)
 			})
 			<-made
@@ -167,7 +167,7 @@
 		delay := make(chan time.Duration)
 		g.pieces.post(func(o *pieceOwner, now time.Time) {
 			later := now.Add(30 * time.Second)
-			delay <- o.assembler("encode").Delay(later, &batch.Item{Deadline: later.Add(time.Second)}, 1)
+			delay <- o.assembler(poolKey{"encode", "z"}).Delay(later, &batch.Item{Deadline: later.Add(time.Second)}, 1)
 		})
 		Expect(<-delay).To(Equal(batch.NoRunnerDelay))
 	})
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -76,15 +76,15 @@
 	r.registry.Retain(func(id, addr string) bool { return known[id+" "+addr] })
 }
 
-// candidates returns the runners that may receive a request, except those in
-// tried and those that have asked for a pause. Draining runners, also those that
-// have only said so themselves, are returned only while no other one is listed,
-// and for at most drainGrace.
-func (r *runnerSet) candidates(now time.Time, service string, tried []*placement.RunnerState) []*placement.RunnerState {
+// candidates returns the runners that may receive a request, except those that
+// have asked for a pause. Draining runners, also those that have only said so
+// themselves, are returned only while no other one is listed, and for at most
+// drainGrace.
+func (r *runnerSet) candidates(now time.Time, q *runnerQuery) []*placement.RunnerState {
 	var active, draining []*placement.RunnerState
-	for i := range r.byService[service] {
-		l := &r.byService[service][i]
-		if slices.Contains(tried, l.state) || !r.advice.PausedUntil(now, l.process).IsZero() {
+	for i := range r.byService[q.service.Name] {
+		l := &r.byService[q.service.Name][i]
+		if !r.eligible(l, q.allowed) || slices.Contains(q.tried, l.state) || !r.advice.PausedUntil(now, l.process).IsZero() {
 			continue
 		}
 		since := r.leavingSince(l)
@@ -95,7 +95,7 @@
 			draining = append(draining, l.state)
 		}
 	}
-	if len(active) > 0 || len(tried) > 0 {
+	if len(active) > 0 || len(q.tried) > 0 {
 		return active
 	}
 	return draining
@@ -149,15 +149,15 @@
 	return ""
 }
 
-// pick chooses a runner of a service and counts the request as active there.
-// finish, or unpick if nothing was sent, must be called later. For an engine it
-// also returns the address of another runner that may cache shared parts of the
-// prompt, or "" if there is none.
-func (r *runnerSet) pick(now time.Time, s *catalog.Service, p *placement.Prompt, tried []*placement.RunnerState) (runner *placement.RunnerState, cacheAddr string) {
-	if s.Engine != nil {
-		return r.pickEngine(now, s.Name, p, tried)
+// pick chooses a runner and counts the request as active there. finish, or unpick
+// if nothing was sent, must be called later. For an engine it also returns the
+// address of another runner that may cache shared parts of the prompt, or "" if
+// there is none.
+func (r *runnerSet) pick(now time.Time, q *runnerQuery) (runner *placement.RunnerState, cacheAddr string) {
+	if q.service.Engine != nil {
+		return r.pickEngine(now, q)
 	}
-	return r.pickLeastLoaded(now, s.Name, tried), ""
+	return r.pickLeastLoaded(now, q), ""
 }
 
 // unpick reverts pick for a runner to which nothing was sent.
@@ -171,33 +171,33 @@
 // pickEngine chooses a runner for a prompt and counts the request as active
 // there. It also returns the address of another runner that may cache shared
 // parts of the prompt, or "" if there is none.
-func (r *runnerSet) pickEngine(now time.Time, service string, p *placement.Prompt, tried []*placement.RunnerState) (runner *placement.RunnerState, cacheAddr string) {
+func (r *runnerSet) pickEngine(now time.Time, q *runnerQuery) (runner *placement.RunnerState, cacheAddr string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := r.candidates(now, service, tried)
-	runner = placement.PickEngine(now, list, p, &r.topology)
+	list := r.candidates(now, q)
+	runner = placement.PickEngine(now, list, q.prompt, &r.topology)
 	if runner == nil {
 		return nil, ""
 	}
-	if source := placement.PickCacheSource(now, list, runner, p); source != nil {
+	if source := placement.PickCacheSource(now, list, runner, q.prompt); source != nil {
 		cacheAddr = source.Addr
 	}
 	runner.ActiveRequests++
-	runner.PendingPromptTokens += p.Tokens
-	runner.RecordPrompt(now, p)
+	runner.PendingPromptTokens += q.prompt.Tokens
+	runner.RecordPrompt(now, q.prompt)
 	return runner, cacheAddr
 }
 
 // pickLeastLoaded chooses a runner for a request without a prompt and counts
 // the request as active there.
-func (r *runnerSet) pickLeastLoaded(now time.Time, service string, tried []*placement.RunnerState) *placement.RunnerState {
+func (r *runnerSet) pickLeastLoaded(now time.Time, q *runnerQuery) *placement.RunnerState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	slots := map[*placement.RunnerState]int{}
-	for _, l := range r.byService[service] {
+	for _, l := range r.byService[q.service.Name] {
 		slots[l.state] = l.Slots
 	}
-	runner := placement.PickLeastLoaded(now, r.candidates(now, service, tried), func(runner *placement.RunnerState) int { return slots[runner] }, &r.topology)
+	runner := placement.PickLeastLoaded(now, r.candidates(now, q), func(runner *placement.RunnerState) int { return slots[runner] }, &r.topology)
 	if runner != nil {
 		runner.ActiveRequests++
 	}
@@ -251,40 +251,3 @@
 	defer r.mu.Unlock()
 	return runner.HasQueue(now)
 }
-
-// runnersInZone returns the runners of a service in a zone.
-func (r *runnerSet) runnersInZone(service, zone string) []listedRunner {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var list []listedRunner
-	for _, l := range r.byService[service] {
-		if l.Zone == zone {
-			list = append(list, l)
-		}
-	}
-	return list
-}
-
-// preferredZone returns the zone whose runners of a service this VM uses: its
-// own zone, else one of its region, else one that all VMs without a nearer zone
-// choose.
-func (r *runnerSet) preferredZone(service string) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	byDistance := map[placement.Distance][]string{}
-	for _, l := range r.byService[service] {
-		if l.Draining {
-			continue
-		}
-		d := r.topology.DistanceTo(l.Zone)
-		if !slices.Contains(byDistance[d], l.Zone) {
-			byDistance[d] = append(byDistance[d], l.Zone)
-		}
-	}
-	for _, d := range []placement.Distance{placement.SameZone, placement.SameRegion, placement.OtherRegion} {
-		if zones := byDistance[d]; len(zones) > 0 {
-			return placement.PickRendezvous(service, zones)
-		}
-	}
-	return ""
-}
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -183,6 +183,7 @@
 		DueMS:   r.due.Add(-r.timeAfter(i)).Sub(now).Milliseconds(),
 		LeftMS:  (r.firstEventDeadline().Sub(now) - r.timeAfter(i)).Milliseconds(),
 		YieldMS: r.stageYield().Milliseconds(),
+		AllowedRegions: r.allowedRegions().List(),
 	}
 	if len(stage.After) == 0 {
 		call.Key = r.call.PieceKey
--- a/gateway/stages_test.go
+++ b/gateway/stages_test.go
@@ -113,12 +113,12 @@
 		g, f := newTestGateway()
 		f.any = []reply{{status: 200, body: events(1, 1)}}
 		serve(g, stagedCall())
-		g.pieces.peers.record(peerKey{"encode", "self"}, 3*time.Second)
+		g.pieces.peers.record(peerKey{poolKey{"encode", "z"}, "self"}, 3*time.Second)
 		out := serve(g, stagedCall())
 		Expect(out.refusal.Reason).To(Equal(StagesLate))
 		Expect(out.refusal.RetryAfter).To(BeNumerically(">=", minPredictedRetry))
 		Expect(f.sends()).To(HaveLen(1))
-		g.pieces.peers.record(peerKey{"encode", "self"}, 1500*time.Millisecond)
+		g.pieces.peers.record(peerKey{poolKey{"encode", "z"}, "self"}, 1500*time.Millisecond)
 		back := stagedCall()
 		back.Timeout = 4 * time.Second
 		Expect(serve(g, back).body).To(Equal(events(1, 1)))
