evacuation: operators evacuate a data centre and take it back

Change: the replicated machine holds which data centres are evacuated, each with a revision: an order that was held up cannot undo a later one. Control VMs read the state through the leader, propose on its revision and acknowledge what is durable on the disks that a document needs. Entry VMs get the table with the documents and leave the runners of evacuated data centres out of every choice; pieces that wait for such a pool are placed anew; a request that has no runner left is refused at once (evacuated).

--- a/batch/assembler.go
+++ b/batch/assembler.go
@@ -22,6 +22,8 @@
 	spec    catalog.StageRunner
 	runners map[string]*runnerState
 	queue   []Item
+	// abandoned is true if waiting items are to be run by another assembler.
+	abandoned bool
 	// inFlight holds the calls sent and not yet reported to Done.
 	inFlight []*inFlightCall
 	// occurrences counts, for each item that has not ended, how often it is in
@@ -75,6 +77,9 @@
 	}
 	a.requeueOverdue(now)
 	ended = a.dropExpired(now)
+	if a.abandoned {
+		return nil, append(ended, a.dropAll()...)
+	}
 	if len(a.queue) == 0 {
 		return nil, ended
 	}
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -91,6 +91,36 @@
 	slices.SortStableFunc(a.queue, func(x, y Item) int { return x.rank.Compare(y.rank) })
 }
 
+// SetAbandoned sets whether waiting items end without a runner, so that another
+// assembler can run them. Calls in flight go on.
+func (a *Assembler) SetAbandoned(abandoned bool) { a.abandoned = abandoned }
+
+// IsAbandoned reports what SetAbandoned has set last.
+func (a *Assembler) IsAbandoned() bool { return a.abandoned }
+
+// HasUsableRunner reports whether a runner is listed that is not draining.
+func (a *Assembler) HasUsableRunner() bool {
+	for _, rs := range a.runners {
+		if !rs.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// dropAll empties the queue and returns the items that are in no call in flight as
+// ended.
+func (a *Assembler) dropAll() []EndedItem {
+	var ended []EndedItem
+	for _, i := range a.queue {
+		if a.removeOccurrence(i.Ref) {
+			ended = append(ended, EndedItem{Item: i, Result: Result{Reason: NoRunner}})
+		}
+	}
+	a.queue = nil
+	return ended
+}
+
 // dropExpired removes the items whose deadline is too close and returns those
 // that are in no call in flight as ended.
 func (a *Assembler) dropExpired(now time.Time) []EndedItem {
--- a/command/command.go
+++ b/command/command.go
@@ -4,6 +4,7 @@
 
 import (
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -31,6 +32,8 @@
 	// Publish makes a catalog document current if its version is the highest so
 	// far.
 	Publish *catalog.Document `cbor:"15,keyasint,omitempty"`
+	// Evacuate starts or ends the evacuation of a data centre.
+	Evacuate *evacuation.Order `cbor:"16,keyasint,omitempty"`
 }
 
 // OpenSession registers an incarnation of an entry VM. The session of an older
--- a/command/result.go
+++ b/command/result.go
@@ -36,6 +36,8 @@
 	RateExhausted
 	// Malformed means that the command could not be decoded.
 	Malformed
+	// Outdated means that the state has changed since the command was made.
+	Outdated
 )
 
 // Result is the outcome of a command.
--- a/control/confirmation.go
+++ b/control/confirmation.go
@@ -4,19 +4,20 @@
 
 // appliedVersions identifies the state that a control VM has applied.
 type appliedVersions struct {
-	settings uint64
-	document uint64
+	settings    uint64
+	document    uint64
+	evacuations uint64
 }
 
 // covers reports whether a includes everything in b.
 func (a appliedVersions) covers(b appliedVersions) bool {
-	return a.settings >= b.settings && a.document >= b.document
+	return a.settings >= b.settings && a.document >= b.document && a.evacuations >= b.evacuations
 }
 
 // confirmation is a heartbeat round in which a majority confirmed the leader.
 type confirmation struct {
-	// roundStart is the time at which the leader started the round. No settings
-	// or document newer than versions had been accepted before it.
+	// roundStart is the time at which the leader started the round. No settings,
+	// document or evacuations newer than versions had been accepted before it.
 	roundStart time.Time
 	versions   appliedVersions
 }
--- a/control/documents.go
+++ b/control/documents.go
@@ -8,6 +8,7 @@
 
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/transport"
 	"damaskbridge.example/damaskbridge/wire"
 )
@@ -72,29 +73,43 @@
 // answers once a majority has confirmed a heartbeat round that began after the
 // call; a leader that was suspended or partitioned gets no such confirmation.
 func (s *Server) ReadDocument(ctx context.Context) (*catalog.Document, error) {
-	v := s.replica.published.Load()
-	if v.isLeader() {
-		return s.readDocumentAsLeader(ctx)
+	if v := s.replica.published.Load(); v.isLeader() {
+		v, err := s.confirmedView(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return v.document, nil
 	}
-	leader := s.replica.leaderAddr(v)
+	reply, err := s.readAtLeader(ctx, nil)
+	if err != nil {
+		return nil, err
+	}
+	return reply.Document, nil
+}
+
+// readAtLeader asks the leader for what is in force after the call began.
+func (s *Server) readAtLeader(ctx context.Context, request []byte) (*documentReply, error) {
+	leader := s.replica.leaderAddr(s.replica.published.Load())
 	if leader == "" {
 		return nil, ErrNotCurrent
 	}
-	b, err := s.opts.Caller.Call(ctx, leader, transport.MethodDocument, nil)
+	b, err := s.opts.Caller.Call(ctx, leader, transport.MethodDocument, request)
 	if err != nil {
 		return nil, errors.Join(ErrNotCurrent, err)
 	}
-	var reply documentReply
-	if err := wire.Decode(b, &reply); err != nil {
+	reply := &documentReply{}
+	if err := wire.Decode(b, reply); err != nil {
 		return nil, err
 	}
 	if !reply.Confirmed {
 		return nil, ErrNotCurrent
 	}
-	return reply.Document, nil
+	return reply, nil
 }
 
-func (s *Server) readDocumentAsLeader(ctx context.Context) (*catalog.Document, error) {
+// confirmedView returns a view of this VM, which must lead, at some moment after the
+// call began.
+func (s *Server) confirmedView(ctx context.Context) (*view, error) {
 	start := time.Now()
 	ticker := time.NewTicker(confirmationPollInterval)
 	defer ticker.Stop()
@@ -104,7 +119,7 @@
 			return nil, ErrNotCurrent
 		}
 		if v.confirmedAt.After(start) {
-			return v.document, nil
+			return v, nil
 		}
 		select {
 		case <-ticker.C:
@@ -120,11 +135,32 @@
 type documentReply struct {
 	Confirmed bool              `cbor:"1,keyasint"`
 	Document  *catalog.Document `cbor:"2,keyasint,omitempty"`
+	// Evacuations is sent in place of the document to a call that asks for them.
+	Evacuations *evacuation.Table `cbor:"3,keyasint,omitempty"`
+}
+
+// documentCall is the body of a transport.MethodDocument call. An empty body asks
+// for the document.
+type documentCall struct {
+	Evacuations bool `cbor:"1,keyasint,omitempty"`
 }
 
-func (s *Server) handleDocument(ctx context.Context) ([]byte, error) {
-	d, err := s.readDocumentAsLeader(ctx)
-	reply := documentReply{Confirmed: err == nil, Document: d}
+func (s *Server) handleDocument(ctx context.Context, body []byte) ([]byte, error) {
+	var call documentCall
+	if len(body) > 0 {
+		if err := wire.Decode(body, &call); err != nil {
+			return nil, err
+		}
+	}
+	v, err := s.confirmedView(ctx)
+	reply := documentReply{Confirmed: err == nil}
+	switch {
+	case err != nil:
+	case call.Evacuations:
+		reply.Evacuations = v.evacuations
+	default:
+		reply.Document = v.document
+	}
 	return wire.Encode(&reply)
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -90,9 +90,9 @@
 		p.reply <- wire.ProposeReply{Leader: r.addressOfLeader()}
 		return
 	}
-	if p.cmd.Publish != nil {
+	if p.cmd.Publish != nil || p.cmd.Evacuate != nil {
 		if err := r.checkCopies(); err != nil {
-			r.opts.Logger.Warn().Err(err).Uint64("version", p.cmd.Publish.Version).Msg("control: document refused")
+			r.opts.Logger.Warn().Err(err).Msg("control: document or evacuation refused")
 			p.reply <- wire.ProposeReply{}
 			return
 		}
@@ -261,6 +261,9 @@
 	if r.opts.Views.Document != nil {
 		v.document = r.opts.Views.Document()
 	}
+	if r.opts.Views.Evacuations != nil {
+		v.evacuations = r.opts.Views.Evacuations()
+	}
 	if start, ok := r.node.LeaseStart(); ok {
 		v.confirmedAt = r.epoch.Add(time.Duration(start) * r.opts.Tick)
 		if r.leaderTerm != s.Term {
@@ -271,7 +274,7 @@
 		v.leaderSince = r.leaderSince
 	}
 	r.published.Store(v)
-	if old == nil || old.leader != v.leader || old.role != v.role || old.paused != v.paused || old.leaderSince != v.leaderSince || old.settings.Version() != v.settings.Version() || old.document != v.document {
+	if old == nil || old.leader != v.leader || old.role != v.role || old.paused != v.paused || old.leaderSince != v.leaderSince || old.settings.Version() != v.settings.Version() || old.document != v.document || old.evacuations != v.evacuations {
 		if old != nil && old.leader != v.leader && !v.leader.IsZero() {
 			r.counters.leaderChanges.Inc()
 			r.opts.Logger.Info().Str("leader", v.leader.String()).Uint64("term", v.term).Msg("control: leader changed")
--- a/control/messages.go
+++ b/control/messages.go
@@ -87,6 +87,9 @@
 	// Document is at least the newest document version accepted before that
 	// round.
 	Document uint64 `cbor:"8,keyasint,omitempty"`
+	// Evacuations is at least the newest version of the evacuations accepted before
+	// that round.
+	Evacuations uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // snapshotRequest asks for a chunk of the leader's newest snapshot.
--- a/control/seeds_test.go
+++ b/control/seeds_test.go
@@ -39,6 +39,7 @@
 		view := o.Views
 		m := o.Machine.(*machine.Machine)
 		view.Document = m.Document
+		view.Evacuations = m.Evacuations
 		o.Views = view
 	}
 	for _, vm := range vms {
--- a/control/server.go
+++ b/control/server.go
@@ -78,7 +78,7 @@
 	case transport.MethodSnapshot:
 		return serveMessage(body, s.snapshotChunk)
 	case transport.MethodDocument:
-		return s.handleDocument(ctx)
+		return s.handleDocument(ctx, body)
 	}
 	if h := s.handlers[m]; h != nil {
 		return h.Serve(ctx, from, m, body)
--- a/control/soft_state.go
+++ b/control/soft_state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/wire"
 )
@@ -85,7 +86,7 @@
 // before the report was sent, so that a slow reply never makes it look newer.
 func (st *softState) applyReportReply(now, sent time.Time, rep *report, reply *reportReply) {
 	at := sent.Add(-time.Duration(reply.AgeMS) * time.Millisecond)
-	st.confirmations.add(confirmation{roundStart: at, versions: appliedVersions{settings: reply.Version, document: reply.Document}})
+	st.confirmations.add(confirmation{roundStart: at, versions: appliedVersions{settings: reply.Version, document: reply.Document, evacuations: reply.Evacuations}})
 	st.inEffect = max(st.inEffect, reply.InEffect)
 	st.subscribers.markReported(sent, rep.Sessions, reply.Ended)
 	st.observations.add(now, reply.Observations, false)
@@ -98,7 +99,7 @@
 		return &reportReply{}
 	}
 	g := st.currentRegistry(v)
-	reply := &reportReply{OK: true, AgeMS: ageMS(now, v.confirmedAt), Version: v.settings.Version(), Document: v.documentVersion()}
+	reply := &reportReply{OK: true, AgeMS: ageMS(now, v.confirmedAt), Version: v.settings.Version(), Document: v.documentVersion(), Evacuations: evacuation.VersionOf(v.evacuations)}
 	reply.Ended = g.recordReport(now, rep, open)
 	reply.InEffect = g.versionInEffect(now)
 	st.inEffect = max(st.inEffect, reply.InEffect)
--- a/control/state_machine.go
+++ b/control/state_machine.go
@@ -3,6 +3,7 @@
 import (
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -34,6 +35,9 @@
 	// Document returns the catalog document in force. It is nil for a state
 	// machine without one.
 	Document func() *catalog.Document
+	// Evacuations returns the evacuated data centres. It is nil for a state machine
+	// without them.
+	Evacuations func() *evacuation.Table
 	// RetireCutoff returns the time of the next Retire command, or 0 if none is
 	// due.
 	RetireCutoff func(nowUnixMS int64) int64
--- a/control/view.go
+++ b/control/view.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
-
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/raft"
 )
 
@@ -22,6 +22,8 @@
 	settings SettingsView
 	// document is the catalog document in force, or nil.
 	document *catalog.Document
+	// evacuations are the evacuated data centres, nil before the first order.
+	evacuations *evacuation.Table
 	// confirmedAt is the start of the newest heartbeat round in which a
 	// majority confirmed this leader; zero on other replicas. At that time no
 	// replica had accepted newer settings or a newer document than these.
@@ -38,7 +40,7 @@
 
 // versions returns the versions that this view has applied.
 func (v *view) versions() appliedVersions {
-	return appliedVersions{settings: v.settings.Version(), document: v.documentVersion()}
+	return appliedVersions{settings: v.settings.Version(), document: v.documentVersion(), evacuations: evacuation.VersionOf(v.evacuations)}
 }
 
 func (v *view) documentVersion() uint64 {
--- a/directory/client.go
+++ b/directory/client.go
@@ -11,6 +11,7 @@
 
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/delta"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/internal/timer"
 	"damaskbridge.example/damaskbridge/quarantine"
 	"damaskbridge.example/damaskbridge/transport"
@@ -138,6 +139,7 @@
 	call := &watchCall{
 		From: c.opts.Self, Version: c.version(), WaitMS: uint32(wait.Milliseconds()),
 		Format: formatSets, Sets: c.store.Versions(now), legacyCall: c.legacy,
+		EvacuationVersion: evacuation.VersionOf(c.State().Evacuations),
 	}
 	if c.needsDocument {
 		call.Version = 0
--- a/directory/client_apply.go
+++ b/directory/client_apply.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
@@ -21,6 +22,7 @@
 	}
 	c.applyLists(sentAt, call, reply, &next)
 	before := c.version()
+	c.applyEvacuations(reply, &next)
 	c.applyDocument(reply, &next)
 	c.state.Store(&next)
 	took := c.monitor.run(c.version(), func() { c.opts.Changed(&next) })
@@ -100,6 +102,18 @@
 	return list
 }
 
+// applyEvacuations puts newer evacuations in force. Like the first document, the first
+// ones must come from a control VM in contact with a leader.
+func (c *Client) applyEvacuations(reply *watchReply, next *State) {
+	t := reply.Evacuations
+	if evacuation.VersionOf(t) <= evacuation.VersionOf(next.Evacuations) || next.Table == nil && !isFresh(reply) {
+		return
+	}
+	next.Evacuations = t
+	c.opts.Logger.Info().Uint64("version", t.Version).Strs("evacuated", t.Evacuated()).Str("control", c.current).
+		Int64("age_ms", reply.AgeMS).Msg("directory: evacuations in force")
+}
+
 // applyDocument adds a newer document to the state. The first document must come
 // from a control VM in contact with a leader: a stale document would restore
 // routes and keys that have been replaced.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -15,6 +15,7 @@
 
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/delta"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/transport"
 )
 
@@ -22,12 +23,13 @@
 
 // fakeControl is a Control whose document and age are set by the test.
 type fakeControl struct {
-	mu       sync.Mutex
-	document *catalog.Document
-	changed  chan struct{}
-	age      time.Duration
-	leader   string
-	members  []string
+	mu          sync.Mutex
+	document    *catalog.Document
+	evacuations *evacuation.Table
+	changed     chan struct{}
+	age         time.Duration
+	leader      string
+	members     []string
 }
 
 func newFakeControl(members ...string) *fakeControl {
@@ -40,6 +42,21 @@
 	return f.document
 }
 
+func (f *fakeControl) Evacuations() *evacuation.Table {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations
+}
+
+// order applies an order and tells those who watch.
+func (f *fakeControl) order(o *evacuation.Order) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuations, _ = f.evacuations.Apply(0, o)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 func (f *fakeControl) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -200,6 +217,24 @@
 
 	// Guards against an entry VM that stays for a second or more at a control VM to
 	// which new documents no longer come.
+	// Guards against a VM that sends requests to an evacuated data centre, because it
+	// started later, or because it moved to a control VM that is behind.
+	ginkgo.It("delivers evacuations at once, also to a VM that starts later, and never older ones", func() {
+		c := newTestCluster(ctx, "c1")
+		control := c.controls["c1"]
+		control.publish(1)
+		control.order(&evacuation.Order{Zone: "z", Start: true})
+		go c.client.Run(ctx)
+		Eventually(c.version).WithTimeout(eventTimeout).Should(Equal(uint64(1)))
+		Expect(c.client.State().Evacuations.Evacuated()).To(ConsistOf("z"), "the first document must not come before the evacuations")
+		control.order(&evacuation.Order{Zone: "z", Revision: 1})
+		Eventually(func() []string { return c.client.State().Evacuations.Evacuated() }).WithTimeout(eventTimeout).Should(BeEmpty())
+		stale, _ := (*evacuation.Table)(nil).Apply(0, &evacuation.Order{Zone: "z", Start: true})
+		next := *c.client.State()
+		c.client.applyEvacuations(&watchReply{Evacuations: stale}, &next)
+		Expect(next.Evacuations.Evacuated()).To(BeEmpty())
+	})
+
 	ginkgo.It("ends a watch at once when its control VM's state is no longer confirmed", func() {
 		call := &watchCall{Version: 1}
 		Expect((&watchReply{AgeMS: -1}).endsWatch(call, true)).To(BeTrue())
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -3,6 +3,7 @@
 import (
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/delta"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
@@ -38,6 +39,8 @@
 	// Report is what the calling entry VM has observed of crashed runners, nil if
 	// there is nothing.
 	Report *quarantine.Report `cbor:"11,keyasint,omitempty"`
+	// EvacuationVersion is that of the evacuations that the caller holds.
+	EvacuationVersion uint64 `cbor:"12,keyasint,omitempty"`
 
 	legacyCall
 }
@@ -60,6 +63,8 @@
 	Patch *documentPatch `cbor:"10,keyasint,omitempty"`
 	// Complete is true if the control VM knows the runners of every data centre.
 	Complete bool `cbor:"11,keyasint,omitempty"`
+	// Evacuations are the evacuated data centres if they are newer than the caller's.
+	Evacuations *evacuation.Table `cbor:"12,keyasint,omitempty"`
 
 	legacyReply
 }
--- a/directory/server.go
+++ b/directory/server.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/quarantine"
 	"damaskbridge.example/damaskbridge/transport"
 	"damaskbridge.example/damaskbridge/wire"
@@ -18,8 +19,11 @@
 type Control interface {
 	// Document returns the newest document applied on this VM.
 	Document() *catalog.Document
-	// Changed returns a channel that is closed when the document or the leader
-	// changes.
+	// Evacuations returns the newest evacuations applied on this VM, nil before the
+	// first.
+	Evacuations() *evacuation.Table
+	// Changed returns a channel that is closed when the document, the evacuations or
+	// the leader change.
 	Changed() <-chan struct{}
 	// ConfirmationAge returns the maximum age of the document, negative if unknown.
 	ConfirmationAge(now time.Time) time.Duration
@@ -173,7 +177,7 @@
 
 // hasAwaited reports whether the reply has something that the caller waits for.
 func (r *watchReply) hasAwaited(call *watchCall) bool {
-	if r.Document != nil || r.Patch != nil || r.List != nil {
+	if r.Document != nil || r.Patch != nil || r.List != nil || r.Evacuations != nil {
 		return true
 	}
 	if r.Changes == nil {
@@ -216,11 +220,19 @@
 		return nil, err
 	}
 	if !call.Control {
+		s.addEvacuations(call, reply)
 		err = s.addDocument(call, reply)
 	}
 	return reply, err
 }
 
+// addEvacuations adds newer evacuations to a reply.
+func (s *Server) addEvacuations(call *watchCall, reply *watchReply) {
+	if t := s.opts.Control.Evacuations(); evacuation.VersionOf(t) > call.EvacuationVersion {
+		reply.Evacuations = t
+	}
+}
+
 // addDocument adds the newest document to a reply, as a patch if possible.
 func (s *Server) addDocument(call *watchCall, reply *watchReply) error {
 	d := s.opts.Control.Document()
--- a/directory/state.go
+++ b/directory/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
@@ -16,6 +17,8 @@
 	Entries []EntryVM
 	// Quarantined are the parts of prompts that are kept away from runners.
 	Quarantined quarantine.Known
+	// Evacuations are the evacuated data centres, nil before the first order.
+	Evacuations *evacuation.Table
 	// LastContactAt is when a control VM in contact with the leader last
 	// answered.
 	LastContactAt time.Time
--- a/gateway/allowed_regions_test.go
+++ b/gateway/allowed_regions_test.go
@@ -19,7 +19,7 @@
 	change(c)
 	for _, g := range p.gateways {
 		old := g.state.Load()
-		g.Update(&directory.State{Table: catalog.NewTable(c), List: old.List, Entries: old.Entries})
+		g.Update(&directory.State{Table: catalog.NewTable(c), List: old.List, Entries: old.Entries, Evacuations: old.Evacuations})
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,7 @@
 // concurrently.
 func (g *Gateway) Update(s *directory.State) {
 	old := g.state.Swap(s)
+	g.runners.evacuations.Store(s.Evacuations)
 	if s.List != nil && s.List != old.List {
 		g.runners.update(time.Now(), s.List)
 	}
--- a/gateway/pieces_assemblers.go
+++ b/gateway/pieces_assemblers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/batch"
+	"damaskbridge.example/damaskbridge/residency"
 )
 
 // updateAssemblers applies the current catalog and list of runners.
@@ -19,14 +20,17 @@
 			a.SetSpec(*s.StageRunner)
 		}
 	}
+	evacuated := o.g.runners.evacuations.Load().IsEvacuated(pool.zone)
 	var runners []batch.Runner
 	for _, r := range o.g.runners.inPool(pool) {
 		runners = append(runners, batch.Runner{
-			ID: r.ID, Addr: r.Addr, Draining: r.Draining || !o.g.advice.LeavingSince(r.process).IsZero(),
+			ID: r.ID, Addr: r.Addr, Draining: evacuated || r.Draining || !o.g.advice.LeavingSince(r.process).IsZero(),
 			PausedUntil: o.g.advice.PausedUntil(time.Now(), r.process),
 		})
 	}
 	a.SetRunners(runners)
+	elsewhere := o.g.runners.preferredZone(pool.service, residency.Regions{})
+	a.SetAbandoned(evacuated || !a.HasUsableRunner() && elsewhere != "" && elsewhere != pool.zone)
 }
 
 // assembler returns the assembler of a pool, or nil if the catalog has no such
--- a/gateway/pieces_free.go
+++ b/gateway/pieces_free.go
@@ -67,9 +67,10 @@
 }
 
 // freeAtRunner tells a runner to free results and waits for its answer. A runner
-// that has asked for a pause is told after it.
+// that has asked for a pause is told after it, one in an evacuated data centre not at
+// all.
 func (g *Gateway) freeAtRunner(runner string, handles []string) {
-	if !g.awaitPauseEnd(runner) {
+	if g.runners.isEvacuatedAt(runner) || !g.awaitPauseEnd(runner) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
--- a/gateway/pieces_owner.go
+++ b/gateway/pieces_owner.go
@@ -128,7 +128,7 @@
 
 func (o *pieceOwner) addPieces(now, began time.Time, c *piecesCall, w *pieceWaiter) {
 	a := o.assembler(c.pool())
-	if a == nil || !o.g.runners.zoneEligible(c.Zone, residency.Of(c.AllowedRegions)) {
+	if a == nil || a.IsAbandoned() || !o.g.runners.zoneEligible(c.Zone, residency.Of(c.AllowedRegions)) {
 		w.endAll(batch.NoRunner)
 		return
 	}
--- a/gateway/pieces_rpc.go
+++ b/gateway/pieces_rpc.go
@@ -25,7 +25,7 @@
 	for range maxPoolTries {
 		c.Zone = p.g.runners.preferredZone(c.Service, allowed)
 		results, err = p.runPiecesInPool(ctx, c)
-		if err != nil || !lacksRunner(results) || p.g.runners.preferredZone(c.Service, allowed) == c.Zone {
+		if err != nil || !lacksRunner(results) || !p.isPoolLeft(c) {
 			break
 		}
 		p.free(c.Service, results)
@@ -33,6 +33,11 @@
 	return results, err
 }
 
+// isPoolLeft reports whether the pool of a call is no longer the preferred one.
+func (p *pieceScheduler) isPoolLeft(c *piecesCall) bool {
+	return p.g.runners.preferredZone(c.Service, residency.Of(c.AllowedRegions)) != c.Zone
+}
+
 // lacksRunner reports whether pieces have no result because no runner takes them.
 func lacksRunner(results []batch.Result) bool {
 	return slices.ContainsFunc(results, func(r batch.Result) bool { return r.Reason == batch.NoRunner })
@@ -55,6 +60,9 @@
 	if !isAssemblerMissing(ctx, err) {
 		return results, err
 	}
+	if errors.Is(err, errNoAssembler) && p.isPoolLeft(c) {
+		return resultsWithout(c, batch.NoRunner), nil
+	}
 	p.g.log.Warn().Err(err).Str("id", c.Request).Str("vm", at).Str("service", c.Service).Msg("gateway: the assembling VM did not answer")
 	p.markUnavailable(at)
 	return p.assemble(ctx, c)
--- a/gateway/pieces_stop.go
+++ b/gateway/pieces_stop.go
@@ -31,9 +31,14 @@
 	p.g.metrics.recordStopped(stopHandedBack)
 	p.g.log.Info().Str("id", c.Request).Str("service", c.Service).Int("pieces", len(c.Items)).
 		Msg("gateway: pieces of another VM handed back by a stop")
+	return resultsWithout(c, batch.NoRunner)
+}
+
+// resultsWithout returns the results of a call of which nothing was run.
+func resultsWithout(c *piecesCall, reason batch.Reason) []batch.Result {
 	results := make([]batch.Result, len(c.Items))
 	for i := range results {
-		results[i].Reason = batch.NoRunner
+		results[i].Reason = reason
 	}
 	return results
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -22,6 +22,9 @@
 	// RegionNotAllowed: no runner of a service that the request needs is listed in
 	// the regions that its route and workspace allow.
 	RegionNotAllowed Reason = "no_allowed_region"
+	// ZoneEvacuated: the only runners of a service that the request needs are in
+	// evacuated data centres.
+	ZoneEvacuated Reason = "evacuated"
 	// RunnersFull: every runner that was tried refused the request.
 	RunnersFull Reason = "runners_full"
 	// RunnersPaused: every runner has asked for a pause.
--- a/gateway/runner_query.go
+++ b/gateway/runner_query.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -29,7 +30,26 @@
 // zoneEligible reports whether the runners of a data centre may get requests that
 // may be processed in the allowed regions.
 func (r *runnerSet) zoneEligible(zone string, allowed residency.Regions) bool {
-	return allowed.Allows(r.topology.Regions[zone])
+	return allowed.Allows(r.topology.Regions[zone]) && !r.evacuations.Load().IsEvacuated(zone)
+}
+
+// isEvacuatedAt reports whether the listed runner at an address is in an evacuated
+// data centre.
+func (r *runnerSet) isEvacuatedAt(addr string) bool {
+	evacuations := r.evacuations.Load()
+	if len(evacuations.Evacuated()) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, list := range r.byService {
+		for i := range list {
+			if list[i].Addr == addr {
+				return evacuations.IsEvacuated(list[i].Zone)
+			}
+		}
+	}
+	return false
 }
 
 // hasEligible reports whether a runner of a service that does not leave may get
@@ -46,6 +66,16 @@
 	return false
 }
 
+// isListedIn reports whether a runner of a service is listed in one of the zones and
+// in the allowed regions.
+func (r *runnerSet) isListedIn(service string, allowed residency.Regions, zones []string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.byService[service], func(l listedRunner) bool {
+		return slices.Contains(zones, l.Zone) && allowed.Allows(r.topology.Regions[l.Zone])
+	})
+}
+
 // query returns what a runner is wanted for that was not tried yet.
 func (r *request) query(tried []*placement.RunnerState) *runnerQuery {
 	return &runnerQuery{service: r.service, prompt: &r.call.Prompt, tried: tried, allowed: r.allowedRegions()}
@@ -79,7 +109,8 @@
 // processed. It would otherwise run its stages in vain.
 func (r *request) refuseUnplaceable() *Refusal {
 	allowed := r.allowedRegions()
-	if !allowed.Restricted() {
+	evacuated := r.g.state.Load().Evacuations.Evacuated()
+	if !allowed.Restricted() && len(evacuated) == 0 {
 		return nil
 	}
 	services := []string{r.service.Name}
@@ -87,7 +118,13 @@
 		services = append(services, s.Service)
 	}
 	for _, s := range services {
-		if !r.g.runners.hasEligible(s, allowed) {
+		if r.g.runners.hasEligible(s, allowed) {
+			continue
+		}
+		if r.g.runners.isListedIn(s, allowed, evacuated) {
+			return &Refusal{Reason: ZoneEvacuated, RetryAfter: placementRetryDelay(), Detail: s + " in " + strings.Join(evacuated, ",")}
+		}
+		if allowed.Restricted() {
 			return &Refusal{Reason: RegionNotAllowed, RetryAfter: placementRetryDelay(), Detail: s + " in " + strings.Join(allowed.List(), ",")}
 		}
 	}
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -4,11 +4,13 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damaskbridge.example/damaskbridge/advice"
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/directory"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/placement"
 )
 
@@ -23,6 +25,10 @@
 	// advice holds what the runners have said.
 	advice *advice.Book
 
+	// evacuations are the evacuated data centres, to whose runners nothing more is
+	// sent. nil stands for none.
+	evacuations atomic.Pointer[evacuation.Table]
+
 	mu       sync.Mutex
 	registry *placement.Registry
 	// byService holds the listed runners of each service. Slots and draining
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -180,9 +180,9 @@
 	now := time.Now()
 	call := &piecesCall{
 		Service: stage.Service, Request: r.call.ID, Stage: i, ResultBytes: stage.ResultBytes,
-		DueMS:   r.due.Add(-r.timeAfter(i)).Sub(now).Milliseconds(),
-		LeftMS:  (r.firstEventDeadline().Sub(now) - r.timeAfter(i)).Milliseconds(),
-		YieldMS: r.stageYield().Milliseconds(),
+		DueMS:          r.due.Add(-r.timeAfter(i)).Sub(now).Milliseconds(),
+		LeftMS:         (r.firstEventDeadline().Sub(now) - r.timeAfter(i)).Milliseconds(),
+		YieldMS:        r.stageYield().Milliseconds(),
 		AllowedRegions: r.allowedRegions().List(),
 	}
 	if len(stage.After) == 0 {
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -6,6 +6,7 @@
 
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/fence"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/ledger"
@@ -29,6 +30,7 @@
 	fences       *fence.Table
 	weightBudget *fence.Budget
 	catalog      catalog.ActiveDocument
+	evacuations  *evacuation.Table
 }
 
 // New returns an empty state.
@@ -72,7 +74,7 @@
 		c.OpenSession != nil, c.ExpireSession != nil, c.Reserve != nil, c.Claim != nil,
 		c.Record != nil, c.ReleaseKey != nil, c.LookupKey != nil, c.Retire != nil, c.Change != nil,
 		c.AcquireLease != nil, c.ReleaseLease != nil, c.DrawWeights != nil, c.CloseSession != nil,
-		c.Publish != nil,
+		c.Publish != nil, c.Evacuate != nil,
 	} {
 		if set {
 			n++
@@ -110,6 +112,8 @@
 	case c.Publish != nil:
 		m.catalog.Publish(c.Publish)
 		return command.Result{Code: command.OK}
+	case c.Evacuate != nil:
+		return m.evacuate(c.Evacuate)
 	}
 	return m.drawWeights(c.DrawWeights)
 }
@@ -198,6 +202,18 @@
 	return m.weightBudget.Draw(c, m.tree.Int("", settings.WeightStoreRate), m.nowUnixMS)
 }
 
+func (m *Machine) evacuate(o *evacuation.Order) command.Result {
+	next, outcome := m.evacuations.Apply(m.nowUnixMS, o)
+	m.evacuations = next
+	switch outcome {
+	case evacuation.InForce:
+		return command.Result{Code: command.OK}
+	case evacuation.Outdated:
+		return command.Result{Code: command.Outdated, Detail: "another order has changed the data centre; look at its state and order again"}
+	}
+	return malformed("the order names no data centre that can be kept")
+}
+
 func malformed(format string, args ...any) command.Result {
 	return command.Result{Code: command.Malformed, Detail: fmt.Sprintf(format, args...)}
 }
--- a/machine/machine_test.go
+++ b/machine/machine_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"damaskbridge.example/damaskbridge/command"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -133,7 +134,7 @@
 	key := rapid.SampledFrom([]string{"k1", "k2", "k3", uuidAt(now), uuidAt(now - 50_000)}).Draw(t, "key")
 	n := rapid.Uint64Range(1, 5).Draw(t, "n")
 	c := &command.Command{NowUnixMS: now}
-	switch rapid.IntRange(0, 18).Draw(t, "kind") {
+	switch rapid.IntRange(0, 19).Draw(t, "kind") {
 	case 0, 1, 16, 17:
 		c.OpenSession = &command.OpenSession{Session: session, Region: "r"}
 	case 2:
@@ -165,6 +166,8 @@
 		} else {
 			c.DrawWeights = &command.DrawWeights{Session: session, Bytes: n << 28, Nonce: uint64(step)}
 		}
+	case 19:
+		c.Evacuate = &evacuation.Order{Zone: key, Start: n%2 == 1, Revision: n / 3}
 	}
 	return c
 }
@@ -198,8 +201,8 @@
 		checkEqual(t, uninterrupted, restored)
 	})
 	t.Logf("results by code: %v", codes)
-	for code := command.OK; code < command.Malformed; code++ {
-		if codes[code] == 0 {
+	for code := command.OK; code <= command.Outdated; code++ {
+		if codes[code] == 0 && code != command.Malformed {
 			t.Errorf("no result had code %d: the generator no longer covers it", code)
 		}
 	}
@@ -212,12 +215,13 @@
 		t.Fatal("the snapshots differ")
 	}
 	for part, equal := range map[string]bool{
-		"time":     a.nowUnixMS == b.nowUnixMS && a.applied == b.applied,
-		"sessions": reflect.DeepEqual(a.sessions.Snapshot(), b.sessions.Snapshot()),
-		"fences":   reflect.DeepEqual(a.fences.Snapshot(), b.fences.Snapshot()),
-		"weights":  reflect.DeepEqual(a.weightBudget.Snapshot(), b.weightBudget.Snapshot()),
-		"settings": reflect.DeepEqual(a.tree.History(0, 100), b.tree.History(0, 100)),
-		"ledger":   a.ledger.Stats() == b.ledger.Stats(),
+		"time":        a.nowUnixMS == b.nowUnixMS && a.applied == b.applied,
+		"sessions":    reflect.DeepEqual(a.sessions.Snapshot(), b.sessions.Snapshot()),
+		"fences":      reflect.DeepEqual(a.fences.Snapshot(), b.fences.Snapshot()),
+		"weights":     reflect.DeepEqual(a.weightBudget.Snapshot(), b.weightBudget.Snapshot()),
+		"settings":    reflect.DeepEqual(a.tree.History(0, 100), b.tree.History(0, 100)),
+		"evacuations": reflect.DeepEqual(a.evacuations, b.evacuations),
+		"ledger":      a.ledger.Stats() == b.ledger.Stats(),
 	} {
 		if !equal {
 			t.Fatalf("the %s differ after a restore", part)
@@ -259,6 +263,8 @@
 		{Change: &settings.Change{ID: "c", Ops: []settings.Op{{Kind: settings.PutPool, Pool: &settings.Pool{Name: "p", Kind: settings.KindEncode}}}}},
 		{ExpireSession: &command.ExpireSession{Session: a}},
 		{CloseSession: &command.CloseSession{Session: a}},
+		{Evacuate: &evacuation.Order{Zone: "z", Start: true}},
+		{NowUnixMS: 1 << 39, Evacuate: &evacuation.Order{Zone: "z", Revision: 1}},
 		{NowUnixMS: 1 << 40, Retire: &command.Retire{BeforeUnixMS: 1 << 40}},
 	}
 	encoded := make([][]byte, len(commands))
--- a/machine/snapshot.go
+++ b/machine/snapshot.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/fence"
 	"damaskbridge.example/damaskbridge/internal/cbormode"
 	"damaskbridge.example/damaskbridge/ledger"
@@ -26,6 +27,8 @@
 	Weights   fence.BudgetSnapshot `cbor:"8,keyasint"`
 	// Document is nil until the first one is published.
 	Document *catalog.Document `cbor:"9,keyasint,omitempty"`
+	// Evacuations is nil until the first one is ordered.
+	Evacuations *evacuation.Table `cbor:"10,keyasint,omitempty"`
 }
 
 // Frozen is a point-in-time copy of the state. It is immutable and may be
@@ -43,7 +46,7 @@
 		header: snapshotFile{
 			Format: snapshotFormat, Applied: m.applied, NowUnixMS: m.nowUnixMS,
 			Sessions: m.sessions.Snapshot(), Fences: m.fences.Snapshot(), Weights: m.weightBudget.Snapshot(),
-			Document: m.catalog.Document(),
+			Document: m.catalog.Document(), Evacuations: m.evacuations,
 		},
 		tree:   m.tree,
 		ledger: m.ledger.Snapshot(),
@@ -117,6 +120,7 @@
 	if f.Document != nil {
 		m.catalog.Publish(f.Document)
 	}
+	m.evacuations = f.Evacuations
 	m.weightBudget, err = fence.RestoreBudget(f.Weights)
 	return err
 }
--- a/machine/view.go
+++ b/machine/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
+	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/fence"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/ledger"
@@ -18,6 +19,10 @@
 // is immutable.
 func (m *Machine) Document() *catalog.Document { return m.catalog.Document() }
 
+// Evacuations returns the state of the evacuated data centres, nil before the first
+// order. It is immutable.
+func (m *Machine) Evacuations() *evacuation.Table { return m.evacuations }
+
 // OpenSessions returns all open sessions, ordered by VM.
 func (m *Machine) OpenSessions() []session.Info { return m.sessions.OpenSessions() }
 
