warmup: a runner that warms up gets what it bears, summed over all entry VMs

Cause: cold_left_ms was checked and forgotten; nothing bounded what a cold runner gets, and cold_per_s of a service was not read.

Change: the leading control VM grants each cold runner to one entry VM. A grant is a lease that counts from the moment at which a majority confirmed the leader; it is passed on, or given by a new leader, only when the old one has run out. The holder sends within a token bucket sized for two holders in succession; nobody else sends. A runner to which no connection could be opened, and the runners of a data centre whose evacuation has ended, count as cold. Stage runners get no calls while they are cold. In force only where the settings set warm_up and the service has a warm-up time.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -10,12 +10,22 @@
 	// MaxConns is the maximum number of connections that one runner accepts from
 	// all of its clients together.
 	MaxConns int
+	// WarmUp is set for services whose runners bear little right after a start.
+	WarmUp *WarmUp
 	// Engine is set for services that generate tokens.
 	Engine *Engine
 	// StageRunner is set for services that run stages.
 	StageRunner *StageRunner
 }
 
+// WarmUp describes runners that have just started.
+type WarmUp struct {
+	// Time is how long a runner stays cold after its start.
+	Time time.Duration
+	// PerSecond is the rate of requests that a cold runner bears.
+	PerSecond float64
+}
+
 // Engine describes the runners of a service that generates tokens.
 type Engine struct {
 	// Slots is the maximum number of requests that one runner batches.
--- a/directory/client_apply.go
+++ b/directory/client_apply.go
@@ -8,6 +8,7 @@
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/quarantine"
+	"damaskbridge.example/damaskbridge/warmup"
 )
 
 // apply stores a new state with the content of the reply to a call that was sent
@@ -21,6 +22,7 @@
 		c.controlAddrs = reply.Controls
 	}
 	c.applyLists(sentAt, call, reply, &next)
+	c.applyWarmUps(&next)
 	before := c.version()
 	c.applyEvacuations(reply, &next)
 	c.applyDocument(reply, &next)
@@ -50,6 +52,8 @@
 			c.decodeRunners(name)
 		case name == quarantineName:
 			c.applyQuarantine(next)
+		case name == warmUpsName:
+			// Each reply may confirm it, so applyWarmUps looks at it always.
 		default:
 			entriesChanged = true
 		}
@@ -64,6 +68,21 @@
 	}
 }
 
+// applyWarmUps puts this VM's grants of runners that warm up in force, as of their
+// latest confirmation.
+func (c *Client) applyWarmUps(next *State) {
+	set, asOf := c.store.Get(warmUpsName)
+	if set == nil {
+		return
+	}
+	grants, err := decodeSet[warmup.Grant](set)
+	if err != nil {
+		c.opts.Logger.Error().Err(err).Msg("directory: grants of runners that warm up")
+		return
+	}
+	next.WarmUps = warmup.NewGrants(asOf, grants, c.opts.Self.Addr)
+}
+
 // applyQuarantine puts the quarantined parts of prompts in force.
 func (c *Client) applyQuarantine(next *State) {
 	set, _ := c.store.Get(quarantineName)
--- a/directory/roster.go
+++ b/directory/roster.go
@@ -131,6 +131,9 @@
 	} else {
 		s.detector = nil
 	}
+	if s.opts.WarmUps {
+		s.grantWarmUps(now, leadsSince)
+	}
 }
 
 // mergeReports makes the list of all entry VMs from the reports of the control
--- a/directory/runner.go
+++ b/directory/runner.go
@@ -1,5 +1,7 @@
 package directory
 
+import "strconv"
+
 // Runner is one address of an upstream as listed by the platform.
 type Runner struct {
 	// ID usually identifies one start of the process, but a process may also
@@ -14,13 +16,19 @@
 	Slots int `cbor:"5,keyasint"`
 	// Draining is true if the runner is stopping and takes no new work.
 	Draining bool `cbor:"6,keyasint,omitempty"`
-	// WarmupLeftMS is the remaining time of the slow phase after the start, in ms.
+	// WarmupLeftMS is the remaining time of the slow phase after the start in ms,
+	// rounded up. It is 0 where nothing limits runners that warm up.
 	WarmupLeftMS int64 `cbor:"7,keyasint,omitempty"`
 	// StartedUnixMS is the start time as a Unix time in ms, 0 if unknown. A runner
 	// that restarts under its old ID has lost its earlier contents.
 	StartedUnixMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
+// Process names the process of the runner. The name differs for each of its starts.
+func (r *Runner) Process() string {
+	return r.ID + " " + r.Addr + " " + strconv.FormatInt(r.StartedUnixMS, 10)
+}
+
 // RunnerList is the result of one poll of the platform's list. It is immutable.
 type RunnerList struct {
 	// Source is the control VM that polled the list. Seq increases with each
--- a/directory/server.go
+++ b/directory/server.go
@@ -57,6 +57,8 @@
 	// QuarantineFile is the file in which the quarantined parts of prompts outlive a
 	// loss of all VMs. Empty, they are not kept.
 	QuarantineFile string
+	// WarmUps is true if runners that warm up are limited.
+	WarmUps bool
 }
 
 // Server serves the directory on a control VM. It is safe for concurrent use.
@@ -73,6 +75,9 @@
 	// detector decides about the quarantine of prompt parts, nil if this VM does not
 	// lead. It belongs to the goroutine of runRoster.
 	detector *quarantine.Detector
+	// warmUps grants runners that warm up to entry VMs. It belongs to the goroutine of
+	// runRoster.
+	warmUps warmUpGranter
 	// recalled are the parts that were quarantined when this VM last ran. They are
 	// reported until recallUntil.
 	recalled    []quarantine.Quarantined
--- a/directory/sets.go
+++ b/directory/sets.go
@@ -9,6 +9,7 @@
 
 	"damaskbridge.example/damaskbridge/delta"
 	"damaskbridge.example/damaskbridge/quarantine"
+	"damaskbridge.example/damaskbridge/warmup"
 	"damaskbridge.example/damaskbridge/wire"
 )
 
@@ -30,16 +31,18 @@
 	crashesPrefix = "crashes/"
 	// quarantineName is the set of the quarantined parts of prompts.
 	quarantineName = "quarantine/parts"
+	// warmUpsName is the set of the grants of runners that warm up.
+	warmUpsName = "warmups/grants"
 )
 
 // sentToEntryVMs reports whether entry VMs receive the set with a name.
 func sentToEntryVMs(name string) bool {
-	return hasRunners(name) || strings.HasPrefix(name, entriesPrefix) || name == quarantineName
+	return hasRunners(name) || strings.HasPrefix(name, entriesPrefix) || name == quarantineName || name == warmUpsName
 }
 
 // member is a value of a set.
 type member interface {
-	Runner | EntryVM | controlVM | crashReport | quarantine.Quarantined
+	Runner | EntryVM | controlVM | crashReport | quarantine.Quarantined | warmup.Grant
 }
 
 func runnerZone(r Runner) string { return r.Zone }
--- a/directory/state.go
+++ b/directory/state.go
@@ -6,6 +6,7 @@
 	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/quarantine"
+	"damaskbridge.example/damaskbridge/warmup"
 )
 
 // State is the directory's content as known to an entry VM. It is immutable.
@@ -19,6 +20,8 @@
 	Quarantined quarantine.Known
 	// Evacuations are the evacuated data centres, nil before the first order.
 	Evacuations *evacuation.Table
+	// WarmUps are this VM's grants of runners that warm up, nil for none.
+	WarmUps *warmup.Grants
 	// LastContactAt is when a control VM in contact with the leader last
 	// answered.
 	LastContactAt time.Time
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -180,7 +180,12 @@
 	}
 	if ctx.Err() == nil {
 		now := time.Now()
-		n.record = func(s *placement.RunnerState) { s.RecordFailure(now) }
+		n.record = func(s *placement.RunnerState) {
+			s.RecordFailure(now)
+			if !n.executed {
+				s.Recovery.RecordFailure(now)
+			}
+		}
 	}
 	return n
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,8 @@
 	Self        string
 	Topology    placement.Topology
 	RetryBudget RetryBudgetOptions
+	// WarmUps bounds what runners get that warm up.
+	WarmUps WarmUpOptions
 	// DrainTime is how long a draining runner may still receive requests.
 	DrainTime time.Duration
 	Upstreams Upstreams
@@ -81,7 +83,8 @@
 	}
 	// Draining runners are used for half of DrainTime. The other half allows for the
 	// propagation of the runner list and the transfer of the request.
-	g.runners = newRunnerSet(o.Topology, o.DrainTime/2, &g.advice)
+	g.runners = newRunnerSet(o.Topology, o.DrainTime/2, &g.advice, newWarmUps(o.WarmUps, o.Self, g.metrics.warmUpRequests))
+	g.metrics.set.NewGauge("damask_gateway_evacuated_data_centres", func() float64 { return float64(len(g.runners.evacuations.Load().Evacuated())) })
 	g.pieces = newPieceScheduler(g)
 	g.assembling, g.stopAssembling = context.WithCancel(context.Background())
 	g.answers.memory = o.Memory
@@ -96,7 +99,7 @@
 // concurrently.
 func (g *Gateway) Update(s *directory.State) {
 	old := g.state.Swap(s)
-	g.runners.evacuations.Store(s.Evacuations)
+	g.runners.setState(time.Now(), s)
 	if s.List != nil && s.List != old.List {
 		g.runners.update(time.Now(), s.List)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,6 +32,8 @@
 	advicePause   *metrics.Counter
 	// adviceUnreadable counts the answers that named a time which is none.
 	adviceUnreadable *metrics.Counter
+	// warmUpRequests counts the requests that were sent to runners that may be cold.
+	warmUpRequests *metrics.Counter
 	// inputsFreedEarly counts the cases in which a runner found its inputs
 	// already freed.
 	inputsFreedEarly *metrics.Counter
@@ -56,6 +58,7 @@
 		advicePause:   set.NewCounter(`damask_gateway_runner_advice_total{kind="pause"}`),
 
 		adviceUnreadable: set.NewCounter(`damask_gateway_runner_advice_total{kind="unreadable"}`),
+		warmUpRequests:   set.NewCounter("damask_gateway_warm_up_requests_total"),
 		inputsFreedEarly: set.NewCounter("damask_gateway_inputs_freed_early_total"),
 		schedulerFull:    set.NewCounter("damask_gateway_scheduler_queue_full_total"),
 	}
--- a/gateway/pieces_assemblers.go
+++ b/gateway/pieces_assemblers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/batch"
+	"damaskbridge.example/damaskbridge/catalog"
 	"damaskbridge.example/damaskbridge/residency"
 )
 
@@ -15,17 +16,20 @@
 }
 
 func (o *pieceOwner) updateAssembler(pool poolKey, a *batch.Assembler) {
+	var service *catalog.Service
 	if t := o.g.Table(); t != nil {
-		if s := t.Service(pool.service); s != nil && s.StageRunner != nil {
-			a.SetSpec(*s.StageRunner)
-		}
+		service = t.Service(pool.service)
+	}
+	if service != nil && service.StageRunner != nil {
+		a.SetSpec(*service.StageRunner)
 	}
+	now := time.Now()
 	evacuated := o.g.runners.evacuations.Load().IsEvacuated(pool.zone)
 	var runners []batch.Runner
 	for _, r := range o.g.runners.inPool(pool) {
 		runners = append(runners, batch.Runner{
 			ID: r.ID, Addr: r.Addr, Draining: evacuated || r.Draining || !o.g.advice.LeavingSince(r.process).IsZero(),
-			PausedUntil: o.g.advice.PausedUntil(time.Now(), r.process),
+			PausedUntil: laterOf(o.g.advice.PausedUntil(now, r.process), o.g.runners.poolColdUntil(now, service, &r)),
 		})
 	}
 	a.SetRunners(runners)
@@ -33,6 +37,13 @@
 	a.SetAbandoned(evacuated || !a.HasUsableRunner() && elsewhere != "" && elsewhere != pool.zone)
 }
 
+func laterOf(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
 // assembler returns the assembler of a pool, or nil if the catalog has no such
 // service or the pool has no runners.
 func (o *pieceOwner) assembler(pool poolKey) *batch.Assembler {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -65,6 +65,7 @@
 func (r *request) recordAlive(runner *placement.RunnerState, sentAt time.Time, response *Response) {
 	if response.Conclusion != execution.Misdirected {
 		r.g.evidence.RecordAlive(r.g.runners.startOf(runner), sentAt)
+		r.g.runners.recordAnswered(time.Now(), runner)
 	}
 }
 
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -25,6 +25,9 @@
 	// ZoneEvacuated: the only runners of a service that the request needs are in
 	// evacuated data centres.
 	ZoneEvacuated Reason = "evacuated"
+	// RunnersCold: the service has only runners that warm up, and none of them may get
+	// a request of this VM now.
+	RunnersCold Reason = "runners_cold"
 	// RunnersFull: every runner that was tried refused the request.
 	RunnersFull Reason = "runners_full"
 	// RunnersPaused: every runner has asked for a pause.
--- a/gateway/request_refusals.go
+++ b/gateway/request_refusals.go
@@ -54,6 +54,9 @@
 	if refusal := r.refuseUnplaceable(); refusal != nil {
 		return refusal
 	}
+	if left := r.g.runners.warmUpLeft(time.Now(), r.service, r.allowedRegions()); left > 0 {
+		return &Refusal{Reason: RunnersCold, RetryAfter: left + shortRetryDelay(), Detail: r.service.Name}
+	}
 	if r.g.runners.pauseLeft(time.Now(), r.service.Name) > 0 {
 		return &Refusal{Reason: RunnersPaused, RetryAfter: r.runnersRetryDelay(), Detail: r.service.Name}
 	}
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/evacuation"
 	"damaskbridge.example/damaskbridge/placement"
+	"damaskbridge.example/damaskbridge/warmup"
 )
 
 // runnerSet tracks the listed runners and their state. It is safe for
@@ -28,6 +28,8 @@
 	// evacuations are the evacuated data centres, to whose runners nothing more is
 	// sent. nil stands for none.
 	evacuations atomic.Pointer[evacuation.Table]
+	// warmUps limits the requests to runners that warm up.
+	warmUps *warmUps
 
 	mu       sync.Mutex
 	registry *placement.Registry
@@ -43,10 +45,12 @@
 	process string
 	// drainingSince is when the runner was first seen draining.
 	drainingSince time.Time
+	// coldUntil is until when the list says that the runner is cold.
+	coldUntil time.Time
 }
 
-func newRunnerSet(topology placement.Topology, drainGrace time.Duration, said *advice.Book) *runnerSet {
-	return &runnerSet{topology: topology, drainGrace: drainGrace, advice: said, registry: placement.NewRegistry(), byService: map[string][]listedRunner{}}
+func newRunnerSet(topology placement.Topology, drainGrace time.Duration, said *advice.Book, warmUps *warmUps) *runnerSet {
+	return &runnerSet{topology: topology, drainGrace: drainGrace, advice: said, warmUps: warmUps, registry: placement.NewRegistry(), byService: map[string][]listedRunner{}}
 }
 
 // update replaces the list of runners.
@@ -68,9 +72,13 @@
 			runner.ClearCache()
 		}
 		runner.StartedUnixMS = x.StartedUnixMS
-		item := listedRunner{Runner: x, state: runner, process: previous.process, drainingSince: previous.drainingSince}
+		item := listedRunner{Runner: x, state: runner, process: previous.process, drainingSince: previous.drainingSince, coldUntil: previous.coldUntil}
 		if !ok || previous.StartedUnixMS != x.StartedUnixMS {
-			item.process = processOf(runner)
+			item.process = x.Process()
+			runner.Recovery = warmup.Recovery{}
+		}
+		if !ok || previous.WarmupLeftMS != x.WarmupLeftMS || previous.StartedUnixMS != x.StartedUnixMS {
+			item.coldUntil = now.Add(time.Duration(x.WarmupLeftMS) * time.Millisecond)
 		}
 		if x.Draining && item.drainingSince.IsZero() {
 			item.drainingSince = now
@@ -90,7 +98,7 @@
 	var active, draining []*placement.RunnerState
 	for i := range r.byService[q.service.Name] {
 		l := &r.byService[q.service.Name][i]
-		if !r.eligible(l, q.allowed) || slices.Contains(q.tried, l.state) || !r.advice.PausedUntil(now, l.process).IsZero() {
+		if !r.eligible(l, q.allowed) || !r.maySendWarmUp(now, q, l) || slices.Contains(q.tried, l.state) || !r.advice.PausedUntil(now, l.process).IsZero() {
 			continue
 		}
 		since := r.leavingSince(l)
@@ -188,6 +196,7 @@
 	if source := placement.PickCacheSource(now, list, runner, q.prompt); source != nil {
 		cacheAddr = source.Addr
 	}
+	r.takeWarmUp(now, runner)
 	runner.ActiveRequests++
 	runner.PendingPromptTokens += q.prompt.Tokens
 	runner.RecordPrompt(now, q.prompt)
@@ -205,6 +214,7 @@
 	}
 	runner := placement.PickLeastLoaded(now, r.candidates(now, q), func(runner *placement.RunnerState) int { return slots[runner] }, &r.topology)
 	if runner != nil {
+		r.takeWarmUp(now, runner)
 		runner.ActiveRequests++
 	}
 	return runner
@@ -238,7 +248,8 @@
 
 // processOf returns a name of the runner that differs for each of its starts.
 func processOf(runner *placement.RunnerState) string {
-	return runner.ID + " " + runner.Addr + " " + strconv.FormatInt(runner.StartedUnixMS, 10)
+	listed := directory.Runner{ID: runner.ID, Addr: runner.Addr, StartedUnixMS: runner.StartedUnixMS}
+	return listed.Process()
 }
 
 // updateLoad records the load that a runner reported.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -51,6 +51,9 @@
 	// affinityBonusTokens favors the runner to which all VMs send requests with
 	// the same shared prompt, over one that is only equally idle.
 	affinityBonusTokens = 6000
+	// warmUpCostTokens keeps a runner that warms up, and is idle for that reason, from
+	// getting all new requests.
+	warmUpCostTokens = 2000
 	// maxLoadAge is the age beyond which a reported load is ignored.
 	maxLoadAge = 2 * time.Second
 )
@@ -75,6 +78,9 @@
 		}
 		cost += runningCostTokens*float64(running) + waitingCostTokens*float64(waiting)
 		cost += distanceCostTokens(topology.DistanceTo(runner.Zone))
+		if runner.WarmingUp {
+			cost += warmUpCostTokens
+		}
 		if runner == preferred {
 			cost -= affinityBonusTokens
 		}
@@ -117,6 +123,7 @@
 const (
 	zoneCostSlots   = 0.3
 	regionCostSlots = 3
+	warmUpCostSlots = 1
 )
 
 // PickLeastLoaded returns the runner with the fewest requests per slot, or nil
@@ -134,6 +141,9 @@
 		case OtherRegion:
 			cost += regionCostSlots
 		}
+		if runner.WarmingUp {
+			cost += warmUpCostSlots
+		}
 		return cost
 	})
 }
--- a/placement/registry.go
+++ b/placement/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"damaskbridge.example/damaskbridge/warmup"
 )
 
 // Load is the load that a runner reported about itself.
@@ -27,7 +29,11 @@
 	// backoffUntil and failures implement the exponential backoff after failures.
 	backoffUntil time.Time
 	failures     int
-	prefixes     map[uint64]time.Time
+	// Recovery is what is known of the runner after a failed connection.
+	Recovery warmup.Recovery
+	// WarmingUp is true if the runner may be cold. The owner sets it before a choice.
+	WarmingUp bool
+	prefixes  map[uint64]time.Time
 }
 
 // Registry holds the states of all listed or used runners, by ID and address. It
--- a/placement/rendezvous.go
+++ b/placement/rendezvous.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -30,3 +32,14 @@
 	}
 	return best
 }
+
+// TopRendezvous returns the n names with the highest weights for a key, or all names
+// if there are fewer.
+func TopRendezvous(key string, names []string, n int) []string {
+	hash := xxhash.Sum64String(key)
+	sorted := slices.Clone(names)
+	slices.SortFunc(sorted, func(a, b string) int {
+		return cmp.Compare(RendezvousWeight(hash, b), RendezvousWeight(hash, a))
+	})
+	return sorted[:max(min(n, len(sorted)), 0)]
+}
