settings, routing, entry: routing.allowed_regions on the product's own path

Cause: regions could be allowed per route and workspace on the users' platform only.

Change: a setting that branches inherit, a filter in the routing chain and the regions of the request in both places that choose a runner (attempts, keyed calls). The sets are those of package residency.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -167,7 +167,7 @@
 	spec := attemptSpec{stage: d.stage.Name, pool: d.stage.Pool, number: number}
 	spec.route = routing.Request{
 		Pool: d.stage.Pool, Model: d.stage.Model, Adapter: d.stage.Adapter,
-		Prefix: d.params.prefix, Bytes: d.params.bytes, Excluded: d.tried,
+		Prefix: d.params.prefix, Bytes: d.params.bytes, Excluded: d.tried, Allowed: d.req.allowedRegions(),
 	}
 	choice, err := d.s.chooseRunner(spec)
 	if err != nil {
--- a/entry/keyed_call.go
+++ b/entry/keyed_call.go
@@ -37,7 +37,7 @@
 // dispatch makes one attempt and returns the next action, nil if there is none.
 func (k *keyedCall) dispatch(ctx context.Context, number int) *retry.Action {
 	spec := attemptSpec{stage: k.job.svc.Name, pool: k.job.svc.Pool, number: number}
-	spec.route = routing.Request{Pool: k.job.svc.Pool, Bytes: int64(len(k.job.call.Body)), Excluded: k.tried, NoProbe: true}
+	spec.route = routing.Request{Pool: k.job.svc.Pool, Bytes: int64(len(k.job.call.Body)), Excluded: k.tried, NoProbe: true, Allowed: k.job.req.allowedRegions()}
 	choice, err := k.s.chooseRunner(spec)
 	if err != nil {
 		k.routeErr = err
--- a/entry/request.go
+++ b/entry/request.go
@@ -10,6 +10,7 @@
 	"damaskbridge.example/damaskbridge/audit"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
+	"damaskbridge.example/damaskbridge/residency"
 	"damaskbridge.example/damaskbridge/settings"
 )
 
@@ -37,6 +38,11 @@
 	crossRegionBytes atomic.Int64
 }
 
+// allowedRegions returns the regions in which the request may be processed.
+func (req *request) allowedRegions() residency.Regions {
+	return req.tree.Regions(req.branch, settings.AllowedRegions)
+}
+
 // executionState returns the execution state to report if the request fails
 // now.
 func (req *request) executionState() problem.ExecutionState {
--- a/routing/baseline.go
+++ b/routing/baseline.go
@@ -22,6 +22,7 @@
 	r.filters = []Filter{
 		stateFilter{},
 		regionFilter{region: opts.Region, allowed: opts.CrossRegion},
+		residencyFilter{},
 		excludedFilter{},
 	}
 	r.scorers = nil
--- a/routing/request.go
+++ b/routing/request.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"damaskbridge.example/damaskbridge/ids"
+	"damaskbridge.example/damaskbridge/residency"
 )
 
 // Request describes one attempt of one stage.
@@ -17,6 +18,8 @@
 	// DataRegion is the region that holds the result of the previous stage. Empty
 	// means the VM's own region.
 	DataRegion ids.Region
+	// Allowed are the regions whose upstreams may be used.
+	Allowed residency.Regions
 	// Bytes is the total size of the data sent to the upstream and back.
 	Bytes int64
 	// Excluded holds the addresses used by earlier attempts. They are used again
--- a/routing/router.go
+++ b/routing/router.go
@@ -67,6 +67,7 @@
 	r.filters = []Filter{
 		stateFilter{},
 		regionFilter{region: opts.Region, allowed: opts.CrossRegion},
+		residencyFilter{},
 		excludedFilter{},
 		modelFilter{},
 		circuitFilter{},
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -14,6 +14,7 @@
 
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/membership"
+	"damaskbridge.example/damaskbridge/residency"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -40,6 +41,29 @@
 	return NewRouter(DefaultOptions("lagos"), rand.New(rand.NewPCG(seed, 1)))
 }
 
+var _ = Describe("a request that may be processed in some regions only", func() {
+	// Guards against an upstream of another region that is chosen because it is
+	// nearer, or because the allowed ones were tried.
+	It("goes to upstreams of these regions, also when all of them were tried", func() {
+		tr := newTracker(6, "lagos", "abuja")
+		r := newTestRouter(1)
+		req := Request{Pool: "p", Allowed: residency.Of([]string{"abuja"})}
+		for range 20 {
+			choice, err := r.Choose(tr.View(), req, start)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(choice.Upstream.Region).To(Equal(ids.Region("abuja")))
+			req.Excluded = append(req.Excluded, choice.Upstream.Address)
+			r.Done(choice.Ticket, Outcome{}, start)
+		}
+	})
+
+	It("has no candidate where no upstream is in these regions", func() {
+		_, err := newTestRouter(1).Choose(newTracker(6, "lagos").View(), Request{Pool: "p", Allowed: residency.Of([]string{"abuja"})}, start)
+		var none *NoCandidateError
+		Expect(errors.As(err, &none)).To(BeTrue())
+	})
+})
+
 // TestChooseRespectsFiltersAndEjectionLimit guards against ejecting more than half
 // of a pool, against choosing upstreams that are leaving, ejected or excluded, and
 // against in-flight counts that drift from the attempts in flight.
--- a/settings/key.go
+++ b/settings/key.go
@@ -18,6 +18,7 @@
 	HedgeEnabled            Key = "hedge.enabled"
 	HedgePercentile         Key = "hedge.percentile"
 	EjectionMaxPercent      Key = "routing.ejection_max_percent"
+	AllowedRegions          Key = "routing.allowed_regions"
 	CrossRegionAllowed      Key = "routing.cross_region"
 	CrossRegionPenalty      Key = "routing.cross_region_penalty"
 	SlowStart               Key = "routing.slow_start"
--- a/settings/spec.go
+++ b/settings/spec.go
@@ -29,6 +29,9 @@
 	UnitBool Unit = "bool"
 	// UnitChoice is one of Spec.Choices.
 	UnitChoice Unit = "choice"
+	// UnitRegions is a list of regions separated by commas. An empty list stands for
+	// all regions.
+	UnitRegions Unit = "regions"
 )
 
 // Spec describes a key: its unit, default and bounds.
@@ -71,6 +74,7 @@
 	// Above 50 %, one VM with a wrong view of its upstreams could eject a whole
 	// pool.
 	rootOnly(Spec{Key: EjectionMaxPercent, Unit: UnitPercent, Default: "50", Min: 0, Max: 50}),
+	{Key: AllowedRegions, Unit: UnitRegions},
 	rootOnly(Spec{Key: CrossRegionAllowed, Unit: UnitBool, Default: "true"}),
 	rootOnly(duration(CrossRegionPenalty, "40ms", 0, 10*time.Second)),
 	rootOnly(duration(SlowStart, "10s", 0, 10*time.Minute)),
@@ -135,7 +139,7 @@
 	if !ok {
 		return 0, fmt.Errorf("%q is not a %s; write %s", value, s.Unit, s.example())
 	}
-	if s.Unit == UnitBool || s.Unit == UnitChoice {
+	if s.Unit == UnitBool || s.Unit == UnitChoice || s.Unit == UnitRegions {
 		return number, nil
 	}
 	if number < s.Min || number > s.Max {
@@ -175,10 +179,25 @@
 		return choiceIndex(value, []string{"false", "true"})
 	case UnitChoice:
 		return choiceIndex(value, s.Choices)
+	case UnitRegions:
+		return 0, isRegionList(value)
 	}
 	return 0, false
 }
 
+// isRegionList reports whether value is a list of names without empty ones.
+func isRegionList(value string) bool {
+	if value == "" {
+		return true
+	}
+	for _, name := range strings.Split(value, ",") {
+		if name == "" || strings.ContainsAny(name, " \t\r\n") {
+			return false
+		}
+	}
+	return true
+}
+
 func parseInt(value string) (int64, bool) {
 	n, err := strconv.ParseInt(value, 10, 64)
 	return n, err == nil
@@ -223,6 +242,8 @@
 		return `a whole number such as "10"`
 	case UnitBool:
 		return `"true" or "false"`
+	case UnitRegions:
+		return `regions separated by commas such as "lagos,abuja"`
 	}
 	return "one of " + strings.Join(s.Choices, ", ")
 }
@@ -241,6 +262,8 @@
 		return "true, false"
 	case UnitChoice:
 		return strings.Join(s.Choices, ", ")
+	case UnitRegions:
+		return "regions separated by commas, empty for all"
 	}
 	return s.format(s.Min) + " to " + s.format(s.Max)
 }
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -1,8 +1,11 @@
 package settings
 
 import (
+	"strings"
 	"sync"
 	"time"
+
+	"damaskbridge.example/damaskbridge/residency"
 )
 
 // Tree is one version of all settings. It is immutable and safe for concurrent
@@ -163,6 +166,15 @@
 	return t.Effective(branch, key).Value
 }
 
+// Regions returns the effective regions of a UnitRegions key at branch.
+func (t *Tree) Regions(branch string, key Key) residency.Regions {
+	value := t.String(branch, key)
+	if value == "" {
+		return residency.Regions{}
+	}
+	return residency.Of(strings.Split(value, ","))
+}
+
 // parsedValue returns the parsed effective value of a key at branch.
 func (t *Tree) parsedValue(branch string, spec *parsedSpec) int64 {
 	if s, _, ok := t.lookup(branch, spec.Key); ok {
