callers, daemon, platform, entry: bounds on what clients take of a process

Cause: heads were parsed before anything counted them (a line takes some 200 bytes beside its own), nothing bounded connections below the descriptors of the process, the readiness, metrics and operators' addresses had net/http's own limits, and a document that stopped short was held without a bound.

Change: callers.Server counts the bytes and lines of a head before net/http sees them and refuses one that finds no room with 503; it bounds connections, and when places are short closes the one that has made no progress for longest among the addresses with most of them; a write that nobody takes ends after two minutes. The product's own path has the same bounds (settings memory, clients). Socket buffers are 64 KiB.

--- a/buffers/memory.go
+++ b/buffers/memory.go
@@ -26,6 +26,8 @@
 	StageAnswer Kind = "stage_answer"
 	// ListPage is a page of the list of runners.
 	ListPage Kind = "list_page"
+	// Document is a document that an operator publishes.
+	Document Kind = "document"
 )
 
 // requestShare is the part of the memory that requests may fill. The rest is left
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/internal/sockopt"
 )
 
@@ -38,6 +39,10 @@
 	net.Conn
 	// server is the HTTP server that handles the connection.
 	server *limitedServer
+	// address is the client's without its port.
+	address string
+	// writeTimeout limits a write for which the handler sets no deadline.
+	writeTimeout time.Duration
 	// headTimeout limits the time to read a head; 0 stands for the default.
 	headTimeout time.Duration
 
@@ -60,6 +65,17 @@
 	// request. If the handler aborted the response, abortReason says why.
 	handled     bool
 	abortReason unansweredReason
+	// head counts the head that is being read or handled.
+	head      *buffers.Account
+	headBytes int64
+	// progressAt is when a byte was last read or written, writingSince when the write
+	// began that has not ended yet, zero if none is under way.
+	progressAt   time.Time
+	writingSince time.Time
+	// writeDeadline is the one that the handler has set, zero if none.
+	writeDeadline time.Time
+	// evicted is true once the connection was closed for a new one.
+	evicted bool
 	// headCut is true if the client has closed the connection inside a head.
 	headCut bool
 	// writeFailed is true if part of the response could not be written.
@@ -80,7 +96,11 @@
 		n, err = c.readLate(b, err)
 	}
 	if n > 0 {
-		n = c.receive(b[:n])
+		var full bool
+		if n, full = c.receive(b[:n]); full {
+			c.refuseHead()
+			return 0, io.EOF
+		}
 	}
 	if errors.Is(err, io.EOF) {
 		c.recordEnd()
@@ -103,7 +123,12 @@
 	if len(c.ahead) == 0 || len(b) == 0 {
 		return 0
 	}
+	inHead := c.framer.phase == phaseHead
 	n := c.framer.take(c.ahead[:min(len(b), len(c.ahead))])
+	if inHead {
+		// It fits into one read, so it needs no room that it may not find.
+		c.countHead(c.ahead[:n])
+	}
 	copy(b, c.ahead[:n])
 	c.ahead = c.ahead[n:]
 	return n
@@ -152,11 +177,17 @@
 }
 
 // receive records bytes that were read, and returns how many of them may be handed
-// out now. The first ones of a head end the wait.
-func (c *conn) receive(b []byte) int {
+// out now, and whether they belong to a head that finds no room. The first ones of a
+// head end the wait.
+func (c *conn) receive(b []byte) (n int, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.framer.take(b)
+	c.progressAt = time.Now()
+	inHead := c.framer.phase == phaseHead
+	n = c.framer.take(b)
+	if inHead && !c.countHead(b[:n]) {
+		return 0, true
+	}
 	if n < len(b) {
 		c.ahead = bytes.Clone(b[n:])
 	}
@@ -165,9 +196,22 @@
 		c.beginHead()
 	case stateWaiting:
 		c.beginHead()
-		c.setHeadDeadline(time.Now())
+		c.setHeadDeadline(c.progressAt)
 	}
-	return n
+	return n, false
+}
+
+// countHead counts bytes of a head with what their lines take once they are parsed. It
+// returns false if they find no room. It is called with mu held.
+func (c *conn) countHead(b []byte) bool {
+	c.headBytes += int64(len(b)) + fieldBytes*int64(bytes.Count(b, []byte{'\n'}))
+	return c.head.Resize(c.headBytes) == nil
+}
+
+// releaseHead gives back the room of the head. It is called with mu held.
+func (c *conn) releaseHead() {
+	c.headBytes = 0
+	c.head.Close()
 }
 
 // beginHead records that the head of a request has begun. It is called with mu held.
@@ -187,16 +231,31 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	c.handled = c.handled || c.state == stateReceiving
+	c.writingSince = time.Now()
+	if c.writeTimeout > 0 && c.writeDeadline.IsZero() {
+		_ = c.Conn.SetWriteDeadline(c.writingSince.Add(c.writeTimeout))
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = time.Time{}
 	if err != nil {
-		c.mu.Lock()
 		c.writeFailed = true
-		c.mu.Unlock()
+	} else {
+		c.progressAt = time.Now()
 	}
 	return n, err
 }
 
+// SetWriteDeadline sets the handler's own deadline for writes.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // SetReadDeadline sets the deadline of a request that is being received. net/http
 // sets none while it waits for a request. A head that has begun keeps the deadline that
 // it has until net/http sets another one.
@@ -259,6 +318,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.waitingSince, c.idleTimeout = stateWaiting, now, idleTimeout
+	c.writeDeadline = time.Time{}
+	c.releaseHead()
 	if c.hasNext() {
 		c.beginHead()
 		c.setHeadDeadline(now)
--- a/callers/metrics.go
+++ b/callers/metrics.go
@@ -34,11 +34,19 @@
 	set *metrics.Set
 	// panics counts the panics of the handler, also those that were answered.
 	panics *metrics.Counter
+	// connsEvicted counts the connections that were closed for new ones, connsRefused
+	// the new ones for which there was no place.
+	connsEvicted *metrics.Counter
+	connsRefused *metrics.Counter
 }
 
 func newServerMetrics() *serverMetrics {
 	set := metrics.NewSet()
-	return &serverMetrics{set: set, panics: set.NewCounter("damask_callers_panics_total")}
+	return &serverMetrics{
+		set: set, panics: set.NewCounter("damask_callers_panics_total"),
+		connsEvicted: set.NewCounter("damask_callers_connections_evicted_total"),
+		connsRefused: set.NewCounter("damask_callers_connections_refused_total"),
+	}
 }
 
 func (m *serverMetrics) recordUnanswered(reason unansweredReason) {
--- a/callers/server.go
+++ b/callers/server.go
@@ -14,7 +14,9 @@
 
 	"github.com/phuslu/log"
 
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/internal/accept"
+	"damaskbridge.example/damaskbridge/internal/sockopt"
 )
 
 // Server is an HTTP/1.1 server for clients. It is safe for concurrent use.
@@ -27,10 +29,13 @@
 
 	mu            sync.Mutex
 	limits        Limits
+	bounds        Bounds
 	currentServer *limitedServer
 	servers       map[*limitedServer]struct{}
 	// conns holds the open client connections.
 	conns map[*conn]struct{}
+	// evicting is the number of those that were closed for new ones.
+	evicting int
 	// closed means that Close has been called.
 	closed bool
 	// keepAliveDisabled means that every connection closes after its next response.
@@ -54,7 +59,8 @@
 // Listen listens on addr for connections that h is to serve. Start begins to accept
 // them; Shutdown or Close ends that.
 func Listen(addr string, limits Limits, h http.Handler, logger *log.Logger) (*Server, error) {
-	listener, err := net.Listen("tcp", addr)
+	config := net.ListenConfig{Control: sockopt.BufferSizes(socketBufferBytes)}
+	listener, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -124,10 +130,22 @@
 }
 
 func (s *Server) accept(raw net.Conn) {
+	now := time.Now()
 	s.mu.Lock()
+	if !s.makeRoom(now) {
+		s.mu.Unlock()
+		_ = raw.Close()
+		return
+	}
 	server := s.currentServer
 	server.conns++
-	c := &conn{Conn: raw, server: server, headTimeout: server.httpServer.ReadHeaderTimeout}
+	c := &conn{
+		Conn: raw, server: server, address: hostOf(raw.RemoteAddr()), progressAt: now,
+		headTimeout: server.httpServer.ReadHeaderTimeout, writeTimeout: s.bounds.WriteTimeout,
+	}
+	if s.bounds.Memory != nil {
+		c.head = s.bounds.Memory.NewAccount(buffers.Request, buffers.FreeRequestBytes)
+	}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	if !server.listener.deliver(c) {
@@ -162,6 +180,9 @@
 	}
 	delete(s.conns, c)
 	c.server.conns--
+	if c.end() {
+		s.evicting--
+	}
 	s.endUnused(c.server)
 	if reason := c.unanswered(s.closed); reason != "" {
 		s.metrics.recordUnanswered(reason)
@@ -278,6 +299,15 @@
 	return done
 }
 
+// hostOf returns an address without its port.
+func hostOf(addr net.Addr) string {
+	host, _, err := net.SplitHostPort(addr.String())
+	if err != nil {
+		return addr.String()
+	}
+	return host
+}
+
 // errorLog writes the error messages of net/http to the log.
 type errorLog struct{ log *log.Logger }
 
--- a/config/deployed.go
+++ b/config/deployed.go
@@ -47,24 +47,7 @@
 	RunnerList Text    `yaml:"runner_list"`
 	Repeats    Repeats `yaml:"repeats"`
 	WarmUp     WarmUp  `yaml:"warm_up"`
-}
-
-// WarmUp bounds what a runner that warms up gets in any one second from all entry
-// VMs together: its service's rate x Excess + Slack requests. If both are 0, runners
-// that warm up are used like others.
-type WarmUp struct {
-	Excess float64 `yaml:"excess"`
-	Slack  float64 `yaml:"slack"`
-}
-
-// IsSet reports whether runners that warm up are limited.
-func (w WarmUp) IsSet() bool { return w.Excess > 0 || w.Slack > 0 }
-
-func (w WarmUp) check() error {
-	if w.Excess < 0 || w.Slack < 0 {
-		return newFieldError("warm_up", "%g and %g must not be negative; set both to 0 for no limit", w.Excess, w.Slack)
-	}
-	return nil
+	Clients    Clients `yaml:"clients"`
 }
 
 // Repeats limits the repeated attempts of all entry VMs together.
@@ -83,6 +66,7 @@
 		Memory:          256 << 20,
 		ToleratedLosses: 2,
 		DrainTime:       Duration(4 * time.Second),
+		Clients:         defaultClients(),
 		Repeats:         Repeats{Ratio: 0.1, Window: Duration(10 * time.Second), Slack: 10},
 	}
 }
@@ -104,6 +88,7 @@
 		checkRange("inter_vm_port", d.InterVMPort, minPort, maxPort),
 		checkRange("memory", d.Memory, minMemory, maxMemory),
 		d.WarmUp.check(),
+		d.Clients.check(),
 		checkRange("tolerated_losses", d.ToleratedLosses, 0, maxToleratedLosses),
 	}
 	for name, address := range map[string]Text{"callers": d.Callers, "ready": d.Ready, "operators": d.Operators, "runner_list": d.RunnerList, "inter_vm_listen": d.InterVMListen} {
--- a/config/entry.go
+++ b/config/entry.go
@@ -26,6 +26,10 @@
 	MembersEvery Duration    `yaml:"members_every"`
 	Audit        EntryAudit  `yaml:"audit"`
 	Callers      CallerLimit `yaml:"callers"`
+	// Memory is the memory that the process may use. A quarter of it may be taken by
+	// heads and bodies of requests.
+	Memory  Bytes   `yaml:"memory"`
+	Clients Clients `yaml:"clients"`
 }
 
 // EntryAudit configures the audit writer. Whether the begin record of a request
@@ -55,6 +59,8 @@
 		MembersEvery: Duration(time.Second),
 		Audit:        EntryAudit{FlushAfter: Duration(20 * time.Millisecond), BufferRecords: 1 << 16},
 		Callers:      CallerLimit{HeaderTimeout: Duration(5 * time.Second), IdleTimeout: Duration(2 * time.Minute), MaxHeader: 64 << 10},
+		Memory:       1 << 30,
+		Clients:      defaultClients(),
 	}
 }
 
@@ -87,6 +93,8 @@
 		checkRange("audit.buffer_records", e.Audit.BufferRecords, minBufferRecords, maxBufferRecords),
 		checkRange("callers.header_timeout", e.Callers.HeaderTimeout, minCallerTimeout, maxCallerTimeout),
 		checkRange("callers.idle_timeout", e.Callers.IdleTimeout, minCallerTimeout, maxCallerTimeout),
+		checkRange("memory", e.Memory, minMemory, maxMemory),
+		e.Clients.check(),
 		checkRange("callers.max_header", e.Callers.MaxHeader, minHeader, maxHeader),
 	)
 }
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -2,12 +2,14 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
+
+	"damaskbridge.example/damaskbridge/buffers"
+	"damaskbridge.example/damaskbridge/callers"
 )
 
 const (
@@ -27,15 +29,23 @@
 	return mux
 }
 
-// ServeHTTP serves h at addr until the returned function is called. An address
-// that cannot be had is logged; the process goes on without it.
-func ServeHTTP(addr string, h http.Handler, logger *log.Logger) (stop func()) {
-	listener, err := net.Listen("tcp", addr)
+// doorLimits bound the heads at an address that ServeHTTP serves.
+var doorLimits = callers.Limits{MaxHeaderBytes: 16 << 10, HeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
+
+// maxDoorConns bounds the connections at such an address. Whoever asks for readiness
+// or metrics has a few, operators have up to eight.
+const maxDoorConns = 128
+
+// ServeHTTP serves h at addr until the returned function is called. Heads are counted
+// in memory, which may be nil. An address that cannot be had is logged; the process
+// goes on without it.
+func ServeHTTP(addr string, h http.Handler, memory *buffers.Memory, logger *log.Logger) (stop func()) {
+	server, err := callers.Listen(addr, doorLimits, h, logger)
 	if err != nil {
 		logger.Error().Err(err).Str("address", addr).Msg("process: listen failed")
 		return func() {}
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return func() { _ = server.Close() }
+	server.SetBounds(callers.Bounds{MaxConns: maxDoorConns, Memory: memory})
+	server.Start()
+	return server.Close
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/upstream"
 	"github.com/phuslu/log"
@@ -50,6 +51,12 @@
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 	MaxHeaderBytes int
+	// Memory bounds the heads and bodies of requests, MaxConns the connections of
+	// callers. Without them there is no bound. WriteTimeout is how long a caller may
+	// take nothing of a response. Default: 2 min.
+	Memory       *buffers.Memory
+	MaxConns     int
+	WriteTimeout time.Duration
 	// DrainDelay is how long the listener stays open after the VM reports not
 	// ready, so that the load balancer notices. Default 3 s.
 	DrainDelay time.Duration
--- a/entry/params.go
+++ b/entry/params.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/admission"
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/problem"
 	"damaskbridge.example/damaskbridge/settings"
 )
@@ -65,10 +66,26 @@
 	return p, nil
 }
 
-// readBody reads the request body up to the branch's size limit.
+// roomKey is the context key of the room that a request's body takes.
+type roomKey struct{}
+
+// fullRetryDelay is when a caller may come back whose body found no room.
+const fullRetryDelay = time.Second
+
+// readBody reads the request body up to the branch's size limit. Its room is held
+// until the end of the request.
 func readBody(tree *settings.Tree, branch string, w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	limit := int64(tree.Int(branch, settings.BodyMaxBytes))
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	room, _ := r.Context().Value(roomKey{}).(*buffers.Account)
+	control := http.NewResponseController(w)
+	if control.SetReadDeadline(time.Now().Add(tree.Duration(branch, settings.DeadlineMax))) == nil {
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
+	b, err := io.ReadAll(room.Reader(http.MaxBytesReader(w, r.Body, limit)))
+	var full *buffers.FullError
+	if errors.As(err, &full) {
+		return nil, problem.New(problem.Overloaded, problem.NotRun, "%v", full).WithRetryAfter(fullRetryDelay)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, problem.New(problem.BodyTooLarge, problem.NotRun, "the limit is %d bytes", limit)
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damaskbridge.example/damaskbridge/audit"
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/config"
 	"damaskbridge.example/damaskbridge/control"
 	"damaskbridge.example/damaskbridge/ids"
@@ -56,6 +57,9 @@
 		HeaderTimeout:   time.Duration(c.Callers.HeaderTimeout),
 		IdleTimeout:     time.Duration(c.Callers.IdleTimeout),
 		MaxHeaderBytes:  int(c.Callers.MaxHeader),
+		Memory:          buffers.ForProcess(int64(c.Memory)),
+		MaxConns:        c.Clients.MaxConns(c.Memory),
+		WriteTimeout:    c.Clients.WriteTimeout.Std(),
 		DrainTimeout:    time.Duration(c.Process.DrainWait),
 		Logger:          logger,
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -12,6 +12,7 @@
 
 	"damaskbridge.example/damaskbridge/admission"
 	"damaskbridge.example/damaskbridge/budget"
+	"damaskbridge.example/damaskbridge/buffers"
 	"damaskbridge.example/damaskbridge/callers"
 	"damaskbridge.example/damaskbridge/ids"
 	"damaskbridge.example/damaskbridge/problem"
@@ -79,6 +80,7 @@
 	if s.callers, err = callers.Listen(s.opts.Listen, limits, s.mux(), s.log); err != nil {
 		return fmt.Errorf("entry: listen on %s: %w; choose a free address", s.opts.Listen, err)
 	}
+	s.callers.SetBounds(callers.Bounds{MaxConns: s.opts.MaxConns, WriteTimeout: s.opts.WriteTimeout, Memory: s.opts.Memory})
 	s.subscriber.advertisedAddr = s.advertisedAddr()
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
@@ -207,7 +209,9 @@
 // response.
 func (s *Server) handle(h handlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		err := h(w, r)
+		room := s.opts.Memory.NewAccount(buffers.Request, buffers.FreeRequestBytes)
+		defer room.Close()
+		err := h(w, r.WithContext(context.WithValue(r.Context(), roomKey{}, room)))
 		if err == nil {
 			return
 		}
