--- a/residency/regions.go
+++ b/residency/regions.go
@@ -1,6 +1,9 @@
 package residency
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Regions is the set of regions that are allowed. The zero value allows all. It is
 // immutable.
@@ -45,13 +48,24 @@
 // Restricted reports whether some region is not allowed.
 func (r Regions) Restricted() bool { return r.restricted }
 
+// IsEmpty reports whether no region is allowed.
+func (r Regions) IsEmpty() bool { return r.restricted && len(r.names) == 0 }
+
+// String lists the allowed regions.
+func (r Regions) String() string {
+	if !r.restricted {
+		return "all"
+	}
+	return "[" + strings.Join(r.names, " ") + "]"
+}
+
 // noRegion is a name that no region has. It stands in a list for a set that allows
 // none, because an empty list allows all.
 const noRegion = ""
 
 // List returns a list of which Of makes the same set.
 func (r Regions) List() []string {
-	if r.restricted && len(r.names) == 0 {
+	if r.IsEmpty() {
 		return []string{noRegion}
 	}
 	return slices.Clone(r.names)
