--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -31,6 +31,8 @@
 	// minStall is how long a connection has made no progress at least before it is
 	// closed for a new one.
 	minStall = time.Second
+	// shortageLogInterval is the time between two log lines about a shortage of places.
+	shortageLogInterval = 5 * time.Second
 	// socketBufferBytes is the size of the kernel's buffers of a connection, each way.
 	socketBufferBytes = 64 << 10
 )
@@ -44,7 +46,7 @@
 }
 
 // makeRoom reports whether a new connection may be taken. If there are too many it
-// closes the one that is least worth its place. It is called with mu held.
+// closes the one that has made no progress for longest. It is called with mu held.
 func (s *Server) makeRoom(now time.Time) bool {
 	if s.bounds.MaxConns <= 0 || len(s.conns)-s.evicting < s.bounds.MaxConns {
 		return true
@@ -52,14 +54,28 @@
 	victim := s.leastProgress(now)
 	if victim == nil {
 		s.metrics.connsRefused.Inc()
+		s.logShortage(now, "")
 		return false
 	}
 	s.metrics.connsEvicted.Inc()
+	s.logShortage(now, victim.address)
 	s.evicting++
 	victim.evict()
 	return true
 }
 
+// logShortage logs that places are short, at most once in shortageLogInterval. address
+// is that of the client that lost its place, "" if a new one was refused. It is called
+// with mu held.
+func (s *Server) logShortage(now time.Time, address string) {
+	if now.Sub(s.shortageLoggedAt) < shortageLogInterval {
+		return
+	}
+	s.shortageLoggedAt = now
+	s.log.Warn().Str("door", s.listener.Addr().String()).Str("closed", address).Int("connections", len(s.conns)).Int("limit", s.bounds.MaxConns).
+		Msg("callers: places for connections are short")
+}
+
 // leastProgress returns the connection that has made no progress for longest, among
 // those of the addresses that have most connections, or nil if every one has made
 // some. It is called with mu held.
--- a/callers/server.go
+++ b/callers/server.go
@@ -36,6 +36,8 @@
 	conns map[*conn]struct{}
 	// evicting is the number of those that were closed for new ones.
 	evicting int
+	// shortageLoggedAt is when a shortage of places was last logged.
+	shortageLoggedAt time.Time
 	// closed means that Close has been called.
 	closed bool
 	// keepAliveDisabled means that every connection closes after its next response.
--- a/controlvm/vm.go
+++ b/controlvm/vm.go
@@ -77,7 +77,7 @@
 	if v.opts.AdminTLS {
 		v.admin = tls.NewListener(v.admin, admin.TLSConfig(v.opts.Creds))
 	}
-	v.http = &http.Server{Handler: v.adminHandler(api, v.opts.Operators), ReadHeaderTimeout: headerTimeout}
+	v.http = &http.Server{Handler: v.adminHandler(api, v.opts.Operators), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	v.tasks.Go(func() { _ = v.http.Serve(v.admin) })
@@ -86,8 +86,14 @@
 	return nil
 }
 
-// headerTimeout is the timeout for reading the headers of an operator's request.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout is the timeout for reading the headers of an operator's request,
+	// idleTimeout how long a connection may wait for the next one.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes is the maximum size of such headers.
+	maxHeaderBytes = 16 << 10
+)
 
 // openStorage opens the audit log and the replica's data.
 func (v *VM) openStorage() error {
