--- a/control/full_disk_test.go
+++ b/control/full_disk_test.go
@@ -220,8 +220,14 @@
 		Expect(c.start(m.vm)).To(Succeed())
 		disks[m.vm].fill(".tmp")
 		c.claimN(5)
-		disks[m.vm].fill(".seg") // the snapshot is stored, its reset is not
 		stored := func() ([]string, error) { return filepath.Glob(filepath.Join(m.dir, "snap-*.dat")) }
+		// What waits for space must be the snapshot: anything before it would wait for
+		// the segments too.
+		Eventually(func() bool {
+			names, err := stored()
+			return m.replica.published.Load().paused || err == nil && len(names) > 0
+		}, waitTimeout, time.Millisecond).Should(BeTrue())
+		disks[m.vm].fill(".seg") // the snapshot is stored, its reset is not
 		Eventually(stored, waitTimeout, time.Millisecond).ShouldNot(BeEmpty())
 		c.claimN(5)
 		expectNoneStopped()
