--- a/internal/unread/unread.go
+++ b/internal/unread/unread.go
@@ -2,9 +2,14 @@
 package unread
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"os"
+	"strconv"
 	"time"
+
+	"damaskbridge.example/damaskbridge/buffers"
 )
 
 // discardTime is how long the rest of a body is received after the answer.
@@ -25,3 +30,26 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	_ = control.SetReadDeadline(time.Time{})
 }
+
+// AnswerError answers a request whose body could not be read.
+func AnswerError(w http.ResponseWriter, r *http.Request, err error) {
+	Answer(w, r, func() { writeError(w, err) })
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var full *buffers.FullError
+	if errors.As(err, &full) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		http.Error(w, "the body has not arrived in time; send it again", http.StatusRequestTimeout)
+		return
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		http.Error(w, "the body is over the limit of "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes; send less", http.StatusRequestEntityTooLarge)
+		return
+	}
+	http.Error(w, "the body is not complete; send it again", http.StatusBadRequest)
+}
