--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -79,8 +79,16 @@
 		for range 3 {
 			leader := f.leader()
 			other := f.follower()
-			go func() { _ = f.evacuate(leader, true) }()
+			server := f.members[leader].server
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_ = server.Evacuate(ctx, "z1", true)
+			}()
 			f.kill(leader)
+			<-ended
 			f.orderUntilAcked(other, true)
 			f.orderUntilAcked(other, false)
 			Expect(f.start(leader)).To(Succeed())
