gateway: the comments of eligible name the evacuation too

Cause: read as a newcomer, both spoke of regions alone while the line below asks for the evacuation as well. Change: two comments. Result: go vet passes; no code is touched.

--- a/gateway/runner_query.go
+++ b/gateway/runner_query.go
@@ -21,14 +21,14 @@
 	allowed residency.Regions
 }
 
-// eligible reports whether a runner may get requests that may be processed in the
-// allowed regions. r.mu is held.
+// eligible reports whether a runner is in one of the allowed regions and in a data
+// centre that is not evacuated. r.mu is held.
 func (r *runnerSet) eligible(l *listedRunner, allowed residency.Regions) bool {
 	return r.zoneEligible(l.Zone, allowed)
 }
 
-// zoneEligible reports whether the runners of a data centre may get requests that
-// may be processed in the allowed regions.
+// zoneEligible reports whether a data centre is in one of the allowed regions and not
+// evacuated.
 func (r *runnerSet) zoneEligible(zone string, allowed residency.Regions) bool {
 	return allowed.Allows(r.topology.Regions[zone]) && !r.evacuations.Load().IsEvacuated(zone)
 }
