--- /dev/null
+++ b/review/.cases-2/torn_list.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+)
+
+func init() { cases["torn-list"] = runTornList }
+
+const (
+	// unreadableEntries is the number of entries of another writer on a page.
+	unreadableEntries = 40
+	// drainTime is drain_ms.
+	drainTime = 4 * time.Second
+	// drainWatch is how long requests come after the list shows a runner as draining.
+	drainWatch = 10 * time.Second
+)
+
+// runTornList has the platform's list show one runner as draining, and with trouble at
+// the same moment entries whose bytes cannot be read.
+func runTornList(rec *record, trouble bool) (bool, error) {
+	number := unreadableEntries
+	if n, err := strconv.Atoi(os.Getenv("ENTRIES")); err == nil {
+		number = n
+	}
+	d, err := startStaged(rec)
+	if err != nil {
+		return false, err
+	}
+	var listed []listEntry
+	var leaving *runner
+	for _, rn := range d.runners {
+		state := stateReady
+		if rn.service == "ledger" && leaving == nil {
+			leaving, state = rn, stateDraining
+		}
+		listed = append(listed, rn.entry(state))
+	}
+	var requests sync.WaitGroup
+	sendOne := func(i int) {
+		requests.Go(func() {
+			q := deposit()
+			m := d.entry[i%len(d.entry)]
+			a := send(m.addr(portFront), q, 3*time.Second)
+			rec.printf("client: %s to %s: %v", q.attempt, m.name, a)
+		})
+	}
+	if trouble {
+		var torn []string
+		for i := range number {
+			torn = append(torn, fmt.Sprintf(`{"id":"x-%d","service":"other","address":"10.9.9.%d:80`, i, i))
+		}
+		d.list.setUnreadable(torn)
+	}
+	d.list.set(listed)
+	shown := time.Now()
+	rec.printf("platform: the list shows %s as draining; unreadable entries on each page: %t", leaving.id, trouble)
+	for i := 0; time.Since(shown) < drainWatch; i++ {
+		sendOne(i)
+		time.Sleep(100 * time.Millisecond)
+	}
+	requests.Wait()
+	late := 0
+	leaving.mu.Lock()
+	defer leaving.mu.Unlock()
+	for _, x := range leaving.runs {
+		if behind := x.at.Sub(shown); behind > drainTime {
+			late++
+		}
+	}
+	rec.printf("%s: %d requests have run, %d of them later than drain_ms after the list showed it as draining", leaving.id, len(leaving.runs), late)
+	return late > 0, nil
+}
