--- a/review/.cases-2/pieces_count.go
+++ b/review/.cases-2/pieces_count.go
@@ -44,16 +44,22 @@
 			time.Sleep(time.Second)
 		}
 	}
+	return countEnded(d.deployment, watch) >= endsOnMachines, nil
+}
+
+// countEnded ends the watch and returns the number of machines whose processes have ended
+// by themselves as often as the rule says.
+func countEnded(d *deployment, watch *memoryWatch) int {
 	kills, peak := watch.close()
-	rec.printf("platform: peak memory in MiB: %v", peak)
+	d.rec.printf("platform: peak memory in MiB: %v", peak)
 	machines := 0
 	for _, m := range d.machines() {
 		ends := kills[m.name] + m.ownEnds()
-		rec.printf("platform: %s: %d kills for its memory, %d ends by itself", m.name, kills[m.name], m.ownEnds())
+		d.rec.printf("platform: %s: %d kills for its memory, %d ends by itself", m.name, kills[m.name], m.ownEnds())
 		if ends >= endsOfMachine {
 			machines++
 		}
 	}
-	rec.printf("platform: processes of %d machines have ended by themselves %d times or more", machines, endsOfMachine)
-	return machines >= endsOnMachines, nil
+	d.rec.printf("platform: processes of %d machines have ended by themselves %d times or more", machines, endsOfMachine)
+	return machines
 }
--- a/review/.cases-2/staged.go
+++ b/review/.cases-2/staged.go
@@ -30,11 +30,15 @@
 	list    *runnerList
 }
 
-func startStaged(rec *record) (*staged, error) {
+// startStaged starts a deployment. Its machines are adjusted before they start.
+func startStaged(rec *record, adjust ...func(*deployment)) (*staged, error) {
 	d, err := newDeployment(rec, controls, entries)
 	if err != nil {
 		return nil, err
 	}
+	for _, f := range adjust {
+		f(d)
+	}
 	list, err := startList(d.listAddr())
 	if err != nil {
 		return nil, err
