--- a/review/.cases-2/torn_list.go
+++ b/review/.cases-2/torn_list.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,14 +15,20 @@
 const (
 	// unreadableEntries is the number of entries of another writer on a page.
 	unreadableEntries = 40
-	// drainTime is drain_ms.
+	// drainTime is drain_ms. endTime is when the runner that leaves ends.
 	drainTime = 4 * time.Second
+	endTime   = 7 * time.Second
 	// drainWatch is how long requests come after the list shows a runner as draining.
-	drainWatch = 10 * time.Second
+	drainWatch   = 10 * time.Second
+	drainPause   = 150 * time.Millisecond
+	longStream   = 40
+	longGap      = 50 * time.Millisecond
+	streamsLimit = 7 * time.Second
 )
 
-// runTornList has the platform's list show one runner as draining, and with trouble at
-// the same moment entries whose bytes cannot be read.
+// runTornList has the platform's list show one engine as draining, and with trouble at
+// the same moment entries whose bytes cannot be read. The engine serves on for 7 s and
+// ends.
 func runTornList(rec *record, trouble bool) (bool, error) {
 	number := unreadableEntries
 	if n, err := strconv.Atoi(os.Getenv("ENTRIES")); err == nil {
@@ -34,20 +42,14 @@
 	var leaving *runner
 	for _, rn := range d.runners {
 		state := stateReady
-		if rn.service == "ledger" && leaving == nil {
-			leaving, state = rn, stateDraining
+		if rn.service == "llm" {
+			rn.events, rn.gap = longStream, longGap
+			if leaving == nil {
+				leaving, state = rn, stateDraining
+			}
 		}
 		listed = append(listed, rn.entry(state))
 	}
-	var requests sync.WaitGroup
-	sendOne := func(i int) {
-		requests.Go(func() {
-			q := deposit()
-			m := d.entry[i%len(d.entry)]
-			a := send(m.addr(portFront), q, 3*time.Second)
-			rec.printf("client: %s to %s: %v", q.attempt, m.name, a)
-		})
-	}
 	if trouble {
 		var torn []string
 		for i := range number {
@@ -58,9 +60,27 @@
 	d.list.set(listed)
 	shown := time.Now()
 	rec.printf("platform: the list shows %s as draining; unreadable entries on each page: %t", leaving.id, trouble)
+	end := time.AfterFunc(endTime, func() {
+		rec.printf("platform: %s ends", leaving.id)
+		_ = leaving.server.Close()
+	})
+	defer end.Stop()
+	var requests sync.WaitGroup
+	var lost atomic.Int64
+	sendOne := func(i int) {
+		requests.Go(func() {
+			q := brief("1")
+			m := d.entry[i%len(d.entry)]
+			a := send(m.addr(portFront), q, streamsLimit)
+			if a.err != nil || a.status != http.StatusOK && a.status != http.StatusServiceUnavailable {
+				lost.Add(1)
+			}
+			rec.printf("client: %s to %s: %v", q.attempt, m.name, a)
+		})
+	}
 	for i := 0; time.Since(shown) < drainWatch; i++ {
 		sendOne(i)
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(drainPause)
 	}
 	requests.Wait()
 	late := 0
@@ -72,5 +92,6 @@
 		}
 	}
 	rec.printf("%s: %d requests have run, %d of them later than drain_ms after the list showed it as draining", leaving.id, len(leaving.runs), late)
+	rec.printf("client: %d requests were cut or failed", lost.Load())
 	return late > 0, nil
 }
