--- a/review/.cases-2/short_fields.go
+++ b/review/.cases-2/short_fields.go
@@ -23,7 +23,7 @@
 	held    = 1300
 	openers = 20
 	// heldTime is how long they stay open.
-	heldTime      = 5 * time.Second
+	heldTime      = 8 * time.Second
 	ordinaryPause = 500 * time.Millisecond
 )
 
