--- a/review/.cases-2/torn_list.go
+++ b/review/.cases-2/torn_list.go
@@ -53,7 +53,7 @@
 	if trouble {
 		var torn []string
 		for i := range number {
-			torn = append(torn, fmt.Sprintf(`{"id":"x-%d","service":"other","address":"10.9.9.%d:80`, i, i))
+			torn = append(torn, fmt.Sprintf(`{"id":"x-%d","service":"other","address":"127.9.9.%d:80`, i, i))
 		}
 		d.list.setUnreadable(torn)
 	}
