callers, unread: the rest of a refused body is no request

Cause: unread.Answer enables full duplex to receive the rest of a body behind the answer. net/http then does not close a connection whose body it cannot read to its end (more than 16 KiB of a chunked body that are no data), and takes the next bytes in its buffer for a request.

Change: an answer of unread ends the connection and its read deadline stays. callers compares: a response whose request's body has not ended by its framer closes the connection, and what net/http has buffered reaches no handler. The framer finds no end in chunks that net/http refuses. Why it works: net/http never reuses a connection whose response says that it closes, and the framer follows the same bytes on its own.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -80,6 +80,9 @@
 	headCut bool
 	// writeFailed is true if part of the response could not be written.
 	writeFailed bool
+	// misaligned is true once a response was complete and the end of its request's body
+	// was not read. What net/http reads from then on is no request.
+	misaligned bool
 }
 
 // longAgo is a deadline in the past: a read that is blocked returns at once.
@@ -296,12 +299,17 @@
 }
 
 // beginRequest marks the connection as active with a request whose body has a length
-// in bytes, negative for one in chunks.
-func (c *conn) beginRequest(bodyLength int64) {
+// in bytes, negative for one in chunks. It returns false if what was read is no request
+// but the rest of a body.
+func (c *conn) beginRequest(bodyLength int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.misaligned {
+		return false
+	}
 	c.framer.beginBody(bodyLength)
 	c.state, c.handled, c.abortReason, c.writeFailed = stateActive, false, "", false
+	return true
 }
 
 // finishHandler records that the handler has returned, or why it has aborted the
@@ -313,19 +321,25 @@
 }
 
 // endRequest lets the connection wait for its next request after the response was
-// written. If part of that was read already, it is being received.
-func (c *conn) endRequest(now time.Time, idleTimeout time.Duration) {
+// written. If part of that was read already, it is being received. It returns false if
+// the end of the request's body was not read; the connection must then be closed.
+func (c *conn) endRequest(now time.Time, idleTimeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.waitingSince, c.idleTimeout = stateWaiting, now, idleTimeout
 	c.writeDeadline = time.Time{}
 	c.releaseHead()
+	if c.framer.phase != phaseHead {
+		c.misaligned = true
+		return false
+	}
+	c.state, c.waitingSince, c.idleTimeout = stateWaiting, now, idleTimeout
 	if c.hasNext() {
 		c.beginHead()
 		c.setHeadDeadline(now)
-		return
+		return true
 	}
 	c.framer.reset()
+	return true
 }
 
 // hasNext reports whether part of the request after the one that is handled was read.
--- a/callers/framing.go
+++ b/callers/framing.go
@@ -13,7 +13,8 @@
 	phaseChunkData
 	phaseChunkEnd
 	phaseTrailer
-	// phaseUnknown: a body whose end cannot be told. It lasts until reset.
+	// phaseUnknown: a body whose end cannot be told, for example since its chunks are
+	// malformed. It lasts until reset.
 	phaseUnknown
 )
 
@@ -23,9 +24,9 @@
 	phase framePhase
 	// left is the number of bytes left of a body or a chunk.
 	left int64
-	// size is the size of the next chunk, sizeEnded is true once its digits ended.
-	size      int64
-	sizeEnded bool
+	// size is the size of the next chunk, line the part of its line that was reached.
+	size int64
+	line chunkLine
 	// begun is true if the phase has had a byte that is no line end, lineBegun if the
 	// line has.
 	begun     bool
@@ -64,7 +65,7 @@
 		f.reset()
 		return true
 	}
-	f.phase = phaseChunkEnd
+	f.phase, f.line = phaseChunkEnd, beforeSize
 	return false
 }
 
@@ -75,9 +76,7 @@
 		f.stepChunkSize(c)
 		return false
 	case phaseChunkEnd:
-		if c == '\n' {
-			f.beginChunk()
-		}
+		f.stepChunkEnd(c)
 		return false
 	}
 	return f.stepLine(c)
@@ -103,20 +102,64 @@
 // maxChunkBytes is the size from which a chunk is not followed.
 const maxChunkBytes = 1 << 40
 
+// chunkLine is a part of the line before the data of a chunk.
+type chunkLine int
+
+const (
+	// beforeSize: no digit of the size yet.
+	beforeSize chunkLine = iota
+	inSize
+	// afterSize: white space behind the size.
+	afterSize
+	inExtension
+	// atLineFeed: behind the carriage return.
+	atLineFeed
+)
+
+// stepChunkSize moves on by one byte of a chunk's line. It follows exactly the lines
+// that net/http accepts: the end of a body that net/http refuses must not be found.
 func (f *framer) stepChunkSize(c byte) {
 	digit, isDigit := hexDigit(c)
 	switch {
-	case c == '\n':
-		f.endChunkSize()
-	case f.sizeEnded:
-	case isDigit:
+	case f.line == atLineFeed:
+		f.endLine(c, f.endChunkSize)
+	case c == '\r' && f.line != beforeSize:
+		f.line = atLineFeed
+	case f.line == inExtension && c != '\n':
+	case isDigit && f.line != afterSize:
+		f.line = inSize
 		f.size = f.size<<4 | digit
 		if f.size >= maxChunkBytes {
 			f.phase = phaseUnknown
 		}
+	case c == ';' && f.line == inSize:
+		f.line = inExtension
+	case (c == ' ' || c == '\t') && f.line != beforeSize:
+		f.line = afterSize
+	default:
+		f.phase = phaseUnknown
+	}
+}
+
+// stepChunkEnd moves on by one byte of the line end behind the data of a chunk.
+func (f *framer) stepChunkEnd(c byte) {
+	switch {
+	case f.line == atLineFeed:
+		f.endLine(c, f.beginChunk)
+	case c == '\r':
+		f.line = atLineFeed
 	default:
-		f.sizeEnded = true
+		f.phase = phaseUnknown
+	}
+}
+
+// endLine takes the line feed behind a carriage return and calls next.
+func (f *framer) endLine(c byte, next func()) {
+	if c != '\n' {
+		f.phase = phaseUnknown
+		return
 	}
+	next()
 }
 
 func (f *framer) endChunkSize() {
@@ -127,7 +170,7 @@
 	f.phase, f.left = phaseChunkData, f.size
 }
 
-func (f *framer) beginChunk() { f.phase, f.size, f.sizeEnded = phaseChunkSize, 0, false }
+func (f *framer) beginChunk() { f.phase, f.size, f.line = phaseChunkSize, 0, beforeSize }
 
 // reset expects the head of the next request.
 func (f *framer) reset() { *f = framer{} }
--- a/callers/framing_test.go
+++ b/callers/framing_test.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// Guards against an end that is found in a body which net/http refuses.
+func TestFramerFindsNoEndOfMalformedChunks(t *testing.T) {
+	for _, body := range []string{"x\r\n", "\r\n", ";e\r\n", "0x1\r\n", "1 ;e\r\n", "1 1\r\n", "1\r\nab\r\n", "g\r\n", "1\na\r\n", "1;\re\r\na\r\n", "1\r\na\n", "1\r\na\r\r\n"} {
+		t.Run(body, func(t *testing.T) {
+			g := NewWithT(t)
+			var f framer
+			f.beginBody(-1)
+			text := []byte(body + "\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n")
+			for len(text) > 0 {
+				text = text[f.take(text):]
+			}
+			g.Expect(f.phase).To(Equal(phaseUnknown))
+		})
+	}
+}
+
 // Guards against a body that is never handed out whole because its framing was not
 // understood.
 func TestFramerHandsOutWhatItCannotFollow(t *testing.T) {
--- a/callers/metrics.go
+++ b/callers/metrics.go
@@ -38,6 +38,9 @@
 	// the new ones for which there was no place.
 	connsEvicted *metrics.Counter
 	connsRefused *metrics.Counter
+	// connsMisaligned counts the connections that were closed because the body of an
+	// answered request had not been read to its end.
+	connsMisaligned *metrics.Counter
 }
 
 func newServerMetrics() *serverMetrics {
@@ -45,7 +48,7 @@
 	return &serverMetrics{
 		set: set, panics: set.NewCounter("damask_callers_panics_total"),
 		connsEvicted: set.NewCounter("damask_callers_connections_evicted_total"),
-		connsRefused: set.NewCounter("damask_callers_connections_refused_total"),
+		connsRefused: set.NewCounter("damask_callers_connections_refused_total"), connsMisaligned: set.NewCounter("damask_callers_connections_misaligned_total"),
 	}
 }
 
--- a/callers/server.go
+++ b/callers/server.go
@@ -166,7 +166,10 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.endRequest(time.Now(), s.limits.IdleTimeout)
+		if !c.endRequest(time.Now(), s.limits.IdleTimeout) {
+			s.closeMisaligned(c)
+			return
+		}
 		if s.keepAliveDisabled {
 			c.closeIdle()
 		}
@@ -175,6 +178,14 @@
 	}
 }
 
+// closeMisaligned closes a connection on which net/http would take the rest of a body
+// for the next request.
+func (s *Server) closeMisaligned(c *conn) {
+	s.metrics.connsMisaligned.Inc()
+	s.log.Warn().Str("caller", c.address).Msg("callers: the body of an answered request was not read to its end; the connection is closed")
+	_ = c.Conn.Close()
+}
+
 // remove forgets a closed connection. It is called with mu held.
 func (s *Server) remove(c *conn) {
 	if _, open := s.conns[c]; !open {
@@ -200,7 +211,9 @@
 // written yet.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c := connFromRequest(r)
-	c.beginRequest(r.ContentLength)
+	if !c.beginRequest(r.ContentLength) {
+		panic(http.ErrAbortHandler)
+	}
 	out := &responseWriter{ResponseWriter: w, server: s}
 	defer func() {
 		if v := recover(); v != nil {
--- a/internal/unread/unread.go
+++ b/internal/unread/unread.go
@@ -17,18 +17,23 @@
 
 // Answer has answer write the answer, sends it, and then receives the rest of the
 // body without keeping it. A client that sends its whole body before it reads would
-// otherwise find its connection reset, and not know that it was refused.
+// otherwise find its connection reset, and not know that it was refused. The answer
+// ends the connection: with full duplex net/http takes whatever follows it for the next
+// request, also if that is the rest of a body that could not be read to its end.
 func Answer(w http.ResponseWriter, r *http.Request, answer func()) {
 	control := http.NewResponseController(w)
 	// A client that waits to be told to send its body never sends it. Then, and where
 	// this is not supported, net/http decides about the connection.
 	duplex := r.Header.Get("Expect") == "" && control.EnableFullDuplex() == nil
+	if duplex {
+		w.Header().Set("Connection", "close")
+	}
 	answer()
 	if !duplex || control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
 		return
 	}
+	// The deadline stays: net/http reads on when it closes the body.
 	_, _ = io.Copy(io.Discard, r.Body)
-	_ = control.SetReadDeadline(time.Time{})
 }
 
 // AnswerError answers a request whose body could not be read.
