gateway, catalog: a number of pieces neither wraps around nor ends a VM

Cause: Estimate multiplies the number with the time of a piece in 64 bits; the product is 2^64 ns and a little more, so refuseIfLate lets the request in, and stageCall makes a list with an entry for each piece.

Why it works: no product of bounded numbers reaches 2^63, and the list is made only after its size was counted.

--- a/buffers/memory.go
+++ b/buffers/memory.go
@@ -17,6 +17,8 @@
 const (
 	// Request is the head and the body of a caller's request.
 	Request Kind = "request"
+	// Pieces are the pieces of a request's stages.
+	Pieces Kind = "pieces"
 	// Answer is the body of a runner's answer, AnswerHead its head.
 	Answer     Kind = "answer"
 	AnswerHead Kind = "answer_head"
@@ -30,7 +32,7 @@
 	Document Kind = "document"
 )
 
-// requestShare is the part of the memory that requests may fill. The rest is left
+// requestShare is the part of the memory that requests and their pieces may fill. The rest is left
 // for answers: a refused request can be sent again, a lost answer cannot.
 const requestShare = 0.75
 
@@ -101,7 +103,7 @@
 }
 
 func (m *Memory) limitOf(kind Kind) int64 {
-	if kind == Request {
+	if kind == Request || kind == Pieces {
 		return int64(requestShare * float64(m.limit))
 	}
 	return m.limit
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -56,7 +56,13 @@
 	Retention time.Duration
 }
 
-// Estimate returns the estimated duration of a call with n pieces.
+// maxEstimate is the longest duration that Estimate returns. Sums of it over the stages
+// of a route do not overflow.
+const maxEstimate = 24 * time.Hour
+
+// Estimate returns the estimated duration of a call with n pieces, at most maxEstimate.
+// n may be any number: callers choose it.
 func (r *StageRunner) Estimate(n int) time.Duration {
-	return r.CallTime + time.Duration(n)*r.PieceTime
+	estimate := float64(r.CallTime) + float64(max(n, 0))*float64(r.PieceTime)
+	return time.Duration(min(estimate, float64(maxEstimate)))
 }
--- a/gateway/http_responder.go
+++ b/gateway/http_responder.go
@@ -75,6 +75,8 @@
 		return http.StatusNotFound
 	case UnknownKey:
 		return http.StatusUnauthorized
+	case TooManyPieces:
+		return http.StatusBadRequest
 	case TimedOut:
 		return http.StatusGatewayTimeout
 	}
--- a/gateway/http_responder_test.go
+++ b/gateway/http_responder_test.go
@@ -13,5 +13,6 @@
 	ginkgo.Entry("stages failed after a run", Refusal{Reason: StagesFailed, Executed: true}, 502),
 	ginkgo.Entry("time over", Refusal{Reason: TimedOut}, 504),
 	ginkgo.Entry("no route", Refusal{Reason: NoRoute}, 404),
+	ginkgo.Entry("too many pieces", Refusal{Reason: TooManyPieces}, 400),
 	ginkgo.Entry("unknown key", Refusal{Reason: UnknownKey}, 401),
 )
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -42,8 +42,10 @@
 	PromptQuarantined Reason = "prompt_quarantined"
 	// Stopping: this VM is stopping.
 	Stopping Reason = "stopping"
-	// NoMemory: this VM has no room for the request's head and body.
+	// NoMemory: this VM has no room for the request's head, body or pieces.
 	NoMemory Reason = "no_memory"
+	// TooManyPieces: the request names more pieces than any VM serves.
+	TooManyPieces Reason = "too_many_pieces"
 
 	// AnswerLost: a runner may have executed the request, but its answer was lost.
 	AnswerLost Reason = "answer_lost"
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -119,6 +119,11 @@
 	if refusal := r.refuseUnplaceable(); refusal != nil {
 		return refusal
 	}
+	pieces, refusal := r.reservePieces()
+	if refusal != nil {
+		return refusal
+	}
+	defer pieces.Close()
 	if refusal := r.runStages(ctx); refusal != nil {
 		return refusal
 	}
