quarantine: a part is found wherever it stands in a prompt

Cause: PartsOf kept the first 32 parts of a prompt as evidence, before the answered ones were taken out; RecordLoss kept 32 of all requests that were in flight at a runner. Evidence: the case's record, and a spec with a prompt of 60 parts of which only the bad one has no answer: with the former bound the report is empty.

Change: evidence holds all parts. A report has 2,048 of them at most, those first that were lost with most runners; the leader drops parts of fewer than three runners before it compares. Why it works: the bad part is lost with each runner that it ends, so it comes first among the reported ones, wherever it stands.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -96,6 +96,26 @@
 		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Answered).To(Equal([]quarantine.Part{bad}))
 	})
 
+	// Guards against a part that goes on to end runners because it stands far behind in
+	// its prompts.
+	ginkgo.It("is reported wherever it stands in a prompt whose other parts were answered", func() {
+		g, f := newTestGateway()
+		long := func(bad string) *Call {
+			c := call("stream")
+			for n := range 60 {
+				c.Prompt.Parts = append(c.Prompt.Parts, placement.Part{ID: fmt.Sprint("part", n), Tokens: 10})
+			}
+			c.Prompt.Parts[50].ID = bad
+			return c
+		}
+		f.any = []reply{{status: 200, body: events(1, 1)}, {lost: true}}
+		Expect(serve(g, long("sound")).status).To(Equal(200))
+		serve(g, long("bad"))
+		crashes := g.CrashReport(time.Now(), nil).Crashes
+		Expect(crashes).To(HaveLen(1))
+		Expect(crashes[0].Parts).To(Equal([]quarantine.Part{bad}))
+	})
+
 	// Guards against a runner that breaks off answers and is taken for one that ended.
 	ginkgo.It("is no longer reported for a runner that answers again in the same start", func() {
 		g, f := newTestGateway()
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -111,6 +111,7 @@
 // been in flight beside it.
 func (d *Detector) quarantine(now time.Time, crashes map[string]Set) []Change {
 	var changes []Change
+	removeRare(crashes)
 	for {
 		worst, count := mostFrequent(crashes)
 		if count < minCrashes {
@@ -183,16 +184,29 @@
 	maps.DeleteFunc(crashes, func(_ string, parts Set) bool { return parts[p] })
 }
 
-// mostFrequent returns the part with the most crashes and their number. There
-// are several if nothing tells them apart.
-func mostFrequent(crashes map[string]Set) (worst []Part, count int) {
+// removeRare removes the parts that were lost with fewer than minCrashes runners.
+func removeRare(crashes map[string]Set) {
+	counts := countRunners(crashes)
+	for _, parts := range crashes {
+		maps.DeleteFunc(parts, func(p Part, _ bool) bool { return counts[p] < minCrashes })
+	}
+}
+
+// countRunners returns the number of runners that were lost with each part.
+func countRunners(crashes map[string]Set) map[Part]int {
 	counts := map[Part]int{}
 	for _, parts := range crashes {
 		for p := range parts {
 			counts[p]++
 		}
 	}
-	for p, n := range counts {
+	return counts
+}
+
+// mostFrequent returns the part with the most crashes and their number. There
+// are several if nothing tells them apart.
+func mostFrequent(crashes map[string]Set) (worst []Part, count int) {
+	for p, n := range countRunners(crashes) {
 		switch {
 		case n > count:
 			worst, count = []Part{p}, n
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -8,12 +8,10 @@
 )
 
 const (
-	// evidenceWindow is how long a crash counts against a part, and an answer for
-	// it.
-	evidenceWindow = time.Minute
-	// maxCrashes and maxAnswered bound what one VM remembers.
-	maxCrashes  = 32
-	maxAnswered = 8192
+	// maxCrashes bounds the lost runners that one VM remembers, maxLostParts the parts
+	// of the requests that were lost with them, all runners together.
+	maxCrashes   = 32
+	maxLostParts = 32768
 )
 
 // Evidence collects what one entry VM observes. It is safe for concurrent use.
@@ -22,8 +20,8 @@
 	// crashes are the runners lost within the window, in the order of their first
 	// loss.
 	crashes []lostRunner
-	// answeredAt holds when a request with a part was last answered completely.
-	answeredAt map[Part]time.Time
+	// answered holds when a request with a part was last answered completely.
+	answered answerTimes
 	// contested holds the parts that were quarantined although this VM has had an
 	// answer with them. It goes on to report them: otherwise they would be
 	// quarantined again for the same crashes.
@@ -44,30 +42,15 @@
 
 // NewEvidence returns empty evidence.
 func NewEvidence() *Evidence {
-	return &Evidence{answeredAt: map[Part]time.Time{}, contested: map[Part]bool{}, claimed: map[Part]uint32{}}
+	return &Evidence{answered: newAnswerTimes(), contested: map[Part]bool{}, claimed: map[Part]uint32{}}
 }
 
 // RecordAnswer records the complete answer to a request with these parts.
 func (e *Evidence) RecordAnswer(now time.Time, parts []Part) {
-	if len(parts) == 0 {
-		return
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.answeredAt) > maxAnswered {
-		e.forgetAnswers(now)
-	}
 	for _, p := range parts {
-		e.answeredAt[p] = now
-	}
-}
-
-// forgetAnswers forgets the answers before the window, or all answers if that
-// does not free half of the memory.
-func (e *Evidence) forgetAnswers(now time.Time) {
-	maps.DeleteFunc(e.answeredAt, func(p Part, _ time.Time) bool { return !e.hasAnswer(now, p) })
-	if len(e.answeredAt) > maxAnswered/2 {
-		clear(e.answeredAt)
+		e.answered.record(now, p)
 	}
 }
 
@@ -90,10 +73,30 @@
 		e.crashes = append(e.crashes, lostRunner{runner: runner, parts: map[Part]bool{}})
 	}
 	e.crashes[i].at = now
+	e.crashes[i].add(parts)
+	e.forgetOldest()
+}
+
+// add adds parts, up to maxLostParts. Any of them may be the one that ends runners.
+func (c *lostRunner) add(parts []Part) {
 	for _, p := range parts {
-		if len(e.crashes[i].parts) < maxParts {
-			e.crashes[i].parts[p] = true
+		if len(c.parts) == maxLostParts {
+			return
 		}
+		c.parts[p] = true
+	}
+}
+
+// forgetOldest forgets the runners that were lost first while there are more than
+// maxLostParts, but for the last one.
+func (e *Evidence) forgetOldest() {
+	total := 0
+	for _, c := range e.crashes {
+		total += len(c.parts)
+	}
+	for total > maxLostParts && len(e.crashes) > 1 {
+		total -= len(e.crashes[0].parts)
+		e.crashes = slices.Delete(e.crashes, 0, 1)
 	}
 }
 
@@ -108,7 +111,7 @@
 
 // withoutAnswered returns the parts without an answer within the window.
 func (e *Evidence) withoutAnswered(now time.Time, parts []Part) []Part {
-	return slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return e.hasAnswer(now, p) })
+	return slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return e.answered.has(now, p) })
 }
 
 func (e *Evidence) forgetCrashes(now time.Time) {
@@ -120,12 +123,7 @@
 func (e *Evidence) HasAnswer(now time.Time, p Part) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.hasAnswer(now, p)
-}
-
-func (e *Evidence) hasAnswer(now time.Time, p Part) bool {
-	at, ok := e.answeredAt[p]
-	return ok && now.Sub(at) <= evidenceWindow
+	return e.answered.has(now, p)
 }
 
 // ClaimTrial reports whether a request may be the one of this VM's trial of a part.
@@ -155,7 +153,8 @@
 	for p := range quarantined {
 		e.contested[p] = true
 	}
-	maps.DeleteFunc(e.contested, func(p Part, _ bool) bool { return !e.hasAnswer(now, p) })
+	r.Crashes = limitParts(r.Crashes)
+	maps.DeleteFunc(e.contested, func(p Part, _ bool) bool { return !e.answered.has(now, p) })
 	maps.DeleteFunc(e.claimed, func(p Part, _ uint32) bool { _, ok := quarantined[p]; return !ok })
 	r.Answered = slices.Sorted(maps.Keys(e.contested))
 	r.Quarantined = quarantined.WithoutTrials()
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -2,12 +2,30 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
+// partsFrom returns n parts from first on.
+func partsFrom(first, n int) []Part {
+	parts := make([]Part, n)
+	for i := range parts {
+		parts[i] = Part(first + i)
+	}
+	return parts
+}
+
+func countParts(crashes []Crash) int {
+	n := 0
+	for _, c := range crashes {
+		n += len(c.Parts)
+	}
+	return n
+}
+
 var _ = ginkgo.Describe("the evidence of an entry VM", func() {
 	const bad, shared Part = 1, 2
 
@@ -26,7 +44,7 @@
 	// requests that were lost with it.
 	ginkgo.It("has room for the part without answers when many requests are lost with a runner", func() {
 		e := NewEvidence()
-		for i := range 3 * maxParts {
+		for i := range maxReportedParts + 1 {
 			e.RecordAnswer(start, []Part{Part(100 + i)})
 			e.RecordLoss(start, "r1", []Part{Part(100 + i)})
 		}
@@ -35,6 +53,34 @@
 		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}}}))
 	})
 
+	// Guards against a bad part that is not reported because it stands behind many others
+	// of its prompt.
+	ginkgo.It("reports a part wherever it stands in a long prompt", func() {
+		e := NewEvidence()
+		prompt := append(partsFrom(1000, maxReportedParts-1), bad)
+		e.RecordLoss(start, "r1", prompt)
+		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: slices.Sorted(slices.Values(prompt))}}))
+		e.RecordAnswer(start, prompt[:len(prompt)-1])
+		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}}}))
+	})
+
+	ginkgo.It("reports the parts of most crashes if there are too many", func() {
+		e := NewEvidence()
+		const last Part = 1 << 60
+		for n := range 3 {
+			e.RecordLoss(start, fmt.Sprint("r", n), append(partsFrom(10_000*n+1000, 2*maxReportedParts), last))
+		}
+		crashes := e.Report(start, nil).Crashes
+		Expect(crashes).To(HaveLen(3))
+		for _, c := range crashes {
+			Expect(c.Parts).To(ContainElement(last))
+		}
+		Expect(countParts(crashes)).To(BeNumerically("<=", maxReportedParts))
+		other := NewEvidence()
+		other.RecordLoss(start, "r9", append(partsFrom(1000, 2*maxReportedParts), last))
+		Expect(other.Report(start, nil).Crashes[0].Parts).To(Equal(partsFrom(1000, maxReportedParts)), "the same parts at every VM")
+	})
+
 	// Guards against a runner that breaks off answers and is taken for one that ended.
 	ginkgo.It("withdraws a loss when the same start of the runner answers a later request", func() {
 		e := NewEvidence()
@@ -90,12 +136,24 @@
 			e.RecordLoss(start, fmt.Sprint("r", i), []Part{Part(i), Part(-i)})
 			e.RecordLoss(start, "last", []Part{Part(1_000_000 + i)})
 		}
-		Expect(len(e.answeredAt)).To(BeNumerically("<=", maxAnswered+1))
+		Expect(len(e.answered.newer) + len(e.answered.older)).To(BeNumerically("<=", maxAnswered+1))
 		report := e.Report(start.Add(time.Second), nil)
 		Expect(len(report.Crashes)).To(BeNumerically("<=", maxCrashes))
-		for _, c := range report.Crashes {
-			Expect(len(c.Parts)).To(BeNumerically("<=", maxParts))
+		Expect(countParts(report.Crashes)).To(BeNumerically("<=", maxReportedParts))
+		lost := 0
+		for _, c := range e.crashes {
+			lost += len(c.parts)
 		}
+		Expect(lost).To(BeNumerically("<=", maxLostParts+2))
+	})
+
+	// Guards against answers that are all forgotten when there are many.
+	ginkgo.It("remembers the latest answers when there are too many", func() {
+		e := NewEvidence()
+		e.RecordAnswer(start, partsFrom(0, 3*maxAnswered))
+		Expect(e.HasAnswer(start, Part(3*maxAnswered-1))).To(BeTrue())
+		Expect(e.HasAnswer(start, Part(3*maxAnswered-maxAnswered/2))).To(BeTrue())
+		Expect(e.HasAnswer(start, 0)).To(BeFalse())
 	})
 
 	ginkgo.It("makes equal reports of equal content", func() {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "slices"
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
 
 // Report is what an entry VM has observed within the evidence window.
 type Report struct {
@@ -21,6 +25,50 @@
 	Parts []Part `cbor:"2,keyasint"`
 }
 
+// maxReportedParts bounds the parts of all crashes of a report together. A prompt whose
+// head has 16 KiB has fewer, unless its IDs are very short.
+const maxReportedParts = 2048
+
+// limitParts returns the crashes with maxReportedParts parts at most: those that were
+// lost with the most runners, and among these the same ones at every entry VM.
+func limitParts(crashes []Crash) []Crash {
+	runners := map[Part]int{}
+	total := 0
+	for _, c := range crashes {
+		total += len(c.Parts)
+		for _, p := range c.Parts {
+			runners[p]++
+		}
+	}
+	if total <= maxReportedParts {
+		return crashes
+	}
+	kept := Set{}
+	left := maxReportedParts
+	for _, p := range byRunners(runners) {
+		if left -= runners[p]; left < 0 {
+			break
+		}
+		kept[p] = true
+	}
+	var limited []Crash
+	for _, c := range crashes {
+		c.Parts = slices.DeleteFunc(c.Parts, func(p Part) bool { return !kept[p] })
+		if len(c.Parts) > 0 {
+			limited = append(limited, c)
+		}
+	}
+	return limited
+}
+
+// byRunners returns the parts by the number of runners that were lost with them, the
+// most first.
+func byRunners(runners map[Part]int) []Part {
+	return slices.SortedFunc(maps.Keys(runners), func(a, b Part) int {
+		return cmp.Or(cmp.Compare(runners[b], runners[a]), cmp.Compare(a, b))
+	})
+}
+
 // IsEmpty reports whether there is nothing to report.
 func (r *Report) IsEmpty() bool {
 	return r == nil || len(r.Crashes) == 0 && len(r.Answered) == 0 && len(r.Quarantined) == 0
