--- a/buffers/body.go
+++ b/buffers/body.go
@@ -102,6 +102,18 @@
 	return n, err
 }
 
+// AddToHead counts n bytes more for the head, which is decoded. It returns a
+// *FullError if they find no room.
+func (b *Body) AddToHead(n int64) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.account.Resize(b.head + n + b.size); err != nil {
+		return err
+	}
+	b.head += n
+	return nil
+}
+
 // Hold returns the parts of the body and keeps them counted until Release is called.
 // It returns false if the body was dropped.
 func (b *Body) Hold() (net.Buffers, bool) {
--- a/config/clients.go
+++ b/config/clients.go
@@ -31,6 +31,9 @@
 	// connBytes is what a connection takes at most beside the memory for bytes of
 	// others: a goroutine, its buffers and the part of a request that is not counted.
 	connBytes = 32 << 10
+	// maxConnMemory is the part of the memory that the connections may take at most if
+	// their number is set.
+	maxConnMemory = 0.4
 )
 
 // MaxConns returns the number of connections of callers that a process with a memory
@@ -58,9 +61,11 @@
 
 func defaultClients() Clients { return Clients{WriteTimeout: Duration(2 * time.Minute)} }
 
-func (c Clients) check() error {
+// check checks the settings of a process with a memory limit.
+func (c Clients) check(memory Bytes) error {
+	allowed := min(int(maxConnMemory*float64(memory))/connBytes, maxConns)
 	return errors.Join(
-		checkRange("clients.connections", c.Connections, 0, maxConns),
+		checkRange("clients.connections", c.Connections, 0, allowed),
 		checkRange("clients.descriptors", c.Descriptors, 0, maxConns),
 		checkRange("clients.write_timeout", c.WriteTimeout, Duration(time.Second), Duration(time.Hour)),
 	)
--- a/config/deployed.go
+++ b/config/deployed.go
@@ -88,7 +88,7 @@
 		checkRange("inter_vm_port", d.InterVMPort, minPort, maxPort),
 		checkRange("memory", d.Memory, minMemory, maxMemory),
 		d.WarmUp.check(),
-		d.Clients.check(),
+		d.Clients.check(d.Memory),
 		checkRange("tolerated_losses", d.ToleratedLosses, 0, maxToleratedLosses),
 	}
 	for name, address := range map[string]Text{"callers": d.Callers, "ready": d.Ready, "operators": d.Operators, "runner_list": d.RunnerList, "inter_vm_listen": d.InterVMListen} {
--- a/config/deployed_test.go
+++ b/config/deployed_test.go
@@ -40,6 +40,7 @@
 		ginkgo.Entry("a seed with a host name", `"10.2.0.14:8628"`, `"control-2:8628"`, "ip:port"),
 		ginkgo.Entry("an invalid IP address", "ip: 10.1.0.20", "ip: here", "not an IP address"),
 		ginkgo.Entry("a port out of bounds", "inter_vm_port: 7740", "inter_vm_port: 77400", "out of bounds"),
+		ginkgo.Entry("more connections than the memory holds", "memory: 256MiB", "memory: 256MiB\nclients: {connections: 3277}", "use 0 to 3276"),
 		ginkgo.Entry("too little memory", "memory: 256MiB", "memory: 1MiB", "out of bounds"),
 	)
 })
--- a/config/entry.go
+++ b/config/entry.go
@@ -94,7 +94,7 @@
 		checkRange("callers.header_timeout", e.Callers.HeaderTimeout, minCallerTimeout, maxCallerTimeout),
 		checkRange("callers.idle_timeout", e.Callers.IdleTimeout, minCallerTimeout, maxCallerTimeout),
 		checkRange("memory", e.Memory, minMemory, maxMemory),
-		e.Clients.check(),
+		e.Clients.check(e.Memory),
 		checkRange("callers.max_header", e.Callers.MaxHeader, minHeader, maxHeader),
 	)
 }
