callers: places are shared by address when they are short

Cause: only a connection without progress for a second lost its place, and a byte is progress. Readiness did not ask for places.

Change: a connection of the address with most places loses its place to one of an address with two fewer, whatever progress it makes; a request that has been coming for two seconds to one of an address with as many. An address takes none from one that holds fewer. A VM without a place even for a new address denies readiness for two seconds. Why it works: a new address holds none, so any address with two places yields one, unless runners work on all of its requests, and then the balancer is told.

--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -10,8 +10,7 @@
 // Bounds limit what all connections of a Server together take of the process. The
 // zero value sets no bound on connections and memory.
 type Bounds struct {
-	// MaxConns is the number of connections beyond which one that makes no progress
-	// is closed for each new one.
+	// MaxConns is the number of connections beyond which one is closed for each new one.
 	MaxConns int
 	// WriteTimeout ends a connection whose client takes nothing of a response for so
 	// long. It is in force where the handler sets no deadline of its own. 0 stands for
@@ -28,9 +27,11 @@
 	// fieldBytes is what net/http and the copies of a head take for a line of it,
 	// beside its bytes.
 	fieldBytes = 256
-	// minStall is how long a connection has made no progress at least before it is
-	// closed for a new one.
-	minStall = time.Second
+	// fullTime is how long a server counts as full after it had no place. It is longer
+	// than the time between two questions for readiness.
+	fullTime = 2 * time.Second
+	// refusalWriteTimeout limits the write of a refusal.
+	refusalWriteTimeout = time.Second
 	// shortageLogInterval is the time between two log lines about a shortage of places.
 	shortageLogInterval = 5 * time.Second
 	// socketBufferBytes is the size of the kernel's buffers of a connection, each way.
@@ -45,16 +46,20 @@
 	s.bounds = b
 }
 
-// makeRoom reports whether a new connection may be taken. If there are too many it
-// closes the one that has made no progress for longest. It is called with mu held.
-func (s *Server) makeRoom(now time.Time) bool {
+// makeRoom reports whether a new connection of an address may be taken. If there are too
+// many it closes one for it. It is called with mu held.
+func (s *Server) makeRoom(now time.Time, address string) bool {
 	if s.bounds.MaxConns <= 0 || len(s.conns)-s.evicting < s.bounds.MaxConns {
 		return true
 	}
-	victim := s.leastProgress(now)
+	places := s.places[address]
+	victim := s.victim(now, places)
 	if victim == nil {
 		s.metrics.connsRefused.Inc()
 		s.logShortage(now, "")
+		if places == 0 || s.victim(now, 0) == nil {
+			s.fullAt = now
+		}
 		return false
 	}
 	s.metrics.connsEvicted.Inc()
@@ -64,6 +69,14 @@
 	return true
 }
 
+// IsFull reports whether the server has just had no place for a new client: every place
+// is held by a request that is being worked on, or has been for a moment only.
+func (s *Server) IsFull(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.fullAt.IsZero() && now.Sub(s.fullAt) < fullTime
+}
+
 // logShortage logs that places are short, at most once in shortageLogInterval. address
 // is that of the client that lost its place, "" if a new one was refused. It is called
 // with mu held.
@@ -76,47 +89,6 @@
 		Msg("callers: places for connections are short")
 }
 
-// leastProgress returns the connection that has made no progress for longest, among
-// those of the addresses that have most connections, or nil if every one has made
-// some. It is called with mu held.
-func (s *Server) leastProgress(now time.Time) *conn {
-	byAddress := map[string]int{}
-	for c := range s.conns {
-		byAddress[c.address]++
-	}
-	var victim *conn
-	var since time.Time
-	for c := range s.conns {
-		progress, evictable := c.lastProgress()
-		if !evictable || now.Sub(progress) < minStall {
-			continue
-		}
-		more := 0
-		if victim != nil {
-			more = cmp.Compare(byAddress[c.address], byAddress[victim.address])
-		}
-		if victim == nil || more > 0 || more == 0 && progress.Before(since) {
-			victim, since = c, progress
-		}
-	}
-	return victim
-}
-
-// lastProgress returns when a byte was last read from the client or taken by it, and
-// whether the connection may be closed for a new one: its request is not being worked
-// on.
-func (c *conn) lastProgress() (at time.Time, evictable bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.evicted:
-		return time.Time{}, false
-	case c.state != stateActive || c.framer.phase != phaseHead:
-		return c.progressAt, true
-	}
-	return c.writingSince, !c.writingSince.IsZero()
-}
-
 // evict closes the connection. One that waits for its next request is only closed if
 // nothing of that has arrived.
 func (c *conn) evict() {
@@ -137,7 +109,7 @@
 
 // refuseHead refuses a request whose head finds no room.
 func (c *conn) refuseHead() {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(minStall))
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	_, _ = c.Conn.Write([]byte(refusedHead))
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/callers/bounds_test.go
+++ b/callers/bounds_test.go
@@ -99,7 +99,7 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			for c := range s.conns {
-				if _, evictable := c.lastProgress(); !evictable {
+				if _, evictable := c.holder(); !evictable {
 					return true
 				}
 			}
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -65,6 +65,8 @@
 	// request. If the handler aborted the response, abortReason says why.
 	handled     bool
 	abortReason unansweredReason
+	// headBegunAt is when the current request began to arrive.
+	headBegunAt time.Time
 	// head counts the head that is being read or handled.
 	head      *buffers.Account
 	headBytes int64
@@ -220,6 +222,7 @@
 // beginHead records that the head of a request has begun. It is called with mu held.
 func (c *conn) beginHead() {
 	c.state, c.handled, c.abortReason, c.writeFailed = stateReceiving, false, "", false
+	c.headBegunAt = time.Now()
 }
 
 // setHeadDeadline limits the time to read a head: net/http does so only once it has
--- a/callers/server.go
+++ b/callers/server.go
@@ -34,8 +34,12 @@
 	servers       map[*limitedServer]struct{}
 	// conns holds the open client connections.
 	conns map[*conn]struct{}
-	// evicting is the number of those that were closed for new ones.
+	// places is the number of connections of each client's address.
+	places map[string]int
+	// evicting is the number of connections that were closed for new ones.
 	evicting int
+	// fullAt is when there was last no place for a new client.
+	fullAt time.Time
 	// shortageLoggedAt is when a shortage of places was last logged.
 	shortageLoggedAt time.Time
 	// closed means that Close has been called.
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{}), conns: map[*conn]struct{}{}, servers: map[*limitedServer]struct{}{}, metrics: newServerMetrics()}
+	s := &Server{listener: listener, handler: h, log: logger, stopped: make(chan struct{}), conns: map[*conn]struct{}{}, places: map[string]int{}, servers: map[*limitedServer]struct{}{}, metrics: newServerMetrics()}
 	s.SetLimits(limits)
 	return s, nil
 }
@@ -133,8 +137,9 @@
 
 func (s *Server) accept(raw net.Conn) {
 	now := time.Now()
+	address := hostOf(raw.RemoteAddr())
 	s.mu.Lock()
-	if !s.makeRoom(now) {
+	if !s.makeRoom(now, address) {
 		s.mu.Unlock()
 		_ = raw.Close()
 		return
@@ -142,13 +147,14 @@
 	server := s.currentServer
 	server.conns++
 	c := &conn{
-		Conn: raw, server: server, address: hostOf(raw.RemoteAddr()), progressAt: now,
+		Conn: raw, server: server, address: address, progressAt: now,
 		headTimeout: server.httpServer.ReadHeaderTimeout, writeTimeout: s.bounds.WriteTimeout,
 	}
 	if s.bounds.Memory != nil {
 		c.head = s.bounds.Memory.NewAccount(buffers.Request, buffers.FreeRequestBytes)
 	}
 	s.conns[c] = struct{}{}
+	s.places[address]++
 	s.mu.Unlock()
 	if !server.listener.deliver(c) {
 		s.trackState(c, http.StateClosed)
@@ -193,6 +199,9 @@
 	}
 	delete(s.conns, c)
 	c.server.conns--
+	if s.places[c.address]--; s.places[c.address] == 0 {
+		delete(s.places, c.address)
+	}
 	if c.end() {
 		s.evicting--
 	}
