callers: a client that has left is not served behind requests sent ahead

Cause: net/http reads a byte while a request is handled, to learn whether the client leaves, and gets one of the next request; the close behind that is not seen.

Change: while a whole request is handled the connection waits for the state of the kernel in which the peer has closed, and reads nothing; before a further request of a connection is handled, the same is asked once.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -82,6 +82,9 @@
 	headCut bool
 	// writeFailed is true if part of the response could not be written.
 	writeFailed bool
+	// answered is true once a response was complete. It belongs to the goroutine that
+	// handles the requests.
+	answered bool
 	// misaligned is true once a response was complete and the end of its request's body
 	// was not read. What net/http reads from then on is no request.
 	misaligned bool
@@ -93,6 +96,9 @@
 // Read reads from the connection. It returns io.EOF when the connection has
 // waited for too long.
 func (c *conn) Read(b []byte) (int, error) {
+	if watched, ok := c.watched(); ok {
+		return 0, cmp.Or(sockopt.AwaitPeerClosed(watched), io.EOF)
+	}
 	if n := c.takeAhead(b); n > 0 {
 		return n, nil
 	}
@@ -113,6 +119,26 @@
 	return n, err
 }
 
+// watched returns the connection if its request has come whole and is being handled.
+// net/http then reads to learn whether the client leaves, and would take the first byte
+// of a next request for a sign that it stays.
+func (c *conn) watched() (syscall.Conn, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateActive || c.framer.phase != phaseHead {
+		return nil, false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	return s, ok
+}
+
+// hasLeft reports whether the client has closed a kept connection before its next request
+// is handled.
+func (c *conn) hasLeft() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	return ok && c.answered && sockopt.PeerClosed(s)
+}
+
 // recordEnd records that the client sends no more. What net/http writes after the part
 // of a head is no answer: the client has left.
 func (c *conn) recordEnd() {
@@ -335,7 +361,7 @@
 		c.misaligned = true
 		return false
 	}
-	c.state, c.waitingSince, c.idleTimeout = stateWaiting, now, idleTimeout
+	c.state, c.waitingSince, c.idleTimeout, c.answered = stateWaiting, now, idleTimeout, true
 	if c.hasNext() {
 		c.beginHead()
 		c.setHeadDeadline(now)
--- a/callers/metrics.go
+++ b/callers/metrics.go
@@ -17,6 +17,9 @@
 	headIncomplete unansweredReason = "head_incomplete"
 	// callerLeft: the client closed the connection while the request was handled.
 	callerLeft unansweredReason = "caller_left"
+	// callerLeftBefore: the client had closed the connection, on which it had got a
+	// response, before the request was handled. It is not.
+	callerLeftBefore unansweredReason = "caller_left_before"
 	// handlerAborted: the handler ended the connection, for example because a
 	// stream could not go on.
 	handlerAborted unansweredReason = "aborted"
--- a/callers/server.go
+++ b/callers/server.go
@@ -223,6 +223,10 @@
 	if !c.beginRequest(r.ContentLength) {
 		panic(http.ErrAbortHandler)
 	}
+	if c.hasLeft() {
+		c.finishHandler(callerLeftBefore)
+		panic(http.ErrAbortHandler)
+	}
 	out := &responseWriter{ResponseWriter: w, server: s}
 	defer func() {
 		if v := recover(); v != nil {
