jsonlist: sound entries hold, however many others are torn

Cause: behind each torn entry the search could read the rest of the page, so it was bounded by the number of torn entries.

Change: one strict pass finds the whole objects behind a torn entry, also those that seem to stand inside it; what is bounded is the bytes that are read again, 16 times those of the page. Why it works: a sound entry is read by the pass that finds the entry before it torn, or by the next one from there on, and a wrong quote shows within a few bytes.

--- a/internal/jsonlist/split.go
+++ b/internal/jsonlist/split.go
@@ -7,13 +7,16 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"strconv"
 )
 
 const (
-	// maxTornElements bounds the search for the next element after a torn one.
-	maxTornElements = 32
+	// maxTornReturned is the number of torn elements that are returned. More of them are
+	// passed over.
+	maxTornReturned = 32
+	// maxWorkFactor times its length is how many bytes of a document are read again
+	// behind torn elements.
+	maxWorkFactor = 16
 	// maxEndsTried bounds the search for the end of a list whose last element is
 	// torn.
 	maxEndsTried = 64
@@ -26,14 +29,14 @@
 
 // Errors of Split.
 var (
-	ErrNoList      = errors.New("jsonlist: the document has no such list")
-	ErrNoEnd       = errors.New("jsonlist: the list has no end")
-	ErrTooManyTorn = fmt.Errorf("jsonlist: more than %d elements of the list are torn", maxTornElements)
+	ErrNoList  = errors.New("jsonlist: the document has no such list")
+	ErrNoEnd   = errors.New("jsonlist: the list has no end")
+	ErrTooTorn = errors.New("jsonlist: the elements of the list are torn in too many ways")
 )
 
 // Split returns the elements of the list that stands under a field of a document,
 // and the document with an empty list in its place. A torn element is returned
-// with its first bytes; it does not decode.
+// with its first bytes, up to maxTornReturned of them; it does not decode.
 func Split(document []byte, field string) (elements []json.RawMessage, around []byte, err error) {
 	start, err := listStart(document, field)
 	if err != nil {
@@ -77,31 +80,41 @@
 }
 
 // split returns the elements from position start on and the position of the
-// bracket that ends the list. After an element that is no JSON it goes on at the
-// next object that follows a comma, which may stand inside: an element that was cut
-// short seems to hold those after it.
+// bracket that ends the list. After an element that is torn it goes on behind the
+// objects that were whole inside of what it seemed to hold, at the next object that
+// follows a comma: an element that was cut short seems to hold those after it.
 func split(b []byte, start int) (elements []json.RawMessage, end int, err error) {
+	s := scanner{b: b}
 	torn, accepted := 0, start
+	work := 0
 	for at := start; at >= 0; {
-		raw, ok := firstElement(b[at:])
-		if ok {
-			elements = append(elements, bytes.TrimSpace(raw))
-			accepted = at + len(raw)
-			if b[accepted] == separator {
-				at = accepted + 1
+		end, ok := s.scan(at)
+		if raw := bytes.TrimSpace(b[at:end]); ok && isElement(raw) {
+			elements = append(elements, raw)
+			accepted = end
+			if b[end] == separator {
+				at = end + 1
 				continue
 			}
-			if endsList(b, start, accepted) {
-				return elements, accepted, nil
+			if endsList(b, start, end) {
+				return elements, end, nil
 			}
-			at = accepted
+			work += len(b)
 		}
-		if torn++; torn > maxTornElements {
-			return nil, 0, ErrTooManyTorn
+		if work += end - at; work > maxWorkFactor*len(b) {
+			return nil, 0, ErrTooTorn
 		}
-		next := nextObject(b, at)
-		elements = append(elements, tornElement(b, at, next))
-		at = next
+		if torn++; torn <= maxTornReturned {
+			elements = append(elements, tornElement(b, at, nextObject(b, at)))
+		}
+		next := max(at, accepted)
+		for _, o := range s.whole {
+			if raw := b[o.start:o.end]; mayFollowElement(b[o.end:]) && isElement(raw) {
+				elements = append(elements, raw)
+				accepted, next = o.end, o.end
+			}
+		}
+		at = nextObject(b, next)
 	}
 	end, err = listEnd(b, start, accepted)
 	return elements, end, err
@@ -147,6 +160,13 @@
 	return len(rest) > 0 && rest[0] == '"'
 }
 
+// mayFollowElement reports whether the bytes after an object may be those after an
+// element.
+func mayFollowElement(rest []byte) bool {
+	rest = bytes.TrimLeft(rest, space)
+	return len(rest) > 0 && (rest[0] == separator || rest[0] == ']')
+}
+
 // endsList reports whether the document is complete with the bracket at end.
 func endsList(b []byte, start, end int) bool { return json.Valid(withoutElements(b, start, end)) }
 
@@ -167,58 +187,3 @@
 	}
 	return -1
 }
-
-// firstElement returns the bytes up to the comma or the bracket that ends the first
-// element of b. It returns false if they are no JSON, or a list, which an element
-// that was cut short may seem to open.
-func firstElement(b []byte) ([]byte, bool) {
-	n, ok := elementLength(b)
-	if !ok {
-		return nil, false
-	}
-	raw := bytes.TrimSpace(b[:n])
-	if len(raw) == 0 || raw[0] == '[' || !json.Valid(raw) {
-		return nil, false
-	}
-	return b[:n], true
-}
-
-// elementLength returns the number of bytes up to the comma or the bracket that ends
-// the first element of b. It returns false if brackets or quotes do not match.
-func elementLength(b []byte) (int, bool) {
-	var open []byte
-	inString := false
-	for i := 0; i < len(b); i++ {
-		c := b[i]
-		if inString {
-			switch c {
-			case '\\':
-				i++
-			case '"':
-				inString = false
-			}
-			continue
-		}
-		switch c {
-		case '"':
-			inString = true
-		case '{':
-			open = append(open, '}')
-		case '[':
-			open = append(open, ']')
-		case '}', ']':
-			if len(open) == 0 {
-				return i, c == ']'
-			}
-			if open[len(open)-1] != c {
-				return 0, false
-			}
-			open = open[:len(open)-1]
-		case separator:
-			if len(open) == 0 {
-				return i, true
-			}
-		}
-	}
-	return 0, false
-}
--- a/internal/jsonlist/split_test.go
+++ b/internal/jsonlist/split_test.go
@@ -70,6 +70,60 @@
 	})
 }
 
+// TestManyOddElements guards against sound elements that are lost because many others
+// are odd.
+func TestManyOddElements(t *testing.T) {
+	odd := map[string]string{
+		"cut inside a string":       `{"id":"x","service":"other","address":"127.9.9.9:80`,
+		"cut inside a list":         `{"id":"x","models":[{"name":"m"},{"name":"n"}`,
+		"cut inside an object":      `{"id":"x","models":[{"name":"m"`,
+		"with a bracket too many":   `{"id":"x"}}`,
+		"nested very deeply":        `{"a":` + strings.Repeat(`[`, 11_000) + strings.Repeat(`]`, 11_000) + `}`,
+		"of bytes that are no JSON": `odd`,
+		"empty":                     ``,
+	}
+	for name, text := range odd {
+		for _, count := range []int{1, 32, 33, 400} {
+			t.Run(fmt.Sprint(count, " ", name), func(t *testing.T) {
+				var elements, want []string
+				for n := range count {
+					id := fmt.Sprint("s-", n)
+					elements = append(elements, text, element(id))
+					want = append(want, id)
+				}
+				elements = append(elements, text)
+				ids, next, err := splitIDs(document(elements...))
+				if err != nil || next != "p-50" || !slices.Equal(ids, want) {
+					t.Fatalf("%d of %d elements, next %q, %v", len(ids), len(want), next, err)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSplit measures documents of 1 MB and of 100 KB whose every second element is
+// torn.
+func BenchmarkSplit(b *testing.B) {
+	for _, size := range []int{100_000, 1_000_000} {
+		for _, text := range []string{`{"id":"x","service":"other","address":"127.9.9.9:80`, `{"id":"x","models":[{"name":"m"`} {
+			var elements []string
+			for n, bytes := 0, 0; bytes < size; n++ {
+				elements = append(elements, text, element(fmt.Sprint("s-", n)))
+				bytes += len(text) + len(elements[len(elements)-1])
+			}
+			doc := []byte(document(elements...))
+			b.Run(fmt.Sprintf("%d/%.32s", size, text), func(b *testing.B) {
+				b.SetBytes(int64(len(doc)))
+				for b.Loop() {
+					if _, _, err := Split(doc, "list"); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestTooManyTorn guards against a document that keeps the process busy for long.
 func TestTooManyTorn(t *testing.T) {
 	for _, doc := range []string{
