--- a/callers/conn.go
+++ b/callers/conn.go
@@ -90,9 +90,6 @@
 	misaligned bool
 }
 
-// longAgo is a deadline in the past: a read that is blocked returns at once.
-var longAgo = time.Unix(1, 0)
-
 // Read reads from the connection. It returns io.EOF when the connection has
 // waited for too long.
 func (c *conn) Read(b []byte) (int, error) {
@@ -119,26 +116,6 @@
 	return n, err
 }
 
-// watched returns the connection if its request has come whole and is being handled.
-// net/http then reads to learn whether the client leaves, and would take the first byte
-// of a next request for a sign that it stays.
-func (c *conn) watched() (syscall.Conn, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state != stateActive || c.framer.phase != phaseHead {
-		return nil, false
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	return s, ok
-}
-
-// hasLeft reports whether the client has closed a kept connection before its next request
-// is handled.
-func (c *conn) hasLeft() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	return ok && c.answered && sockopt.PeerClosed(s)
-}
-
 // recordEnd records that the client sends no more. What net/http writes after the part
 // of a head is no answer: the client has left.
 func (c *conn) recordEnd() {
@@ -251,13 +228,6 @@
 	c.headBegunAt = time.Now()
 }
 
-// setHeadDeadline limits the time to read a head: net/http does so only once it has
-// four bytes of it. It is called with mu held.
-func (c *conn) setHeadDeadline(now time.Time) {
-	c.requested = now.Add(cmp.Or(c.headTimeout, defaultHeaderTimeout))
-	_ = c.Conn.SetReadDeadline(c.requested)
-}
-
 // Write writes to the connection. While a head is being read, only net/http writes:
 // its refusal of the request.
 func (c *conn) Write(b []byte) (int, error) {
@@ -280,44 +250,6 @@
 	return n, err
 }
 
-// SetWriteDeadline sets the handler's own deadline for writes.
-func (c *conn) SetWriteDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writeDeadline = t
-	return c.Conn.SetWriteDeadline(t)
-}
-
-// SetReadDeadline sets the deadline of a request that is being received. net/http
-// sets none while it waits for a request. A head that has begun keeps the deadline that
-// it has until net/http sets another one.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state == stateReceiving && c.framer.headBegun() && t.IsZero() {
-		return nil
-	}
-	c.requested = t
-	return c.Conn.SetReadDeadline(c.deadline())
-}
-
-func (c *conn) restoreDeadline() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.Conn.SetReadDeadline(c.deadline())
-}
-
-// deadline returns the read deadline in force. It is called with mu held.
-func (c *conn) deadline() time.Time {
-	switch {
-	case c.state != stateWaiting:
-		return c.requested
-	case c.closeWaiting:
-		return longAgo
-	}
-	return c.waitingSince.Add(c.idleTimeout)
-}
-
 // CloseWrite closes the sending direction. net/http uses it so that the client
 // can still read the last response.
 func (c *conn) CloseWrite() error {
@@ -381,30 +313,6 @@
 	return c.framer.begun || len(bytes.Trim(c.ahead, "\r\n")) > 0
 }
 
-// raiseIdleTimeout lets a connection that waits do so for longer. It never
-// shortens the wait: the client may rely on what was in force at its last
-// response.
-func (c *conn) raiseIdleTimeout(idleTimeout time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state != stateWaiting || idleTimeout <= c.idleTimeout {
-		return
-	}
-	c.idleTimeout = idleTimeout
-	_ = c.Conn.SetReadDeadline(c.deadline())
-}
-
-// closeIdle has the connection closed once it waits, unless its next request has
-// arrived by then. The first request of a new connection is always served.
-func (c *conn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closeWaiting = true
-	if c.state == stateWaiting {
-		_ = c.Conn.SetReadDeadline(longAgo)
-	}
-}
-
 // unanswered returns why a connection that has been closed leaves a request without
 // a whole response, or "" if it does not. stopped says that the server has closed it.
 func (c *conn) unanswered(stopped bool) unansweredReason {
