gateway: lines of events may end with CR LF

Cause: the end of an event was two LF. Change: an empty line ends an event, with either line end; the fuzz target looks for the same end. Why it works: the standard knows no other end of an event but an empty line.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -25,8 +25,9 @@
 var errEventTooLarge = fmt.Errorf("an event of the stream, or what precedes its first event, exceeds %d bytes", maxEventBytes)
 
 // eventSplitter splits a byte stream into complete server-sent events and drops
-// those that were already seen. An empty line ends an event. Comments and empty
-// events are passed on, but they are no progress of the stream.
+// those that were already seen. An empty line ends an event; lines end with LF or
+// CR LF. Comments and empty events are passed on, but they are no progress of the
+// stream.
 type eventSplitter struct {
 	pending []byte
 	// preamble holds what came before the first event with content: until then
@@ -53,11 +54,31 @@
 )
 
 var (
-	eventEnd  = []byte("\n\n")
 	idField   = []byte("id:")
 	dataField = []byte("data:")
 )
 
+// maxEndBytes is the length of the longest end of an event: a line end and an empty line.
+const maxEndBytes = len("\n\r\n")
+
+// endOfEvent returns the position behind the first event in b, or -1 if none ends there.
+// Its end is looked for from a position on.
+func endOfEvent(b []byte, from int) int {
+	for {
+		i := bytes.IndexByte(b[from:], '\n')
+		if i < 0 {
+			return -1
+		}
+		from += i + 1
+		switch rest := b[from:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return from + len("\n")
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return from + len("\r\n")
+		}
+	}
+}
+
 // push appends bytes and returns the events that they complete. It drops events
 // that were already seen, because a resumed stream may repeat them. progressed
 // is true if one of the events has content. It returns a *buffers.FullError if the
@@ -66,16 +87,16 @@
 	if err := s.count(len(b)); err != nil {
 		return nil, false, err
 	}
-	// What is pending has no end of an event, but may have the first byte of one.
-	searched := max(len(s.pending)-len(eventEnd)+1, 0)
+	// What is pending has no end of an event, but may have the first bytes of one.
+	searched := max(len(s.pending)-maxEndBytes+1, 0)
 	s.pending = append(s.pending, b...)
 	rest := s.pending
 	for {
-		i := bytes.Index(rest[searched:], eventEnd)
-		if i < 0 {
+		end := endOfEvent(rest, searched)
+		if end < 0 {
 			break
 		}
-		event := rest[:searched+i+len(eventEnd)]
+		event := rest[:end]
 		rest = rest[len(event):]
 		searched = 0
 		content := hasContent(event)
@@ -192,7 +213,7 @@
 // events: it has only fields of events, and a number if it has content.
 func isContinuation(event []byte, content bool) bool {
 	for line := range bytes.Lines(event) {
-		name, _, isField := bytes.Cut(bytes.TrimSuffix(line, []byte("\n")), []byte(":"))
+		name, _, isField := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		if !isField && len(name) > 0 || !isFieldName(name) {
 			return false
 		}
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 	"testing"
 
 	"damaskbridge.example/damaskbridge/buffers"
@@ -13,6 +14,7 @@
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte(events(1, 3)), uint8(5), false)
 	f.Add([]byte(": hello\n\n"+events(1, 1)+"\n\n"+events(1, 2)), uint8(1), false)
+	f.Add([]byte(strings.ReplaceAll(events(1, 3), "\n", "\r\n")), uint8(7), true)
 	f.Add([]byte(events(3, 4)+"data: no number\n\n"), uint8(9), true)
 	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\nid: x\n\n"), uint8(3), true)
 	f.Add([]byte("x-weight-versions: 7\nid: 9223372036854775808\ndata: a\n\nid: -1\n\n"), uint8(2), true)
@@ -23,8 +25,13 @@
 			t.Fatalf("read at once %q, %v; in parts %q, %v", whole, wholeErr, parts, partsErr)
 		}
 		last := int64(-1 << 63)
-		for event := range bytes.SplitSeq(whole, eventEnd) {
-			n, err := strconv.ParseInt(eventID(event), 10, 64)
+		for rest := whole; len(rest) > 0; {
+			end := endOfEvent(rest, 0)
+			if end < 0 {
+				t.Fatalf("the end of %q is no event", whole)
+			}
+			n, err := strconv.ParseInt(eventID(rest[:end]), 10, 64)
+			rest = rest[end:]
 			if err != nil {
 				continue
 			}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -15,6 +15,44 @@
 	return b.String()
 }
 
+// Guards against a stream that is held back to its end, and then taken for a broken one,
+// because its lines end with CR LF.
+var _ = ginkgo.Describe("a stream whose lines end with CR LF", func() {
+	crlf := func(events string) string { return strings.ReplaceAll(events, "\n", "\r\n") }
+
+	ginkgo.It("is passed on unchanged", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: crlf(events(1, 3))}}
+		out := serve(g, call("stream"))
+		Expect(out.aborted).To(BeFalse())
+		Expect(out.body).To(Equal(crlf(events(1, 3))))
+	})
+
+	ginkgo.It("goes on at another runner behind its last whole event", func() {
+		g, f := newTestGateway()
+		f.any = []reply{{status: 200, body: crlf(events(1, 2)) + "id: 3\r\ndata: x\r\n", cut: true}, {status: 200, body: crlf(events(2, 4))}}
+		out := serve(g, call("resume"))
+		Expect(out.aborted).To(BeFalse())
+		Expect(out.body).To(Equal(crlf(events(1, 4))))
+		Expect(f.sends()[1].ResumeAfter).To(Equal("2"))
+	})
+
+	ginkgo.It("gives its events however it is cut into reads", func() {
+		text := []byte(crlf(events(1, 2)) + events(3, 4))
+		for step := 1; step <= len(text); step++ {
+			s := eventSplitter{}
+			var all []byte
+			for at := 0; at < len(text); at += step {
+				passed, _, err := s.push(text[at:min(at+step, len(text))])
+				Expect(err).NotTo(HaveOccurred())
+				all = append(all, passed...)
+			}
+			Expect(all).To(Equal(text), "steps of %d", step)
+			Expect(s.checkEnd()).To(Succeed())
+		}
+	})
+})
+
 var _ = ginkgo.Describe("a stream", func() {
 	ginkgo.It("is relayed completely with the runner's status", func() {
 		g, f := newTestGateway()
