gateway: the deadline of a request is that of its route and its caller

Cause: a limit for callers without a time applied to all; a route always has a timeout. Change: the limit is gone from deadlines, and stays for the time in which a body comes.

--- a/callers/bounds.go
+++ b/callers/bounds.go
@@ -22,7 +22,7 @@
 }
 
 const (
-	// defaultWriteTimeout is longer than any request may last.
+	// defaultWriteTimeout is longer than a client that reads takes for one write.
 	defaultWriteTimeout = 2 * time.Minute
 	// fieldBytes is what net/http and the copies of a head take for a line of it,
 	// beside its bytes.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -39,12 +39,16 @@
 	ResumeAfter string
 }
 
-// BodyDeadline returns when the body of the request is of no more use.
+// maxBodyTime is the longest time in which the body of a request may come.
+const maxBodyTime = time.Minute
+
+// BodyDeadline returns when the body of the request is of no more use, or has taken too
+// long.
 func (c *Call) BodyDeadline() time.Time {
 	if c.Timeout > 0 {
-		return c.Received.Add(min(c.Timeout, maxRequestTime))
+		return c.Received.Add(min(c.Timeout, maxBodyTime))
 	}
-	return c.Received.Add(maxRequestTime)
+	return c.Received.Add(maxBodyTime)
 }
 
 // defaultBodyBytes bounds a caller's body until a configuration sets a limit.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -17,9 +17,6 @@
 	// minTimeLeft is the minimum time left before the deadline for sending a
 	// request.
 	minTimeLeft = 20 * time.Millisecond
-	// maxRequestTime limits the deadline of a request, in particular if the
-	// caller sent no timeout.
-	maxRequestTime = time.Minute
 )
 
 // request is the state of one call while it is served.
--- a/gateway/request_admission.go
+++ b/gateway/request_admission.go
@@ -42,7 +42,7 @@
 // setDeadline sets the deadline, which is the earlier one of the route and the
 // caller, and tells it to a stop.
 func (r *request) setDeadline() {
-	timeout := min(r.route.Timeout, maxRequestTime)
+	timeout := r.route.Timeout
 	if r.call.Timeout > 0 {
 		timeout = min(timeout, r.call.Timeout)
 	}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -67,7 +67,7 @@
 // its end.
 func (s *openRequests) open(ctx context.Context, c *Call) (o *openRequest, stoppable context.Context, closeRequest func()) {
 	stoppable, cancel := context.WithCancelCause(ctx)
-	o = &openRequest{cancel: cancel, subject: stopSubject{received: c.Received, deadline: c.Received.Add(maxRequestTime)}}
+	o = &openRequest{cancel: cancel, subject: stopSubject{received: c.Received, deadline: c.BodyDeadline()}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.set[o] = struct{}{}
