--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -50,8 +50,10 @@
 		return n, err
 	}
 	// A read may have been pending since the connection became idle. Its timeout
-	// counts from this write.
-	return n, c.extendDeadline()
+	// counts from this write. It may also have ended the connection since: the bytes
+	// are written all the same.
+	_ = c.extendDeadline()
+	return n, nil
 }
 
 func (c *progressConn) write(b []byte) (int, error) {
