upstream, jsonlist, quarantine, buffers: comments that a newcomer stumbles on

Cause: the comment on writeTrace.end said that a late end of a replaced connection does not count; it does, on the safe side. Three others were unclear or badly wrapped. Result: vet and the tests of the four packages pass.

--- a/buffers/memory.go
+++ b/buffers/memory.go
@@ -32,8 +32,8 @@
 	Document Kind = "document"
 )
 
-// requestShare is the part of the memory that requests and their pieces may fill. The rest is left
-// for answers: a refused request can be sent again, a lost answer cannot.
+// requestShare is the part of the memory that requests and their pieces may fill. The
+// rest is left for answers: a refused request can be sent again, a lost answer cannot.
 const requestShare = 0.75
 
 // Memory accounts for buffered bytes up to a limit. A nil Memory has no limit. It is
--- a/internal/jsonlist/split.go
+++ b/internal/jsonlist/split.go
@@ -14,8 +14,8 @@
 	// maxTornReturned is the number of torn elements that are returned. More of them are
 	// passed over.
 	maxTornReturned = 32
-	// maxWorkFactor times its length is how many bytes of a document are read again
-	// behind torn elements.
+	// maxWorkFactor bounds the bytes that are read for torn elements, as a multiple of the
+	// document's length.
 	maxWorkFactor = 16
 	// maxEndsTried bounds the search for the end of a list whose last element is
 	// torn.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// forgetOldest forgets the runners that were lost first while there are more than
-// maxLostParts, but for the last one.
+// forgetOldest forgets the runners that were lost first while all together have more than
+// maxLostParts parts. It keeps the last one.
 func (e *Evidence) forgetOldest() {
 	total := 0
 	for _, c := range e.crashes {
--- a/upstream/trace.go
+++ b/upstream/trace.go
@@ -48,7 +48,8 @@
 }
 
 // end records the end of a write. That of a connection which net/http has replaced may
-// come late; the one of the current connection counts.
+// come late. It then counts for the current one: a response without a length may be
+// refused although it is whole, but a part never passes for one.
 func (w *writeTrace) end(err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
