--- a/review/cases3/crowd.go
+++ b/review/.cases-3/crowd.go
@@ -15,17 +15,24 @@
 func init() {
 	cases["ahead"] = func(p *play) (verdict, error) {
 		c := &crowdCase{play: p, conns: 600, ahead: 6000, perSecond: 20 << 20}
+		c.member = c.sendAhead
+		return c.run()
+	}
+	cases["fields"] = func(p *play) (verdict, error) {
+		c := &crowdCase{play: p, conns: 600, perSecond: 10 << 20}
+		c.member = c.sendFields
 		return c.run()
 	}
 }
 
-// crowdCase plays clients outside the limits beside ordinary ones: they send many requests
-// ahead, to a path without a route, and don't read the answers.
+// crowdCase plays clients outside the limits beside ordinary ones.
 type crowdCase struct {
 	*play
 	// conns is the number of connections of the crowd, ahead the number of requests that
 	// each sends. All together they send at most perSecond bytes a second.
 	conns, ahead, perSecond int
+	// member is what one of the crowd does on a connection.
+	member func(conn net.Conn, until time.Time)
 
 	system *cluster
 	runner *runner
@@ -36,6 +43,7 @@
 	readies  []readyCheck
 	sent     int64
 	opened   int
+	answered int
 }
 
 // ordinaryRequest is a request of an ordinary client. It has no answer if end is zero.
@@ -242,10 +250,10 @@
 		})
 	}
 	all.Wait()
-	c.rec.say("the crowd has opened %d connections and sent %d MB", c.opened, c.sent>>20)
+	c.rec.say("the crowd has opened %d connections, sent %d MB and read %d answers", c.opened, c.sent>>20, c.answered)
 }
 
-// crowdConn sends requests without reading the answers, and stays open until then.
+// crowdConn opens a connection for one of the crowd.
 func (c *crowdCase) crowdConn(addr string, i int, until time.Time) {
 	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(fmt.Sprintf("%s%d", c.system.net, 201+i%40))}}
 	conn, err := dialer.Dial("tcp", addr)
@@ -257,16 +265,17 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
+	c.member(conn, until)
+}
+
+// sendAhead sends many requests to a path without a route, without reading the answers,
+// and stays open.
+func (c *crowdCase) sendAhead(conn net.Conn, until time.Time) {
 	requests := strings.Repeat(fmt.Sprintf("GET /zzz/a HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n\r\n", crowdHost, attemptID()), c.ahead)
 	const step = 16 << 10
 	for len(requests) > 0 {
 		n := min(step, len(requests))
-		c.pace.wait(n)
-		n, err := conn.Write([]byte(requests[:n]))
-		c.mu.Lock()
-		c.sent += int64(n)
-		c.mu.Unlock()
-		if err != nil {
+		if !c.write(conn, requests[:n]) {
 			return
 		}
 		requests = requests[n:]
@@ -274,6 +283,46 @@
 	time.Sleep(time.Until(until))
 }
 
+// sendFields sends requests of legal size that are made of very many short fields, one
+// after the other, and reads the answers.
+func (c *crowdCase) sendFields(conn net.Conn, _ time.Time) {
+	var fields strings.Builder
+	for i := range 1300 {
+		fmt.Fprintf(&fields, "%c%02x:\r\n", 'g'+i/256, i%256)
+	}
+	in := bufio.NewReader(conn)
+	for {
+		request := fmt.Sprintf("GET /zzz/a HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nConnection: %s\r\n%s\r\n",
+			crowdHost, attemptID(), strings.Repeat("zzz,", 1900)+"zzz", fields.String())
+		if !c.write(conn, request) {
+			return
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		c.mu.Lock()
+		c.answered++
+		c.mu.Unlock()
+		if resp.Close {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// write sends bytes of the crowd at its pace.
+func (c *crowdCase) write(conn net.Conn, text string) bool {
+	c.pace.wait(len(text))
+	n, err := io.WriteString(conn, text)
+	c.mu.Lock()
+	c.sent += int64(n)
+	c.mu.Unlock()
+	return err == nil
+}
+
 // pacer bounds the bytes a second of all who wait.
 type pacer struct {
 	perSecond int
--- a/review/cases3/main.go
+++ b/review/.cases-3/main.go
@@ -1,7 +1,7 @@
-// Command cases3 plays the scripts of the third review: it starts the programs of the
+// Command cases plays the scripts of the third review: it starts the programs of the
 // deploy file on loopback, with simulated clients, runners and platform beside them.
 //
-// Usage: cases3 CASE RECORD. It exits with 1 if the rule was broken, 0 if it held and 2
+// Usage: cases CASE RECORD. It exits with 1 if the rule was broken, 0 if it held and 2
 // if the case could not run. With TROUBLE=0 it leaves the disruption out.
 package main
 
@@ -35,7 +35,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases3 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: cases CASE RECORD")
 		os.Exit(int(cannotRun))
 	}
 	rec, err := newRecord(os.Args[2])
