--- a/review/.cases-3/platform.go
+++ b/review/.cases-3/platform.go
@@ -36,6 +36,8 @@
 	mu     sync.Mutex
 	states []listState
 	server *http.Server
+	// odd are entries of another writer.
+	odd []json.RawMessage
 }
 
 type listState struct {
@@ -67,14 +69,17 @@
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	zone := r.URL.Query().Get("zone")
 	answer := struct {
-		Instances []instance `json:"instances"`
-		NextToken *string    `json:"next_token"`
-	}{Instances: []instance{}}
+		Instances []any   `json:"instances"`
+		NextToken *string `json:"next_token"`
+	}{Instances: []any{}}
 	for _, i := range p.shown() {
 		if zone == "" || zone == i.Zone {
 			answer.Instances = append(answer.Instances, i)
 		}
 	}
+	for _, raw := range p.odd {
+		answer.Instances = append(answer.Instances, raw)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer)
 }
