--- a/review/.cases-3/odd_entry.go
+++ b/review/.cases-3/odd_entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -81,8 +82,7 @@
 	}
 	list.set(append(entries, other.entry()))
 	if c.trouble {
-		odd := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":"ready","cold_left_ms":0,"stage":"both","models":"m","id":%q,"born":%d}`,
-			crashService, other.addr, crashZone, otherID, other.entry().Born)
+		odd := oddEntry(os.Getenv("ODD"), other)
 		list.odd = []json.RawMessage{json.RawMessage(odd)}
 		c.rec.say("the list holds this entry: %s", odd)
 	}
@@ -117,6 +117,25 @@
 	return held, nil
 }
 
+// oddEntry returns an entry that names no runner to use. It stands under the service of the
+// engines and has the ID and the address of a runner of another service. kind says what is
+// odd about it.
+func oddEntry(kind string, other *runner) string {
+	service, address, stage, models := "service", "address", `"both"`, `"m"`
+	sound := `[{"name":"m","version":1,"adapters":[]}]`
+	switch kind {
+	case "missing": // neither stage nor models
+		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":"ready","cold_left_ms":0,"id":%q,"born":%d}`,
+			crashService, other.addr, crashZone, otherID, other.entry().Born)
+	case "stage": // a stage of another type
+		stage, models = "7", sound
+	case "names": // SERVICE and Address in place of service and address
+		service, address, models = "SERVICE", "Address", sound
+	}
+	return fmt.Sprintf(`{%q:%q,%q:%q,"zone":%q,"version":"v1","slots":64,"state":"ready","cold_left_ms":0,"stage":%s,"models":%s,"id":%q,"born":%d}`,
+		service, crashService, address, other.addr, crashZone, stage, models, otherID, other.entry().Born)
+}
+
 // traffic sends requests to the entry VMs in turn.
 func (c *oddEntryCase) traffic(system *cluster) {
 	var all sync.WaitGroup
