quarantine: a crash whose runner is back under its ID before the list shows it counts

Cause: an entry VM names a runner's process by what the list shows, which is that of the process before for a second or two after a restart. An answer of the new process deleted the crash of the old one as a mere broken answer, and a request lost with the new one joined the loss of the old one.

Change: an exchange tells when its connection was opened, the directory as of when the list of a data centre is. An answer on a connection older than the loss shows that the process goes on; one on a newer connection leaves the loss in doubt until the list shows another start (a crash) or the same start as of later than the answer (connections broke). A loss on a newer connection is a second one and takes the next name that the list shows. New setting runner_list_lag; log line and counter of what the list has settled.

Tests: the evidence specs name exchanges now, with one old connection for all, which is the case that they were about; the gateway's fake opens a connection for each request unless told otherwise, and "answers again in the same start" keeps its own.

--- a/config/deployed.go
+++ b/config/deployed.go
@@ -44,10 +44,12 @@
 	// requests.
 	DrainTime Duration `yaml:"drain_time"`
 	// RunnerList is the address of the platform's runner list.
-	RunnerList Text    `yaml:"runner_list"`
-	Repeats    Repeats `yaml:"repeats"`
-	WarmUp     WarmUp  `yaml:"warm_up"`
-	Clients    Clients `yaml:"clients"`
+	RunnerList Text `yaml:"runner_list"`
+	// RunnerListLag is how much later than what is so that list may be.
+	RunnerListLag Duration `yaml:"runner_list_lag"`
+	Repeats       Repeats  `yaml:"repeats"`
+	WarmUp        WarmUp   `yaml:"warm_up"`
+	Clients       Clients  `yaml:"clients"`
 }
 
 // Repeats limits the repeated attempts of all entry VMs together.
@@ -66,6 +68,7 @@
 		Memory:          256 << 20,
 		ToleratedLosses: 2,
 		DrainTime:       Duration(4 * time.Second),
+		RunnerListLag:   Duration(3 * time.Second),
 		Clients:         defaultClients(),
 		Repeats:         Repeats{Ratio: 0.1, Window: Duration(10 * time.Second), Slack: 10},
 	}
@@ -77,6 +80,7 @@
 	minMemory          = Bytes(16 << 20)
 	maxMemory          = Bytes(1 << 40)
 	maxToleratedLosses = 10
+	maxRunnerListLag   = Duration(time.Minute)
 )
 
 // Check reports values that are missing, invalid or contradictory.
@@ -89,6 +93,7 @@
 		checkRange("memory", d.Memory, minMemory, maxMemory),
 		d.WarmUp.check(),
 		d.Clients.check(d.Memory),
+		checkRange("runner_list_lag", d.RunnerListLag, 0, maxRunnerListLag),
 		checkRange("tolerated_losses", d.ToleratedLosses, 0, maxToleratedLosses),
 	}
 	for name, address := range map[string]Text{"callers": d.Callers, "ready": d.Ready, "operators": d.Operators, "runner_list": d.RunnerList, "inter_vm_listen": d.InterVMListen} {
--- a/config/deployed_test.go
+++ b/config/deployed_test.go
@@ -17,6 +17,7 @@
 		Expect(d.ListenInterVM()).To(Equal("10.1.0.20:7740"))
 		Expect(d.Memory).To(Equal(Bytes(256 << 20)))
 		Expect(d.DrainTime.Std()).To(Equal(4 * time.Second))
+		Expect(d.RunnerListLag.Std()).To(Equal(800 * time.Millisecond))
 		Expect(d.Repeats.Slack).To(Equal(54.0))
 	})
 
@@ -41,6 +42,7 @@
 		ginkgo.Entry("an invalid IP address", "ip: 10.1.0.20", "ip: here", "not an IP address"),
 		ginkgo.Entry("a port out of bounds", "inter_vm_port: 7740", "inter_vm_port: 77400", "out of bounds"),
 		ginkgo.Entry("more connections than the memory holds", "memory: 256MiB", "memory: 256MiB\nclients: {connections: 3277}", "use 0 to 3276"),
+		ginkgo.Entry("a list that lags too long", "runner_list_lag: 800ms", "runner_list_lag: 61s", "out of bounds"),
 		ginkgo.Entry("too little memory", "memory: 256MiB", "memory: 1MiB", "out of bounds"),
 	)
 })
--- a/directory/client_apply.go
+++ b/directory/client_apply.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"damaskbridge.example/damaskbridge/catalog"
@@ -63,6 +64,9 @@
 	if usable && (runnersChanged || next.List == nil) {
 		next.List = c.runnerList()
 	}
+	if next.List != nil {
+		next.ListsAsOf = c.listsAsOf()
+	}
 	if entriesChanged {
 		next.Entries = entriesOf(c.store)
 	}
@@ -121,6 +125,16 @@
 	return list
 }
 
+// listsAsOf returns as of when the runners of each data centre are known.
+func (c *Client) listsAsOf() map[string]time.Time {
+	times := make(map[string]time.Time, len(c.runners))
+	for name := range c.runners {
+		_, asOf := c.store.Get(name)
+		times[strings.TrimPrefix(name, runnersPrefix)] = asOf
+	}
+	return times
+}
+
 // applyEvacuations puts newer evacuations in force. Like the first document, the first
 // ones must come from a control VM in contact with a leader.
 func (c *Client) applyEvacuations(reply *watchReply, next *State) {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -201,6 +201,21 @@
 		Eventually(func() []EntryVM { return c.client.State().Entries }).WithTimeout(eventTimeout).Should(HaveLen(1))
 	})
 
+	// Guards against losses that nothing settles, or that a list from before settles.
+	ginkgo.It("tells an entry VM as of when the list of each data centre is", func() {
+		c := newTestCluster(ctx, "c1")
+		c.controls["c1"].publish(1)
+		c.lister.set([]Runner{{ID: "r1", Service: "s", Addr: "10.0.0.1:1", Zone: "z"}})
+		began := time.Now()
+		go c.client.Run(ctx)
+		Eventually(func() time.Time { return c.client.State().ListAsOf("z") }).WithTimeout(eventTimeout).Should(BeTemporally(">=", began.Truncate(time.Millisecond)))
+		listed := time.Now()
+		Expect(c.client.State().ListAsOf("z")).To(BeTemporally("<=", listed))
+		Eventually(func() time.Time { return c.client.State().ListAsOf("z") }).WithTimeout(eventTimeout).Should(BeTemporally(">", listed), "read once more, unchanged")
+		Expect((&State{ListsAsOf: map[string]time.Time{"": listed}}).ListAsOf("z")).To(Equal(listed), "one list for all")
+		Expect((&State{}).ListAsOf("z")).To(BeZero())
+	})
+
 	// After a power loss a control VM may have only an old snapshot. Its document
 	// would restore routes and keys that have been replaced.
 	ginkgo.It("accepts the first document only from a control VM in contact with a leader", func() {
--- a/directory/state.go
+++ b/directory/state.go
@@ -14,8 +14,11 @@
 	// Table is the catalog in force, nil before the first.
 	Table *catalog.Table
 	// List is the newest list of runners, nil before the first.
-	List    *RunnerList
-	Entries []EntryVM
+	List *RunnerList
+	// ListsAsOf holds, by data centre, a time at which the platform's list of its runners
+	// was as List has it. The platform's list itself lags.
+	ListsAsOf map[string]time.Time
+	Entries   []EntryVM
 	// Quarantined are the parts of prompts that are kept away from runners.
 	Quarantined quarantine.Known
 	// Evacuations are the evacuated data centres, nil before the first order.
@@ -26,3 +29,13 @@
 	// answered.
 	LastContactAt time.Time
 }
+
+// ListAsOf returns a time at which the platform's list of a data centre's runners was as
+// List has it, the zero time if that is not known.
+func (s *State) ListAsOf(zone string) time.Time {
+	if asOf, ok := s.ListsAsOf[zone]; ok {
+		return asOf
+	}
+	// The list of all runners may be read as one.
+	return s.ListsAsOf[""]
+}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -18,8 +18,10 @@
 // conn is a connection to an address, used by one request at a time.
 type conn struct {
 	net.Conn
-	addr   string
-	reader *bufio.Reader
+	addr string
+	// openedAt is when the opening of the connection began.
+	openedAt time.Time
+	reader   *bufio.Reader
 	// bytesRead is the number of bytes received on the connection.
 	bytesRead int64
 	// headStart is the value of bytesRead at which the response head began that is
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -120,6 +121,26 @@
 		Expect(server.accepted.Load()).To(Equal(int64(2)))
 	})
 
+	// Guards against an answer of a new process that is taken for one of the process
+	// before: only the time of its connection tells them apart.
+	ginkgo.It("tells when its connection was opened", func() {
+		server := newEchoServer("x")
+		pool := NewPool()
+		began := time.Now()
+		openedAt := func(forceNew bool) (at time.Time) {
+			r := newRequest("1")
+			r.NewConn, r.OnConnection = forceNew, func(openedAt time.Time) { at = openedAt }
+			Expect(send(pool, server.addr(), r)).To(Equal("x"))
+			return at
+		}
+		first := openedAt(false)
+		Expect(first).To(BeTemporally(">=", began))
+		sent := time.Now()
+		Expect(first).To(BeTemporally("<=", sent))
+		Expect(openedAt(false)).To(Equal(first), "on the same connection")
+		Expect(openedAt(true)).To(BeTemporally(">=", sent))
+	})
+
 	// Guards against more connections than a runner accepts from all VMs together;
 	// it resets those above its limit.
 	ginkgo.It("keeps no more idle connections than allowed", func() {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -81,6 +81,9 @@
 		return nil, &Error{Addr: addr, Err: ctx.Err()}
 	}
 	writing = true
+	if r.OnConnection != nil {
+		r.OnConnection(c.openedAt)
+	}
 	if c.reused {
 		e.notifyStep(StepKeptConn)
 	} else {
@@ -109,12 +112,13 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	openedAt := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	p.Opened.Add(1)
-	c := &conn{Conn: raw, addr: addr}
+	c := &conn{Conn: raw, addr: addr, openedAt: openedAt}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // Request is an HTTP request. Body is sent with a Content-Length.
@@ -28,6 +29,10 @@
 	// OnSent, if not nil, is called once the whole request is written. For a large
 	// request it is called from another goroutine.
 	OnSent func()
+	// OnConnection, if not nil, is called before the request is written, with the time
+	// at which the opening of its connection began. The process at its other end was
+	// there then.
+	OnConnection func(openedAt time.Time)
 	// OnStep, if not nil, is called at each step of the exchange, from any goroutine.
 	OnStep func(Step)
 	// OnBodyRead, if not nil, is called once when Body is read no more, also if it
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -128,16 +128,15 @@
 // send dispatches d. It returns a nil Response if the request failed, its answer
 // must not be passed on, or the runner did not execute it.
 func (r *request) send(ctx context.Context, runner *placement.RunnerState, d *Dispatch) (*Response, sendResult) {
-	sentAt := time.Now()
 	record := r.attempts.begin(runner.ID, r.call.Received)
-	d.OnStep = record.recordStep
+	d.OnStep, d.OnConnection = record.recordStep, record.recordConnection
 	response, err := r.g.opts.Upstreams.Send(ctx, d)
 	if err != nil {
 		record.conclude(r.g.metrics, execution.ConcludeError(exchange.WasSent(err)))
-		return nil, r.failedSend(ctx, runner, err)
+		return nil, r.failedSend(ctx, runner, record, err)
 	}
 	response.record = record
-	r.recordAlive(runner, sentAt, response)
+	r.recordAlive(runner, response)
 	r.g.recordAdvice(runner.Addr, r.g.runners.startOf(runner), response.Advice)
 	r.g.runners.updateLoad(runner, response.Load)
 	if !response.Conclusion.NotExecuted() {
@@ -148,7 +147,7 @@
 		record.conclude(r.g.metrics, response.Conclusion)
 		r.dropBodyIfUnneeded()
 		if err := r.g.countHead(response); err != nil {
-			return nil, r.failedSend(ctx, runner, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
+			return nil, r.failedSend(ctx, runner, record, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
 		}
 		return response, sendResult{}
 	}
@@ -171,12 +170,12 @@
 }
 
 // failedSend classifies an attempt that ended without a complete answer.
-func (r *request) failedSend(ctx context.Context, runner *placement.RunnerState, err error) sendResult {
+func (r *request) failedSend(ctx context.Context, runner *placement.RunnerState, record *attemptRecord, err error) sendResult {
 	n := sendResult{attemptResult: attemptResult{executed: exchange.WasSent(err), cause: err.Error(), reason: "not_sent"}}
 	n.arrived = n.executed
 	if n.executed {
 		n.reason = "lost"
-		r.recordLoss(ctx, runner)
+		r.recordLoss(ctx, runner, record)
 	}
 	if ctx.Err() == nil {
 		now := time.Now()
@@ -198,7 +197,7 @@
 	_ = response.Body.Close()
 	if err != nil {
 		response.record.conclude(r.g.metrics, execution.Damaged)
-		n := r.failedSend(ctx, runner, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
+		n := r.failedSend(ctx, runner, response.record, &exchange.Error{Addr: runner.Addr, Sent: true, ResponseStarted: true, Err: err})
 		r.g.runners.finish(runner, n.record)
 		return n.attemptResult
 	}
--- a/gateway/attempt_record.go
+++ b/gateway/attempt_record.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// kept is true if the connection had served a request before.
 	kept bool
+	// connectedAt is when the opening of the connection began.
+	connectedAt time.Time
 	// written, answered and ended are when the exchange reached these steps, zero
 	// for not yet.
 	written, answered, ended time.Time
@@ -44,6 +46,21 @@
 	}
 }
 
+// recordConnection records when the opening of the connection began.
+func (a *attemptRecord) recordConnection(openedAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.connectedAt = openedAt
+}
+
+// connected returns when the opening of the connection began, the zero time if that is
+// not known.
+func (a *attemptRecord) connected() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.connectedAt
+}
+
 // conclude records the rule by which the attempt counts as executed or not.
 func (a *attemptRecord) conclude(m *gatewayMetrics, rule execution.Rule) {
 	a.mu.Lock()
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -55,6 +55,8 @@
 	ended chan struct{}
 	// gaveUp is closed when the context of the exchange ends, also if nobody reads.
 	gaveUp chan struct{}
+	// connectedAt is when the connection was opened, zero for now.
+	connectedAt time.Time
 	// after is the delay before the runner answers.
 	after time.Duration
 	// endsWithConnection marks the answer as one without a length.
@@ -118,6 +120,10 @@
 	f.mu.Lock()
 	f.sent = append(f.sent, *d)
 	f.mu.Unlock()
+	if r.connectedAt.IsZero() {
+		r.connectedAt = time.Now()
+	}
+	d.OnConnection(r.connectedAt)
 	if r.gaveUp != nil {
 		context.AfterFunc(ctx, func() { close(r.gaveUp) })
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,8 @@
 	RetryBudget RetryBudgetOptions
 	// WarmUps bounds what runners get that warm up.
 	WarmUps WarmUpOptions
+	// ListLag is how much later than what is so the platform's list of runners may be.
+	ListLag time.Duration
 	// DrainTime is how long a draining runner may still receive requests.
 	DrainTime time.Duration
 	Upstreams Upstreams
@@ -79,7 +81,7 @@
 		firstEvents:    newLatencyTracker(),
 		durations:      newLatencyTracker(),
 		holds:          newInputHoldTimes(),
-		evidence:       quarantine.NewEvidence(),
+		evidence:       quarantine.NewEvidence(o.ListLag + listDelay),
 	}
 	// Draining runners are used for half of DrainTime. The other half allows for the
 	// propagation of the runner list and the transfer of the request.
@@ -92,6 +94,10 @@
 	return g
 }
 
+// listDelay covers the time between two readings of the platform's list and the way of
+// what was read to this VM.
+const listDelay = 2 * time.Second
+
 // Run schedules stage calls until ctx is done.
 func (g *Gateway) Run(ctx context.Context) { g.pieces.run(ctx) }
 
@@ -103,6 +109,7 @@
 	if s.List != nil && s.List != old.List {
 		g.runners.update(time.Now(), s.List)
 	}
+	g.settleLosses(s)
 	if len(s.Entries) != len(old.Entries) {
 		g.budgets.setVMs(len(s.Entries))
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,10 @@
 	adviceUnreadable *metrics.Counter
 	// warmUpRequests counts the requests that were sent to runners that may be cold.
 	warmUpRequests *metrics.Counter
+	// runnerCrashes and brokenConnections count the losses of requests with a runner
+	// that the list has shown to be a crash, or to be none.
+	runnerCrashes     *metrics.Counter
+	brokenConnections *metrics.Counter
 	// inputsFreedEarly counts the cases in which a runner found its inputs
 	// already freed.
 	inputsFreedEarly *metrics.Counter
@@ -57,10 +61,13 @@
 		adviceLeaving: set.NewCounter(`damask_gateway_runner_advice_total{kind="leaving"}`),
 		advicePause:   set.NewCounter(`damask_gateway_runner_advice_total{kind="pause"}`),
 
-		adviceUnreadable: set.NewCounter(`damask_gateway_runner_advice_total{kind="unreadable"}`),
-		warmUpRequests:   set.NewCounter("damask_gateway_warm_up_requests_total"),
-		inputsFreedEarly: set.NewCounter("damask_gateway_inputs_freed_early_total"),
-		schedulerFull:    set.NewCounter("damask_gateway_scheduler_queue_full_total"),
+		adviceUnreadable:  set.NewCounter(`damask_gateway_runner_advice_total{kind="unreadable"}`),
+		warmUpRequests:    set.NewCounter("damask_gateway_warm_up_requests_total"),
+		inputsFreedEarly:  set.NewCounter("damask_gateway_inputs_freed_early_total"),
+		runnerCrashes:     set.NewCounter(`damask_gateway_runner_losses_total{outcome="crash"}`),
+		brokenConnections: set.NewCounter(`damask_gateway_runner_losses_total{outcome="broken_connections"}`),
+
+		schedulerFull: set.NewCounter("damask_gateway_scheduler_queue_full_total"),
 	}
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/execution"
 	"damaskbridge.example/damaskbridge/placement"
 	"damaskbridge.example/damaskbridge/quarantine"
@@ -54,18 +55,61 @@
 
 // recordLoss records that a runner was lost while it may have executed the
 // request, unless the request was given up here.
-func (r *request) recordLoss(ctx context.Context, runner *placement.RunnerState) {
+func (r *request) recordLoss(ctx context.Context, runner *placement.RunnerState, record *attemptRecord) {
 	if ctx.Err() == nil {
-		r.g.evidence.RecordLoss(time.Now(), r.g.runners.startOf(runner), r.sharedParts())
+		r.g.evidence.RecordLoss(time.Now(), r.g.runners.exchangeWith(runner, record), r.sharedParts())
 	}
 }
 
-// recordAlive records that a runner, and not another one at its address, answered
-// a request that was sent at the given time.
-func (r *request) recordAlive(runner *placement.RunnerState, sentAt time.Time, response *Response) {
+// recordAlive records that a runner, and not another one at its address, has
+// answered.
+func (r *request) recordAlive(runner *placement.RunnerState, response *Response) {
 	if response.Conclusion != execution.Misdirected {
-		r.g.evidence.RecordAlive(r.g.runners.startOf(runner), sentAt)
-		r.g.runners.recordAnswered(time.Now(), runner)
+		now := time.Now()
+		r.g.evidence.RecordAlive(now, r.g.runners.exchangeWith(runner, response.record))
+		r.g.runners.recordAnswered(now, runner)
+	}
+}
+
+// exchangeWith names an attempt at a runner as evidence.
+func (r *runnerSet) exchangeWith(runner *placement.RunnerState, record *attemptRecord) quarantine.Exchange {
+	return quarantine.Exchange{Runner: runner.Name(), Process: r.startOf(runner), ConnectedAt: record.connected(), SentAt: record.began}
+}
+
+// settleLosses decides by the list which of the runners that were lost have crashed.
+func (g *Gateway) settleLosses(s *directory.State) {
+	unsettled := g.evidence.UnsettledRunners()
+	if len(unsettled) == 0 {
+		return
+	}
+	g.runners.fillListed(unsettled, func(zone string) time.Time { return s.ListAsOf(zone).Add(-g.opts.ListLag) })
+	crashes, broken := g.evidence.RecordListed(unsettled)
+	if crashes+broken == 0 {
+		return
+	}
+	g.metrics.runnerCrashes.Add(crashes)
+	g.metrics.brokenConnections.Add(broken)
+	g.log.Info().Int("crashes", crashes).Int("broken_connections", broken).Msg("gateway: the list tells what runners were lost by")
+}
+
+// fillListed fills in what the list shows of the runners. asOf returns, for a data
+// centre, a time at which its runners were as the list shows them.
+func (r *runnerSet) fillListed(runners quarantine.Runners, asOf func(zone string) time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, list := range r.byService {
+		for i := range list {
+			l := &list[i]
+			name := l.state.Name()
+			if _, asked := runners[name]; !asked {
+				continue
+			}
+			shown := quarantine.Listed{Process: l.process}
+			if l.StartedUnixMS != 0 {
+				shown.AsOf = asOf(l.Zone)
+			}
+			runners[name] = shown
+		}
 	}
 }
 
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -119,22 +119,72 @@
 	// Guards against a runner that breaks off answers and is taken for one that ended.
 	ginkgo.It("is no longer reported for a runner that answers again in the same start", func() {
 		g, f := newTestGateway()
-		f.any = []reply{{lost: true}}
+		kept := time.Now()
+		f.any = []reply{{lost: true, connectedAt: kept}}
 		crashes := func() []quarantine.Crash { return g.CrashReport(time.Now(), nil).Crashes }
 		for range 12 {
 			serve(g, withPart(call("stream"), "bad"))
 		}
 		Expect(crashes()).NotTo(BeEmpty())
-		f.any = []reply{{status: 421, misdirected: true, notExecuted: true}}
+		f.any = []reply{{status: 421, misdirected: true, notExecuted: true, connectedAt: kept}}
 		serve(g, withPart(call("stream"), "other"))
 		Expect(crashes()).NotTo(BeEmpty())
-		f.any = []reply{{status: 503, notExecuted: true}}
+		f.any = []reply{{status: 503, notExecuted: true, connectedAt: kept}}
 		Eventually(func() []quarantine.Crash {
 			serve(g, withPart(call("stream"), "other"))
 			return crashes()
 		}).WithTimeout(20 * time.Second).Should(BeEmpty())
 	})
 
+	// Guards against crashes that are forgotten because the next process of the runner
+	// answers before the list shows it (review/15).
+	ginkgo.It("goes on to be reported for a runner that started again under its ID before the list showed it", func() {
+		g, f := newTestGateway()
+		crashes := func() []quarantine.Crash { return g.CrashReport(time.Now(), nil).Crashes }
+		list := func(started int64) {
+			runners := []directory.Runner{{ID: "engines1", Service: "engines", Addr: "engines1:80", Zone: "z", StartedUnixMS: started}}
+			g.Update(&directory.State{
+				Table: g.Table(), List: &directory.RunnerList{Seq: 2, Runners: runners}, Entries: g.state.Load().Entries,
+				ListsAsOf: map[string]time.Time{"z": time.Now()},
+			})
+		}
+		list(1)
+		f.any = []reply{{lost: true}, {status: 503, notExecuted: true}}
+		serve(g, withPart(call("stream"), "bad"))
+		Expect(crashes()).To(HaveLen(1))
+		Eventually(func() []quarantine.Crash {
+			serve(g, withPart(call("stream"), "other"))
+			return crashes()
+		}).WithTimeout(20*time.Second).Should(BeEmpty(), "in doubt")
+		list(2)
+		Expect(crashes()).To(HaveLen(1))
+		Expect(crashes()[0].Runner).To(Equal("engines1 engines1:80 1"))
+		serve(g, withPart(call("stream"), "other"))
+		Expect(crashes()).To(HaveLen(1))
+	})
+
+	// Guards against sound parts that are refused because connections broke.
+	ginkgo.It("is no longer reported for a runner that answers on a new connection once the list shows the same start", func() {
+		g, f := newTestGateway()
+		list := func(seq uint64) {
+			runners := []directory.Runner{{ID: "engines1", Service: "engines", Addr: "engines1:80", Zone: "z", StartedUnixMS: 1}}
+			g.Update(&directory.State{
+				Table: g.Table(), List: &directory.RunnerList{Seq: seq, Runners: runners}, Entries: g.state.Load().Entries,
+				ListsAsOf: map[string]time.Time{"z": time.Now()},
+			})
+		}
+		list(2)
+		f.any = []reply{{lost: true}, {status: 503, notExecuted: true}}
+		serve(g, withPart(call("stream"), "bad"))
+		Eventually(func() []quarantine.Crash {
+			serve(g, withPart(call("stream"), "other"))
+			return g.CrashReport(time.Now(), nil).Crashes
+		}).WithTimeout(20 * time.Second).Should(BeEmpty())
+		list(3)
+		Expect(g.CrashReport(time.Now().Add(time.Minute/2), nil).Crashes).To(BeEmpty())
+		Expect(g.evidence.UnsettledRunners()).To(BeEmpty())
+	})
+
 	// Guards against a trial that more than one send makes use of.
 	ginkgo.It("is sent once if this VM may try it, and not at a second runner", func() {
 		g, f := newTestGateway()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -198,7 +198,7 @@
 		return sendResult{}
 	}
 	leg.response.record.conclude(r.g.metrics, execution.Damaged)
-	n := r.failedSend(leg.ctx, leg.runner, &exchange.Error{Addr: leg.runner.Addr, Sent: true, ResponseStarted: true, Err: err})
+	n := r.failedSend(leg.ctx, leg.runner, leg.response.record, &exchange.Error{Addr: leg.runner.Addr, Sent: true, ResponseStarted: true, Err: err})
 	n.inputsGone = leg.inputsGone
 	r.g.runners.finish(leg.runner, n.record)
 	return n
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -46,6 +46,9 @@
 	MaxIdleConns int
 	// OnSent, if not nil, is called once the whole request is written.
 	OnSent func()
+	// OnConnection, if not nil, is called before the request is written, with the time
+	// at which the opening of its connection began.
+	OnConnection func(openedAt time.Time)
 	// OnStep, if not nil, is called at each step of the exchange, from any goroutine.
 	OnStep func(exchange.Step)
 }
--- a/placement/registry.go
+++ b/placement/registry.go
@@ -36,6 +36,9 @@
 	prefixes  map[uint64]time.Time
 }
 
+// Name names the runner, whichever process of it runs.
+func (s *RunnerState) Name() string { return s.ID + " " + s.Addr }
+
 // Registry holds the states of all listed or used runners, by ID and address. It
 // is not safe for concurrent use.
 type Registry struct {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -16,10 +16,13 @@
 
 // Evidence collects what one entry VM observes. It is safe for concurrent use.
 type Evidence struct {
+	maxDoubt time.Duration
+
 	mu sync.Mutex
-	// crashes are the runners lost within the window, in the order of their first
-	// loss.
-	crashes []lostRunner
+	// lost are the processes of runners lost within the window, in the order of their
+	// first loss. At most two of a runner are not settled: a second one stands for all
+	// losses on connections that are newer than the first loss.
+	lost []lostProcess
 	// answered holds when a request with a part was last answered completely.
 	answered answerTimes
 	// contested holds the parts that were quarantined although this VM has had an
@@ -31,18 +34,10 @@
 	claimed map[Part]uint32
 }
 
-// lostRunner is a runner that was lost, with the parts of the requests that were
-// in flight there.
-type lostRunner struct {
-	runner string
-	// at is when the newest of these requests was lost.
-	at    time.Time
-	parts map[Part]bool
-}
-
-// NewEvidence returns empty evidence.
-func NewEvidence() *Evidence {
-	return &Evidence{answered: newAnswerTimes(), contested: map[Part]bool{}, claimed: map[Part]uint32{}}
+// NewEvidence returns empty evidence. maxDoubt is how long the list of runners takes to
+// show this VM whether a runner that was lost has started again.
+func NewEvidence(maxDoubt time.Duration) *Evidence {
+	return &Evidence{maxDoubt: maxDoubt, answered: newAnswerTimes(), contested: map[Part]bool{}, claimed: map[Part]uint32{}}
 }
 
 // RecordAnswer records the complete answer to a request with these parts.
@@ -55,8 +50,7 @@
 }
 
 // RecordLoss records a request with these parts that was lost with the runner.
-// The name of the runner differs for each of its starts.
-func (e *Evidence) RecordLoss(now time.Time, runner string, parts []Part) {
+func (e *Evidence) RecordLoss(now time.Time, x Exchange, parts []Part) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	parts = e.withoutAnswered(now, parts)
@@ -64,49 +58,128 @@
 		return
 	}
 	e.forgetCrashes(now)
-	i := slices.IndexFunc(e.crashes, func(c lostRunner) bool { return c.runner == runner })
-	if i < 0 {
-		if len(e.crashes) == maxCrashes {
-			e.crashes = slices.Delete(e.crashes, 0, 1)
-		}
-		i = len(e.crashes)
-		e.crashes = append(e.crashes, lostRunner{runner: runner, parts: map[Part]bool{}})
-	}
-	e.crashes[i].at = now
-	e.crashes[i].add(parts)
+	l := e.lostProcessOf(now, x)
+	l.at, l.answeredAt = now, time.Time{}
+	l.add(parts)
 	e.forgetOldest()
 }
 
-// add adds parts, up to maxLostParts. Any of them may be the one that ends runners.
-func (c *lostRunner) add(parts []Part) {
-	for _, p := range parts {
-		if len(c.parts) == maxLostParts {
-			return
+// lostProcessOf returns the process with which a request was lost. A connection that
+// is older than a loss ended with the same process; one that was opened after it may
+// have led to a new process.
+func (e *Evidence) lostProcessOf(now time.Time, x Exchange) *lostProcess {
+	unsettled := 0
+	for i := range e.lost {
+		l := &e.lost[i]
+		if l.runner != x.Runner {
+			continue
+		}
+		if !l.settled {
+			unsettled++
 		}
-		c.parts[p] = true
+		if !x.ConnectedAt.After(l.firstAt) || unsettled > 1 {
+			return l
+		}
+	}
+	if len(e.lost) == maxCrashes {
+		e.lost = slices.Delete(e.lost, 0, 1)
 	}
+	e.lost = append(e.lost, lostProcess{runner: x.Runner, process: x.Process, firstAt: now, parts: map[Part]bool{}})
+	return &e.lost[len(e.lost)-1]
 }
 
-// forgetOldest forgets the runners that were lost first while all together have more than
-// maxLostParts parts. It keeps the last one.
+// forgetOldest forgets the processes that were lost first while all together have more
+// than maxLostParts parts. It keeps the last one.
 func (e *Evidence) forgetOldest() {
 	total := 0
-	for _, c := range e.crashes {
-		total += len(c.parts)
+	for i := range e.lost {
+		total += len(e.lost[i].parts)
 	}
-	for total > maxLostParts && len(e.crashes) > 1 {
-		total -= len(e.crashes[0].parts)
-		e.crashes = slices.Delete(e.crashes, 0, 1)
+	for total > maxLostParts && len(e.lost) > 1 {
+		total -= len(e.lost[0].parts)
+		e.lost = slices.Delete(e.lost, 0, 1)
 	}
 }
 
-// RecordAlive records that a runner answered, in whatever way, a request that was
-// sent at the given time. If requests were lost with it before, it had only broken
-// off their answers.
-func (e *Evidence) RecordAlive(runner string, sentAt time.Time) {
+// RecordAlive records that a runner answered, in whatever way. On a connection that is
+// older than a loss, to a request that was sent after it, that shows that the process
+// had only broken off answers. On a newer connection a new process may have answered.
+func (e *Evidence) RecordAlive(now time.Time, x Exchange) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.crashes = slices.DeleteFunc(e.crashes, func(c lostRunner) bool { return c.runner == runner && c.at.Before(sentAt) })
+	e.lost = slices.DeleteFunc(e.lost, func(l lostProcess) bool {
+		return l.runner == x.Runner && !l.settled && l.at.Before(x.SentAt) && !x.ConnectedAt.After(l.firstAt)
+	})
+	for i := range e.lost {
+		if l := &e.lost[i]; l.runner == x.Runner && !l.settled && l.at.Before(x.SentAt) && l.answeredAt.IsZero() {
+			l.answeredAt = now
+		}
+	}
+}
+
+// UnsettledRunners returns the runners of which the list is to show whether they have
+// started again.
+func (e *Evidence) UnsettledRunners() Runners {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var runners Runners
+	for i := range e.lost {
+		if l := &e.lost[i]; !l.settled {
+			if runners == nil {
+				runners = Runners{}
+			}
+			runners[l.runner] = Listed{}
+		}
+	}
+	return runners
+}
+
+// Runners holds what the list shows, by the names of runners.
+type Runners map[string]Listed
+
+// Listed is what the list of runners shows of a runner.
+type Listed struct {
+	// Process names the process, "" if the runner is not listed.
+	Process string
+	// AsOf is a time at which the process was the runner's newest one, zero if the
+	// list does not tell processes of the runner apart.
+	AsOf time.Time
+}
+
+// RecordListed records what the list shows of runners with losses. It returns how many
+// losses turn out to be crashes, and how many to be broken connections of processes that
+// go on.
+func (e *Evidence) RecordListed(runners Runners) (crashes, broken int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = slices.DeleteFunc(e.lost, func(l lostProcess) bool {
+		shown, asked := runners[l.runner]
+		if l.settled || !asked || l.process != shown.Process || l.answeredAt.IsZero() || shown.AsOf.Before(l.answeredAt) {
+			return false
+		}
+		broken++
+		return true
+	})
+	// The first unsettled loss of a runner is that of the process that the list showed
+	// before; a second one is that of a later process.
+	followed := map[string]bool{}
+	for i := range e.lost {
+		l := &e.lost[i]
+		shown, asked := runners[l.runner]
+		if l.settled || !asked {
+			continue
+		}
+		switch {
+		case l.process == shown.Process:
+		case followed[l.runner] && shown.Process != "":
+			l.process = shown.Process
+		default:
+			l.settled = true
+			crashes++
+		}
+		followed[l.runner] = true
+	}
+	return crashes, broken
 }
 
 // withoutAnswered returns the parts without an answer within the window.
@@ -115,7 +188,7 @@
 }
 
 func (e *Evidence) forgetCrashes(now time.Time) {
-	e.crashes = slices.DeleteFunc(e.crashes, func(c lostRunner) bool { return now.Sub(c.at) > evidenceWindow })
+	e.lost = slices.DeleteFunc(e.lost, func(l lostProcess) bool { return now.Sub(l.at) > evidenceWindow })
 }
 
 // HasAnswer reports whether a request with the part was answered at this VM within
@@ -145,18 +218,33 @@
 	defer e.mu.Unlock()
 	e.forgetCrashes(now)
 	r := &Report{}
-	for _, c := range e.crashes {
-		if parts := e.withoutAnswered(now, slices.Sorted(maps.Keys(c.parts))); len(parts) > 0 {
-			r.Crashes = append(r.Crashes, Crash{Runner: c.runner, Parts: parts})
-		}
-	}
+	r.Crashes = limitParts(e.crashes(now))
 	for p := range quarantined {
 		e.contested[p] = true
 	}
-	r.Crashes = limitParts(r.Crashes)
 	maps.DeleteFunc(e.contested, func(p Part, _ bool) bool { return !e.answered.has(now, p) })
 	maps.DeleteFunc(e.claimed, func(p Part, _ uint32) bool { _, ok := quarantined[p]; return !ok })
 	r.Answered = slices.Sorted(maps.Keys(e.contested))
 	r.Quarantined = quarantined.WithoutTrials()
 	return r
 }
+
+// crashes returns the losses that count as crashes, one for each process.
+func (e *Evidence) crashes(now time.Time) []Crash {
+	var list []Crash
+	for i := range e.lost {
+		l := &e.lost[i]
+		parts := e.withoutAnswered(now, slices.Sorted(maps.Keys(l.parts)))
+		if len(parts) == 0 || !l.isCrash(now, e.maxDoubt) {
+			continue
+		}
+		if known := slices.IndexFunc(list, func(c Crash) bool { return c.Runner == l.process }); known >= 0 {
+			parts = append(list[known].Parts, parts...)
+			slices.Sort(parts)
+			list[known].Parts = slices.Compact(parts)
+			continue
+		}
+		list = append(list, Crash{Runner: l.process, Parts: parts})
+	}
+	return list
+}
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -9,6 +9,15 @@
 	. "github.com/onsi/gomega"
 )
 
+// testDoubt is the time within which the list decides in these tests.
+const testDoubt = 3 * time.Second
+
+// on names an exchange with a runner that has one process only, on a connection that
+// was opened at start.
+func on(runner string) Exchange {
+	return Exchange{Runner: runner, Process: runner, ConnectedAt: start, SentAt: start}
+}
+
 // partsFrom returns n parts from first on.
 func partsFrom(first, n int) []Part {
 	parts := make([]Part, n)
@@ -30,11 +39,11 @@
 	const bad, shared Part = 1, 2
 
 	ginkgo.It("joins the requests that one start of a runner has lost, without parts that were answered", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		e.RecordAnswer(start, []Part{shared})
-		e.RecordLoss(start, "r1", []Part{shared, bad})
-		e.RecordLoss(start, "r1", []Part{3})
-		e.RecordLoss(start, "r2", []Part{shared})
+		e.RecordLoss(start, on("r1"), []Part{shared, bad})
+		e.RecordLoss(start, on("r1"), []Part{3})
+		e.RecordLoss(start, on("r2"), []Part{shared})
 		Expect(e.Report(start, nil)).To(Equal(&Report{Crashes: []Crash{{Runner: "r1", Parts: []Part{bad, 3}}}}))
 		e.RecordAnswer(start, []Part{3})
 		Expect(e.Report(start, nil).Crashes[0].Parts).To(Equal([]Part{bad}))
@@ -43,32 +52,32 @@
 	// Guards against a bad part that finds no place among the parts of the many
 	// requests that were lost with it.
 	ginkgo.It("has room for the part without answers when many requests are lost with a runner", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		for i := range maxReportedParts + 1 {
 			e.RecordAnswer(start, []Part{Part(100 + i)})
-			e.RecordLoss(start, "r1", []Part{Part(100 + i)})
+			e.RecordLoss(start, on("r1"), []Part{Part(100 + i)})
 		}
 		Expect(e.Report(start, nil).IsEmpty()).To(BeTrue())
-		e.RecordLoss(start, "r1", []Part{bad})
+		e.RecordLoss(start, on("r1"), []Part{bad})
 		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}}}))
 	})
 
 	// Guards against a bad part that is not reported because it stands behind many others
 	// of its prompt.
 	ginkgo.It("reports a part wherever it stands in a long prompt", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		prompt := append(partsFrom(1000, maxReportedParts-1), bad)
-		e.RecordLoss(start, "r1", prompt)
+		e.RecordLoss(start, on("r1"), prompt)
 		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: slices.Sorted(slices.Values(prompt))}}))
 		e.RecordAnswer(start, prompt[:len(prompt)-1])
 		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}}}))
 	})
 
 	ginkgo.It("reports the parts of most crashes if there are too many", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		const last Part = 1 << 60
 		for n := range 3 {
-			e.RecordLoss(start, fmt.Sprint("r", n), append(partsFrom(10_000*n+1000, 2*maxReportedParts), last))
+			e.RecordLoss(start, on(fmt.Sprint("r", n)), append(partsFrom(10_000*n+1000, 2*maxReportedParts), last))
 		}
 		crashes := e.Report(start, nil).Crashes
 		Expect(crashes).To(HaveLen(3))
@@ -76,30 +85,35 @@
 			Expect(c.Parts).To(ContainElement(last))
 		}
 		Expect(countParts(crashes)).To(BeNumerically("<=", maxReportedParts))
-		other := NewEvidence()
-		other.RecordLoss(start, "r9", append(partsFrom(1000, 2*maxReportedParts), last))
+		other := NewEvidence(testDoubt)
+		other.RecordLoss(start, on("r9"), append(partsFrom(1000, 2*maxReportedParts), last))
 		Expect(other.Report(start, nil).Crashes[0].Parts).To(Equal(partsFrom(1000, maxReportedParts)), "the same parts at every VM")
 	})
 
 	// Guards against a runner that breaks off answers and is taken for one that ended.
 	ginkgo.It("withdraws a loss when the same start of the runner answers a later request", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		sentAt := start.Add(time.Second)
-		e.RecordLoss(sentAt, "r1", []Part{bad})
-		e.RecordAlive("r1", start)
-		e.RecordAlive("r1", sentAt)
-		e.RecordAlive("r2", sentAt.Add(time.Second))
+		alive := func(runner string, sentAt time.Time) {
+			x := on(runner)
+			x.SentAt = sentAt
+			e.RecordAlive(sentAt, x)
+		}
+		e.RecordLoss(sentAt, on("r1"), []Part{bad})
+		alive("r1", start)
+		alive("r1", sentAt)
+		alive("r2", sentAt.Add(time.Second))
 		Expect(e.Report(sentAt, nil).Crashes).To(HaveLen(1))
-		e.RecordLoss(sentAt.Add(2*time.Second), "r1", []Part{3})
-		e.RecordAlive("r1", sentAt.Add(time.Second))
+		e.RecordLoss(sentAt.Add(2*time.Second), on("r1"), []Part{3})
+		alive("r1", sentAt.Add(time.Second))
 		Expect(e.Report(sentAt, nil).Crashes).To(HaveLen(1))
-		e.RecordAlive("r1", sentAt.Add(3*time.Second))
+		alive("r1", sentAt.Add(3*time.Second))
 		Expect(e.Report(sentAt, nil).IsEmpty()).To(BeTrue())
 	})
 
 	ginkgo.It("forgets crashes and answers after the window", func() {
-		e := NewEvidence()
-		e.RecordLoss(start, "r1", []Part{bad})
+		e := NewEvidence(testDoubt)
+		e.RecordLoss(start, on("r1"), []Part{bad})
 		e.RecordAnswer(start, []Part{shared})
 		later := start.Add(evidenceWindow + time.Second)
 		Expect(e.Report(later, nil).IsEmpty()).To(BeTrue())
@@ -109,7 +123,7 @@
 
 	// Guards against a part that is quarantined and freed in turn.
 	ginkgo.It("contests the quarantine of a part that was answered, as long as the answer counts", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		e.RecordAnswer(start, []Part{shared})
 		report := e.Report(start, NewKnown([]Quarantined{{Part: bad, Failed: 2, Trial: Trial{VM: "a", Number: 3}}, {Part: shared}}))
 		Expect(report.Answered).To(Equal([]Part{shared}))
@@ -119,7 +133,7 @@
 	})
 
 	ginkgo.It("lets one request claim each trial of a part", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		Expect(e.ClaimTrial(bad, 1)).To(BeTrue())
 		Expect(e.ClaimTrial(bad, 1)).To(BeFalse())
 		Expect(e.ClaimTrial(bad, 2)).To(BeTrue())
@@ -130,26 +144,26 @@
 	})
 
 	ginkgo.It("stays bounded", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		for i := range 3 * maxAnswered {
 			e.RecordAnswer(start, []Part{Part(i)})
-			e.RecordLoss(start, fmt.Sprint("r", i), []Part{Part(i), Part(-i)})
-			e.RecordLoss(start, "last", []Part{Part(1_000_000 + i)})
+			e.RecordLoss(start, on(fmt.Sprint("r", i)), []Part{Part(i), Part(-i)})
+			e.RecordLoss(start, on("last"), []Part{Part(1_000_000 + i)})
 		}
 		Expect(len(e.answered.newer) + len(e.answered.older)).To(BeNumerically("<=", maxAnswered+1))
 		report := e.Report(start.Add(time.Second), nil)
 		Expect(len(report.Crashes)).To(BeNumerically("<=", maxCrashes))
 		Expect(countParts(report.Crashes)).To(BeNumerically("<=", maxReportedParts))
 		lost := 0
-		for _, c := range e.crashes {
-			lost += len(c.parts)
+		for _, l := range e.lost {
+			lost += len(l.parts)
 		}
 		Expect(lost).To(BeNumerically("<=", maxLostParts+2))
 	})
 
 	// Guards against answers that are all forgotten when there are many.
 	ginkgo.It("remembers the latest answers when there are too many", func() {
-		e := NewEvidence()
+		e := NewEvidence(testDoubt)
 		e.RecordAnswer(start, partsFrom(0, 3*maxAnswered))
 		Expect(e.HasAnswer(start, Part(3*maxAnswered-1))).To(BeTrue())
 		Expect(e.HasAnswer(start, Part(3*maxAnswered-maxAnswered/2))).To(BeTrue())
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -15,7 +15,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const bad Part = 100
 		now := start
-		vms := []*Evidence{NewEvidence(), NewEvidence(), NewEvidence()}
+		vms := []*Evidence{NewEvidence(testDoubt), NewEvidence(testDoubt), NewEvidence(testDoubt)}
 		pickVM := func(label string) *Evidence { return vms[rapid.IntRange(0, len(vms)-1).Draw(t, label)] }
 		pickParts := func() []Part {
 			return rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Part { return Part(rapid.IntRange(1, 6).Draw(t, "part")) }), 1, 3, rapid.ID[Part]).Draw(t, "parts")
@@ -35,9 +35,9 @@
 		for n := range crashes {
 			now = now.Add(time.Second)
 			runner := fmt.Sprint("r", n)
-			pickVM("bad at").RecordLoss(now, runner, append(pickParts(), bad))
+			pickVM("bad at").RecordLoss(now, on(runner), append(pickParts(), bad))
 			for range rapid.IntRange(0, 3).Draw(t, "beside") {
-				pickVM("lost at").RecordLoss(now, runner, pickParts())
+				pickVM("lost at").RecordLoss(now, on(runner), pickParts())
 			}
 			for range rapid.IntRange(0, 3).Draw(t, "normal") {
 				parts := pickParts()
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -21,7 +21,7 @@
 func newTestVMs(names ...string) *testVMs {
 	s := &testVMs{now: start, names: names, evidence: map[string]*Evidence{}, detector: NewDetector(start, nil), known: Known{}}
 	for _, name := range names {
-		s.evidence[name] = NewEvidence()
+		s.evidence[name] = NewEvidence(testDoubt)
 	}
 	return s
 }
@@ -54,7 +54,7 @@
 		for _, vm := range s.names {
 			if s.sends(vm, p) {
 				sent++
-				s.evidence[vm].RecordLoss(s.now, fmt.Sprint(vm, s.now), []Part{p})
+				s.evidence[vm].RecordLoss(s.now, on(fmt.Sprint(vm, s.now)), []Part{p})
 			}
 		}
 	}
@@ -117,7 +117,7 @@
 		s.lose(part, minCrashes*time.Second)
 		for s.lose(part, time.Second) == 0 {
 		}
-		s.evidence["a"].RecordLoss(s.now, "late", []Part{part})
+		s.evidence["a"].RecordLoss(s.now, on("late"), []Part{part})
 		s.pass()
 		Expect(s.lose(part, trialWaitFactor*firstTrialWait+2*time.Second)).To(Equal(1))
 	})
