gateway, advice: the word of a process that the list does not show yet holds on

What callers would see: requests that a runner has asked to be spared, and refuses (BUDGET, DRAIN by the users' additions).

Cause: what a runner says of a pause or of leaving is kept by the name of its process. A runner that restarts under its ID has the name of the process before until the list shows the start, and then the word was forgotten with that name.

Change: what was said later than the list is known to have shown the process before holds for the next one too. A leaving that may be the former process's is forgotten once the list, as of after the word, shows the new one as staying.

Measured: without it the new spec fails (all three runners are usable where one should be); each of the nine conditions switched off fails a spec or TestSucceed. "does not count for the next process of the runner" publishes a reading of the list after the words now: that is what tells them from the new process's.

--- a/advice/advice_test.go
+++ b/advice/advice_test.go
@@ -65,6 +65,57 @@
 	}
 }
 
+// TestSucceed guards against a word of a process that is forgotten because it was said
+// before the list showed the process, and against one of the process before that holds
+// on.
+func TestSucceed(t *testing.T) {
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	says := func() *Book {
+		var b Book
+		b.Record(at(10), "old", Advice{Leaving: true, Pause: time.Minute})
+		return &b
+	}
+	check := func(b *Book, what string, leaving, paused bool) {
+		t.Helper()
+		if got := !b.LeavingSince("new").IsZero(); got != leaving {
+			t.Errorf("%s: the new process leaves: %v", what, got)
+		}
+		if got := !b.PausedUntil(at(20), "new").IsZero(); got != paused {
+			t.Errorf("%s: the new process pauses: %v", what, got)
+		}
+	}
+	b := says()
+	b.Succeed(at(11), "old", "new", at(10))
+	check(b, "said before", false, false)
+	if b.HasInherited() {
+		t.Error("a word is inherited that was said before")
+	}
+
+	b = says()
+	b.Succeed(at(11), "old", "new", at(9))
+	b.RecordStaying("new", at(9))
+	check(b, "not decided yet", true, true)
+	if !b.HasInherited() {
+		t.Error("nothing is inherited")
+	}
+	b.RecordStaying("new", at(10))
+	check(b, "the new process stays", false, true)
+	if b.HasInherited() {
+		t.Error("a word goes on to be inherited")
+	}
+
+	b = says()
+	b.Succeed(at(11), "old", "new", at(9))
+	b.Record(at(12), "new", Advice{Leaving: true})
+	b.RecordStaying("new", at(13))
+	check(b, "its own word", true, true)
+
+	b = says()
+	b.Record(at(10), "new", Advice{Pause: time.Second})
+	b.Succeed(at(11), "old", "new", at(9))
+	check(b, "it has spoken already", false, false)
+}
+
 // TestBound guards against memory that grows with each runner that ever said a word.
 func TestBound(t *testing.T) {
 	var b Book
--- a/advice/book.go
+++ b/advice/book.go
@@ -20,6 +20,8 @@
 	processes map[string]*processState
 	// lastPauseEnd is the end of the pause that ends last.
 	lastPauseEnd time.Time
+	// inherited is the number of processes whose leaving is inherited.
+	inherited int
 }
 
 // processState is what one process has said.
@@ -27,6 +29,8 @@
 	leavingSince time.Time
 	pausedUntil  time.Time
 	saidAt       time.Time
+	// inherited is true if the process before may have said that it leaves.
+	inherited bool
 }
 
 // Record stores the advice of a process. changed reports whether the process may
@@ -43,6 +47,9 @@
 		s = b.add(now, process)
 	}
 	s.saidAt = now
+	if a.Leaving {
+		b.setInherited(s, false)
+	}
 	if a.Leaving && s.leavingSince.IsZero() {
 		s.leavingSince = now
 		changed, isNew = true, true
@@ -57,6 +64,56 @@
 	return changed, isNew
 }
 
+// Succeed records that the list of runners shows next as the process of a runner in
+// place of previous. The list lags: what was said later than since may have been the
+// word of next, and holds for it too.
+func (b *Book) Succeed(now time.Time, previous, next string, since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	said := b.processes[previous]
+	if said == nil || !said.saidAt.After(since) || b.processes[next] != nil {
+		return
+	}
+	s := b.add(now, next)
+	s.leavingSince, s.pausedUntil, s.saidAt = said.leavingSince, said.pausedUntil, said.saidAt
+	b.setInherited(s, !s.leavingSince.IsZero())
+}
+
+// HasInherited reports whether it is open for any process whether it has said itself
+// that it leaves.
+func (b *Book) HasInherited() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.inherited > 0
+}
+
+// RecordStaying records that the list of runners shows a process as one that does not
+// leave, as of a time. If that is after the word that it leaves, this was the word of the
+// process before.
+func (b *Book) RecordStaying(process string, asOf time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.processes[process]
+	if s == nil || !s.inherited || asOf.Before(s.saidAt) {
+		return
+	}
+	s.leavingSince = time.Time{}
+	b.setInherited(s, false)
+}
+
+// setInherited sets whether the leaving of a process is inherited. b.mu is held.
+func (b *Book) setInherited(s *processState, inherited bool) {
+	if s.inherited == inherited {
+		return
+	}
+	s.inherited = inherited
+	if inherited {
+		b.inherited++
+	} else {
+		b.inherited--
+	}
+}
+
 // add adds a process and forgets those that have been silent for long.
 func (b *Book) add(now time.Time, process string) *processState {
 	if b.processes == nil {
@@ -65,6 +122,7 @@
 	if len(b.processes) >= maxProcesses {
 		for name, s := range b.processes {
 			if now.Sub(s.saidAt) > memory {
+				b.setInherited(s, false)
 				delete(b.processes, name)
 			}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,8 +107,9 @@
 	old := g.state.Swap(s)
 	g.runners.setState(time.Now(), s)
 	if s.List != nil && s.List != old.List {
-		g.runners.update(time.Now(), s.List)
+		g.runners.update(time.Now(), s.List, g.listTruth(old))
 	}
+	g.runners.settleLeaving(g.listTruth(s))
 	g.settleLosses(s)
 	if len(s.Entries) != len(old.Entries) {
 		g.budgets.setVMs(len(s.Entries))
@@ -124,6 +125,12 @@
 	g.rosterWaitOnce.Do(func() { time.AfterFunc(maxRosterWait, g.markConfigured) })
 }
 
+// listTruth returns what tells, for a data centre, the latest time at which its runners
+// are known to have been as the list of a state shows them. The platform's list lags.
+func (g *Gateway) listTruth(s *directory.State) func(zone string) time.Time {
+	return func(zone string) time.Time { return s.ListAsOf(zone).Add(-g.opts.ListLag) }
+}
+
 func (g *Gateway) markConfigured() {
 	g.configuredOnce.Do(func() { close(g.configured) })
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -82,7 +82,7 @@
 	if len(unsettled) == 0 {
 		return
 	}
-	g.runners.fillListed(unsettled, func(zone string) time.Time { return s.ListAsOf(zone).Add(-g.opts.ListLag) })
+	g.runners.fillListed(unsettled, g.listTruth(s))
 	crashes, broken := g.evidence.RecordListed(unsettled)
 	if crashes+broken == 0 {
 		return
--- a/gateway/runner_advice_test.go
+++ b/gateway/runner_advice_test.go
@@ -133,20 +133,57 @@
 		Expect(g.runners.candidates(time.Now().Add(21*time.Second), &runnerQuery{service: g.Table().Service("ledger")})).To(HaveLen(1))
 	})
 
+	// usable returns the runners of the ledger that may be sent requests.
+	usable := func(g *Gateway) (ids []string) {
+		g.runners.mu.Lock()
+		defer g.runners.mu.Unlock()
+		for _, r := range g.runners.candidates(time.Now(), &runnerQuery{service: g.Table().Service("ledger")}) {
+			ids = append(ids, r.ID)
+		}
+		return ids
+	}
+	// read publishes that the list of runners was read just now.
+	read := func(g *Gateway) {
+		next := *g.state.Load()
+		next.ListsAsOf = map[string]time.Time{"z": time.Now()}
+		g.Update(&next)
+	}
+
 	// Guards against a word that outlives its process: an address, or an ID, may be
 	// used again.
 	ginkgo.It("does not count for the next process of the runner", func() {
 		g, _ := newTestGateway()
 		g.recordAdviceAt("ledger1:80", "ledger1", leaving)
 		g.recordAdviceAt("ledger2:80", "ledger2", pausing)
-		usable := func() int {
-			g.runners.mu.Lock()
-			defer g.runners.mu.Unlock()
-			return len(g.runners.candidates(time.Now(), &runnerQuery{service: g.Table().Service("ledger")}))
-		}
-		Expect(usable()).To(Equal(1))
+		Expect(usable(g)).To(ConsistOf("ledger3"))
+		read(g)
+		Expect(usable(g)).To(ConsistOf("ledger3"))
+		relist(g, func(r *directory.Runner) { r.StartedUnixMS = 5 })
+		Expect(usable(g)).To(HaveLen(3))
+	})
+
+	// Guards against a word that is forgotten because the list shows only later that it
+	// was the next process's: a runner that restarts under its ID may ask for a pause at
+	// once.
+	ginkgo.It("counts for the next process of the runner if it may have said it before the list showed it", func() {
+		g, _ := newTestGateway()
+		read(g)
+		g.recordAdviceAt("ledger1:80", "ledger1", leaving)
+		g.recordAdviceAt("ledger2:80", "ledger2", pausing)
+		relist(g, func(r *directory.Runner) { r.StartedUnixMS = 5 })
+		Expect(usable(g)).To(ConsistOf("ledger3"))
+		read(g)
+		Expect(usable(g)).To(ConsistOf("ledger1", "ledger3"), "the list shows that the next process stays")
+	})
+
+	ginkgo.It("counts for the next process while the list shows it leaving, or does not tell as of when it stays", func() {
+		g, _ := newTestGateway()
+		read(g)
+		g.recordAdviceAt("ledger1:80", "ledger1", leaving)
+		relist(g, func(r *directory.Runner) { r.StartedUnixMS, r.Draining = 5, r.ID == "ledger1" })
+		read(g)
 		relist(g, func(r *directory.Runner) { r.StartedUnixMS = 5 })
-		Expect(usable()).To(Equal(3))
+		Expect(usable(g)).To(ConsistOf("ledger2", "ledger3"), "as of when is not known")
 	})
 
 	// Guards against calls after the first of two pauses, of which the second is longer.
--- a/gateway/runners.go
+++ b/gateway/runners.go
@@ -53,8 +53,9 @@
 	return &runnerSet{topology: topology, drainGrace: drainGrace, advice: said, warmUps: warmUps, registry: placement.NewRegistry(), byService: map[string][]listedRunner{}}
 }
 
-// update replaces the list of runners.
-func (r *runnerSet) update(now time.Time, list *directory.RunnerList) {
+// update replaces the list of runners. since returns, for a data centre, the latest time
+// at which its runners are known to have been as the list before shows them.
+func (r *runnerSet) update(now time.Time, list *directory.RunnerList, since func(zone string) time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := map[*placement.RunnerState]listedRunner{}
@@ -75,6 +76,9 @@
 		item := listedRunner{Runner: x, state: runner, process: previous.process, drainingSince: previous.drainingSince, coldUntil: previous.coldUntil}
 		if !ok || previous.StartedUnixMS != x.StartedUnixMS {
 			item.process = x.Process()
+			if ok {
+				r.advice.Succeed(now, previous.process, item.process, since(x.Zone))
+			}
 			runner.Recovery = warmup.Recovery{}
 		}
 		if !ok || previous.WarmupLeftMS != x.WarmupLeftMS || previous.StartedUnixMS != x.StartedUnixMS {
@@ -90,6 +94,23 @@
 	r.registry.Retain(func(id, addr string) bool { return known[id+" "+addr] })
 }
 
+// settleLeaving forgets that runners leave whose process before has said so. asOf returns,
+// for a data centre, a time at which its runners were as the list shows them.
+func (r *runnerSet) settleLeaving(asOf func(zone string) time.Time) {
+	if !r.advice.HasInherited() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, list := range r.byService {
+		for i := range list {
+			if l := &list[i]; !l.Draining {
+				r.advice.RecordStaying(l.process, asOf(l.Zone))
+			}
+		}
+	}
+}
+
 // candidates returns the runners that may receive a request, except those that
 // have asked for a pause. Draining runners, also those that have only said so
 // themselves, are returned only while no other one is listed, and for at most
