gateway: failures of this VM are no crashes of runners; one recorder of evidence

What callers would see: sound requests refused as quarantined (LOST) when an entry VM had no memory for answers, or its runners sent answers that it gives up.

Cause: each error after a request was sent was recorded as a loss with the runner, whoever had made it, and evidence was written in four places with their own conditions.

Change: request.observe takes one typed finding for buffered answers, streams and standbys; failureFinding and endFinding say which row of the table (docs/design/runner-processes.md) an attempt is. An error of this VM, or in what it read, shows nothing.

Measured: with the former rule five rows of the new table fail (event too large, answer too large, no memory for the head, for events, for the answer); without each of the two rows for answers to a resume its spec fails.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -136,7 +136,7 @@
 		return nil, r.failedSend(ctx, runner, record, err)
 	}
 	response.record = record
-	r.recordAlive(runner, response)
+	r.observe(runner, record, headFinding(response))
 	r.g.recordAdvice(runner.Addr, r.g.runners.startOf(runner), response.Advice)
 	r.g.runners.updateLoad(runner, response.Load)
 	if !response.Conclusion.NotExecuted() {
@@ -175,16 +175,11 @@
 	n.arrived = n.executed
 	if n.executed {
 		n.reason = "lost"
-		r.recordLoss(ctx, runner, record)
 	}
+	r.observe(runner, record, failureFinding(ctx, n.executed, err))
 	if ctx.Err() == nil {
 		now := time.Now()
-		n.record = func(s *placement.RunnerState) {
-			s.RecordFailure(now)
-			if !n.executed {
-				s.Recovery.RecordFailure(now)
-			}
-		}
+		n.record = func(s *placement.RunnerState) { s.RecordFailure(now) }
 	}
 	return n
 }
@@ -202,7 +197,7 @@
 		return n.attemptResult
 	}
 	r.g.runners.finish(runner, (*placement.RunnerState).RecordSuccess)
-	r.recordAnswer(response)
+	r.observe(runner, response.record, endFinding(response))
 	v := attemptResult{executed: true, arrived: true, cause: "status"}
 	if response.Status >= http.StatusInternalServerError {
 		r.executions++
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"damaskbridge.example/damaskbridge/directory"
-	"damaskbridge.example/damaskbridge/execution"
-	"damaskbridge.example/damaskbridge/placement"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
@@ -53,29 +50,6 @@
 	return true
 }
 
-// recordLoss records that a runner was lost while it may have executed the
-// request, unless the request was given up here.
-func (r *request) recordLoss(ctx context.Context, runner *placement.RunnerState, record *attemptRecord) {
-	if ctx.Err() == nil {
-		r.g.evidence.RecordLoss(time.Now(), r.g.runners.exchangeWith(runner, record), r.sharedParts())
-	}
-}
-
-// recordAlive records that a runner, and not another one at its address, has
-// answered.
-func (r *request) recordAlive(runner *placement.RunnerState, response *Response) {
-	if response.Conclusion != execution.Misdirected {
-		now := time.Now()
-		r.g.evidence.RecordAlive(now, r.g.runners.exchangeWith(runner, response.record))
-		r.g.runners.recordAnswered(now, runner)
-	}
-}
-
-// exchangeWith names an attempt at a runner as evidence.
-func (r *runnerSet) exchangeWith(runner *placement.RunnerState, record *attemptRecord) quarantine.Exchange {
-	return quarantine.Exchange{Runner: runner.Name(), Process: r.startOf(runner), ConnectedAt: record.connected(), SentAt: record.began}
-}
-
 // settleLosses decides by the list which of the runners that were lost have crashed.
 func (g *Gateway) settleLosses(s *directory.State) {
 	unsettled := g.evidence.UnsettledRunners()
@@ -113,41 +87,6 @@
 	}
 }
 
-// recordAnswer records a complete answer. An answer that ends with its connection
-// may also be one that a crash has cut short.
-func (r *request) recordAnswer(response *Response) {
-	if response.Status/100 == 2 && !response.EndsWithConnection {
-		r.g.evidence.RecordAnswer(time.Now(), r.sharedParts())
-	}
-}
-
-// soundAnswerTime is how long after its first event an answer must still go on to
-// show that its prompt does not crash engines: these end as they begin to answer.
-const soundAnswerTime = time.Second
-
-// streamProgress tells when an answer has gone on for soundAnswerTime.
-type streamProgress struct {
-	firstEventAt time.Time
-	sound        bool
-}
-
-// event records an event. It reports whether the answer has turned out sound with
-// it.
-func (p *streamProgress) event(now time.Time) bool {
-	if p.firstEventAt.IsZero() {
-		p.firstEventAt = now
-	}
-	if p.sound || now.Sub(p.firstEventAt) < soundAnswerTime {
-		return false
-	}
-	p.sound = true
-	return true
-}
-
-func (r *request) sharedParts() []quarantine.Part {
-	return quarantine.PartsOf(r.call.Prompt.SharedIDs())
-}
-
 // CrashReport returns what this VM has observed of crashed runners, given the
 // parts that are quarantined.
 func (g *Gateway) CrashReport(now time.Time, quarantined quarantine.Known) *quarantine.Report {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -191,7 +191,7 @@
 	switch {
 	case err == nil:
 		r.g.runners.finish(leg.runner, (*placement.RunnerState).RecordSuccess)
-		r.recordAnswer(leg.response)
+		r.observe(leg.runner, leg.response.record, endFinding(leg.response))
 		return sendResult{}
 	case errors.As(err, &gone):
 		r.g.runners.finish(leg.runner, nil)
@@ -241,8 +241,8 @@
 	if progressed {
 		leg.prefillDone()
 		r.freeInputs()
-		if now := time.Now(); progress.event(now) {
-			r.g.evidence.RecordAnswer(now, r.sharedParts())
+		if progress.event(time.Now()) {
+			r.observe(leg.runner, leg.response.record, foundGoingOn)
 		}
 	}
 	if len(events) > 0 {
