quarantine: short answers without an end mark count once their process goes on

Cause: an orderly end of a connection may be that of a crash, so such answers counted for nothing unless they went on for a second.

Change: their parts are kept and count as answered once the runner answers a later request and the list, as of then, shows the same start; if the list shows another start, or does not tell starts apart, they count for nothing.

Why it works: a crash that cuts an answer short ends the process, so an answer whose process goes on was whole.

--- a/gateway/runner_evidence.go
+++ b/gateway/runner_evidence.go
@@ -32,6 +32,9 @@
 	foundGoingOn
 	// foundComplete: a successful answer has come to its own end.
 	foundComplete
+	// foundEnded: a successful answer without an end mark has ended with its connection,
+	// outside an event if it was a stream.
+	foundEnded
 )
 
 // soundAnswerTime is how long after its first event an answer must still go on to
@@ -52,6 +55,8 @@
 		r.g.runners.recordAnswered(now, runner)
 	case foundGoingOn, foundComplete:
 		r.g.evidence.RecordAnswer(now, r.sharedParts())
+	case foundEnded:
+		r.g.evidence.RecordEnded(now, r.g.runners.exchangeWith(runner, attempt), r.sharedParts())
 	case foundNothing, foundMisdirected:
 	}
 }
@@ -68,8 +73,11 @@
 // status that is no success shows nothing of the prompt: the runner may not have looked at
 // it. An end that is only that of the connection may also be one that a crash has made.
 func endFinding(response *Response) finding {
-	if response.Status/100 != http.StatusOK/100 || response.EndsWithConnection {
+	switch {
+	case response.Status/100 != http.StatusOK/100:
 		return foundNothing
+	case response.EndsWithConnection:
+		return foundEnded
 	}
 	return foundComplete
 }
--- a/gateway/runner_evidence_test.go
+++ b/gateway/runner_evidence_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"damaskbridge.example/damaskbridge/buffers"
+	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
@@ -47,6 +48,7 @@
 		ginkgo.Entry("orderly end inside an event", reply{status: 200, body: events(1, 2) + "data: "}, lost),
 		ginkgo.Entry("own end", reply{status: 200, body: events(1, 2)}, answered),
 		ginkgo.Entry("own end without an event", reply{status: 200}, answered),
+		ginkgo.Entry("end of the connection after an event", reply{status: 200, body: events(1, 2), endsWithConnection: true}, neither),
 		ginkgo.Entry("end of the connection before the first event", reply{status: 200, endsWithConnection: true}, lost),
 		ginkgo.Entry("error status", reply{status: 500, body: events(1, 2)}, neither),
 		ginkgo.Entry("client error", reply{status: 400, body: events(1, 2)}, neither),
@@ -56,6 +58,31 @@
 		ginkgo.Entry("event too large", reply{status: 200, body: events(1, 2) + "data: " + strings.Repeat("x", 2*maxEventBytes)}, neither),
 	)
 
+	// Guards against sound parts that never count as answered because their short streams
+	// have neither a length nor chunks (review/12).
+	ginkgo.DescribeTable("at the end of a stream that only its connection ends, once the list shows that the runner goes on",
+		func(body string, want shown) {
+			g, f := newTestGateway()
+			list := func(started int64, asOf time.Time) {
+				g.Update(&directory.State{
+					Table: g.Table(), Entries: g.state.Load().Entries, ListsAsOf: map[string]time.Time{"z": asOf},
+					List: &directory.RunnerList{Seq: 2, Runners: []directory.Runner{{ID: "engines1", Service: "engines", Addr: "engines1:80", Zone: "z", StartedUnixMS: started}}},
+				})
+			}
+			list(1, time.Now())
+			Expect(play(g, f, "stream", reply{status: 200, body: body, endsWithConnection: true})).To(Equal(shown{lost: want.lost}))
+			if !want.lost {
+				f.any = []reply{{status: 400}}
+				Expect(serve(g, call("stream")).status).To(Equal(400))
+			}
+			list(1, time.Now())
+			Expect(shows(g)).To(Equal(want))
+		},
+		ginkgo.Entry("outside an event", events(1, 2), answered),
+		ginkgo.Entry("inside an event", events(1, 2)+"data: ", lost),
+		ginkgo.Entry("before the first event", ": comment\n\n", lost),
+	)
+
 	ginkgo.DescribeTable("if a stream goes on for a while and then breaks",
 		func(status int, want shown) {
 			g, f := newTestGateway()
--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -20,11 +20,15 @@
 
 func newAnswerTimes() answerTimes { return answerTimes{newer: map[Part]time.Time{}} }
 
-func (a *answerTimes) record(now time.Time, p Part) {
+// record records an answer at a time, which may be before that of the latest one.
+func (a *answerTimes) record(at time.Time, p Part) {
+	if a.newer[p].After(at) {
+		return
+	}
 	if len(a.newer) >= maxAnswered/2 {
 		a.newer, a.older = map[Part]time.Time{}, a.newer
 	}
-	a.newer[p] = now
+	a.newer[p] = at
 }
 
 // has reports whether the part was answered within the window.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -23,6 +23,9 @@
 	// first loss. At most two of a runner are not settled: a second one stands for all
 	// losses on connections that are newer than the first loss.
 	lost []lostProcess
+	// ended are the answers of which it is not decided yet whether they were whole, in
+	// the order of their first ones.
+	ended []endedAnswers
 	// answered holds when a request with a part was last answered completely.
 	answered answerTimes
 	// contested holds the parts that were quarantined although this VM has had an
@@ -115,22 +118,24 @@
 			l.answeredAt = now
 		}
 	}
+	e.aliveAfterEnded(now, x)
 }
 
 // UnsettledRunners returns the runners of which the list is to show whether they have
-// started again.
+// started again since requests were lost with them, or answers ended with their
+// connections.
 func (e *Evidence) UnsettledRunners() Runners {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var runners Runners
+	runners := Runners{}
 	for i := range e.lost {
 		if l := &e.lost[i]; !l.settled {
-			if runners == nil {
-				runners = Runners{}
-			}
 			runners[l.runner] = Listed{}
 		}
 	}
+	for i := range e.ended {
+		runners[e.ended[i].runner] = Listed{}
+	}
 	return runners
 }
 
@@ -146,7 +151,7 @@
 	AsOf time.Time
 }
 
-// RecordListed records what the list shows of runners with losses. It returns how many
+// RecordListed records what the list shows of the runners of UnsettledRunners. It returns how many
 // losses turn out to be crashes, and how many to be broken connections of processes that
 // go on.
 func (e *Evidence) RecordListed(runners Runners) (crashes, broken int) {
@@ -160,6 +165,7 @@
 		broken++
 		return true
 	})
+	e.settleEnded(runners)
 	// The first unsettled loss of a runner is that of the process that the list showed
 	// before; a second one is that of a later process.
 	followed := map[string]bool{}
