quarantine: of parts that crashes do not tell apart, the least shared is refused first

When three crashes had the same parts in flight, all of these were quarantined, also the one with which every prompt of the route begins.

Cause: a tie in the number of crashes was no order.

Change: entry VMs count the requests with each part and report, beside the parts of a crash, the magnitude of that count; the leader takes those parts of a tie first that the fewest requests have had. The crashes that they explain then no longer count against the others. Reports do not become news by it.

Why it works: the bad part is in each request that crashed a runner; a part that more requests have was also in sound ones, or nobody can tell yet.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -79,7 +79,7 @@
 	for p := range d.parts {
 		removeExplained(crashes, p)
 	}
-	changes = append(changes, d.quarantine(now, crashes)...)
+	changes = append(changes, d.quarantine(now, crashes, joinSharing(reports))...)
 	return append(changes, d.updateTrials(now, vms)...)
 }
 
@@ -108,8 +108,9 @@
 
 // quarantine quarantines the parts with the most crashes as long as these are
 // enough. The part with the most crashes comes first: the others may only have
-// been in flight beside it.
-func (d *Detector) quarantine(now time.Time, crashes map[string]Set) []Change {
+// been in flight beside it. Of several with the most, those come first that the fewest
+// requests have had: if they are not to blame, the fewest callers are refused.
+func (d *Detector) quarantine(now time.Time, crashes map[string]Set, requests map[Part]uint64) []Change {
 	var changes []Change
 	removeRare(crashes)
 	for {
@@ -117,6 +118,7 @@
 		if count < minCrashes {
 			return changes
 		}
+		worst = leastShared(worst, requests)
 		for _, p := range worst {
 			d.parts[p] = newPartState(now)
 			changes = append(changes, Change{Part: p, Quarantined: true, Crashes: count})
--- a/quarantine/ended_answers.go
+++ b/quarantine/ended_answers.go
@@ -34,6 +34,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.sharing.add(now, parts)
 	i := slices.IndexFunc(e.ended, func(a endedAnswers) bool {
 		return a.process == x.Process && a.answeredAt.IsZero() && now.Sub(a.firstAt) < endedInterval
 	})
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -28,6 +28,8 @@
 	ended []endedAnswers
 	// answered holds when a request with a part was last answered completely.
 	answered answerTimes
+	// sharing counts the requests with each part, whatever became of them.
+	sharing sharingCounts
 	// contested holds the parts that were quarantined although this VM has had an
 	// answer with them. It goes on to report them: otherwise they would be
 	// quarantined again for the same crashes.
@@ -47,6 +49,7 @@
 func (e *Evidence) RecordAnswer(now time.Time, parts []Part) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.sharing.add(now, parts)
 	for _, p := range parts {
 		e.answered.record(now, p)
 	}
@@ -56,6 +59,7 @@
 func (e *Evidence) RecordLoss(now time.Time, x Exchange, parts []Part) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.sharing.add(now, parts)
 	parts = e.withoutAnswered(now, parts)
 	if len(parts) == 0 {
 		return
@@ -225,6 +229,11 @@
 	e.forgetCrashes(now)
 	r := &Report{}
 	r.Crashes = limitParts(e.crashes(now))
+	for i := range r.Crashes {
+		for _, p := range r.Crashes[i].Parts {
+			r.Crashes[i].Sharing = append(r.Crashes[i].Sharing, e.sharing.magnitude(p))
+		}
+	}
 	for p := range quarantined {
 		e.contested[p] = true
 	}
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -44,7 +44,7 @@
 		e.RecordLoss(start, on("r1"), []Part{shared, bad})
 		e.RecordLoss(start, on("r1"), []Part{3})
 		e.RecordLoss(start, on("r2"), []Part{shared})
-		Expect(e.Report(start, nil)).To(Equal(&Report{Crashes: []Crash{{Runner: "r1", Parts: []Part{bad, 3}}}}))
+		Expect(e.Report(start, nil)).To(Equal(&Report{Crashes: []Crash{{Runner: "r1", Parts: []Part{bad, 3}, Sharing: []uint8{1, 1}}}}))
 		e.RecordAnswer(start, []Part{3})
 		Expect(e.Report(start, nil).Crashes[0].Parts).To(Equal([]Part{bad}))
 	})
@@ -59,7 +59,7 @@
 		}
 		Expect(e.Report(start, nil).IsEmpty()).To(BeTrue())
 		e.RecordLoss(start, on("r1"), []Part{bad})
-		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}}}))
+		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}, Sharing: []uint8{1}}}))
 	})
 
 	// Guards against a bad part that is not reported because it stands behind many others
@@ -68,9 +68,9 @@
 		e := NewEvidence(testDoubt)
 		prompt := append(partsFrom(1000, maxReportedParts-1), bad)
 		e.RecordLoss(start, on("r1"), prompt)
-		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: slices.Sorted(slices.Values(prompt))}}))
+		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: slices.Sorted(slices.Values(prompt)), Sharing: slices.Repeat([]uint8{1}, len(prompt))}}))
 		e.RecordAnswer(start, prompt[:len(prompt)-1])
-		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}}}))
+		Expect(e.Report(start, nil).Crashes).To(Equal([]Crash{{Runner: "r1", Parts: []Part{bad}, Sharing: []uint8{1}}}))
 	})
 
 	ginkgo.It("reports the parts of most crashes if there are too many", func() {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -23,6 +23,9 @@
 	Runner string `cbor:"1,keyasint"`
 	// Parts are those of the lost requests without a recent answer, sorted.
 	Parts []Part `cbor:"2,keyasint"`
+	// Sharing holds, for each of Parts, how many binary digits the number of this VM's
+	// recent requests with it has. VMs of earlier releases send none.
+	Sharing []uint8 `cbor:"3,keyasint,omitempty"`
 }
 
 // maxReportedParts bounds the parts of all crashes of a report together. A prompt whose
@@ -74,7 +77,8 @@
 	return r == nil || len(r.Crashes) == 0 && len(r.Answered) == 0 && len(r.Quarantined) == 0
 }
 
-// Equal reports whether two reports have the same content.
+// Equal reports whether two reports have the same content, but for Sharing: a count that
+// has grown is no news.
 func (r *Report) Equal(other *Report) bool {
 	if r.IsEmpty() || other.IsEmpty() {
 		return r.IsEmpty() == other.IsEmpty()
