gateway: a trial that decides nothing is followed by one that does

Cause: a trial was used up by a request that no runner executed, and the answer of one that ended with its connection decided nothing where no other request of the service was let through.

Change: a claim is given back if no runner has begun to execute the request; after a trial's answer without an end mark one connection asks whether the runner goes on, and the list decides as after any answer.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -141,6 +141,20 @@
 		Expect(openedAt(true)).To(BeTemporally(">=", sent))
 	})
 
+	ginkgo.It("can be left out: a connection alone shows that something listens", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		pool := NewPool()
+		began := time.Now()
+		openedAt, err := pool.Connect(context.Background(), l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(openedAt).To(BeTemporally(">=", began))
+		Expect(pool.idle).To(BeEmpty())
+		Expect(l.Close()).To(Succeed())
+		_, err = pool.Connect(context.Background(), l.Addr().String())
+		Expect(WasSent(err)).To(BeFalse())
+	})
+
 	// Guards against more connections than a runner accepts from all VMs together;
 	// it resets those above its limit.
 	ginkgo.It("keeps no more idle connections than allowed", func() {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -101,6 +101,17 @@
 	return resp, nil
 }
 
+// Connect opens a connection to addr, which shows that something listens there, and
+// closes it. It returns when the opening began. Errors are of type *Error.
+func (p *Pool) Connect(ctx context.Context, addr string) (openedAt time.Time, err error) {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return time.Time{}, &Error{Addr: addr, Err: err}
+	}
+	_ = c.Close()
+	return c.openedAt, nil
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -90,6 +91,9 @@
 	freed []string
 	// reserved holds the runners that keep room.
 	reserved []string
+	// connects are the addresses of Connect; it fails if down is set.
+	connects []string
+	down     bool
 	pieces   func(c *batch.Call) batch.CallResult
 	release  chan struct{}
 }
@@ -177,6 +181,24 @@
 	return "", reply.advice, errors.New("no room")
 }
 
+// Connect opens a connection to a runner that is not down.
+func (f *fakeRunners) Connect(_ context.Context, addr string) (time.Time, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.connects = append(f.connects, addr)
+	if f.down {
+		return time.Time{}, errors.New("refused")
+	}
+	return time.Now(), nil
+}
+
+// connected returns the addresses to which connections were opened for nothing else.
+func (f *fakeRunners) connected() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.connects)
+}
+
 // peek returns the next reply of a runner.
 func (f *fakeRunners) peek(runner string) reply {
 	f.mu.Lock()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"damaskbridge.example/damaskbridge/directory"
+	"damaskbridge.example/damaskbridge/placement"
 	"damaskbridge.example/damaskbridge/quarantine"
 )
 
@@ -11,6 +13,13 @@
 // quarantined part. A part that was quarantined by mistake is free again before.
 const quarantineRetryDelay = 5 * time.Second
 
+const (
+	// trialProbeDelay is the time from the end of a trial's answer to the question
+	// whether its runner goes on.
+	trialProbeDelay   = 200 * time.Millisecond
+	trialProbeTimeout = time.Second
+)
+
 // refuseQuarantined refuses a request whose prompt has a part that crashes
 // runners. Parts with which this VM has had an answer are not refused: it
 // contests their quarantine.
@@ -35,21 +44,49 @@
 	if r.sends > 0 {
 		return false
 	}
-	if r.trials[q.Part] {
+	if _, claimed := r.trials[q.Part]; claimed {
 		return true
 	}
 	if q.Trial.VM == "" || q.Trial.VM != r.g.opts.Self || !r.g.evidence.ClaimTrial(q.Part, q.Trial.Number) {
 		return false
 	}
 	if r.trials == nil {
-		r.trials = quarantine.Set{}
+		r.trials = map[quarantine.Part]uint32{}
 	}
-	r.trials[q.Part] = true
+	r.trials[q.Part] = q.Trial.Number
 	r.g.log.Info().Str("id", r.call.ID).Uint64("part", uint64(q.Part)).Uint32("number", q.Trial.Number).
 		Msg("gateway: trial of a quarantined prompt part")
 	return true
 }
 
+// releaseTrials gives back the trials of a request that no runner has begun to execute.
+func (r *request) releaseTrials() {
+	if r.executions > 0 {
+		return
+	}
+	for part, number := range r.trials {
+		r.g.evidence.ReleaseTrial(part, number)
+	}
+}
+
+// probeAfterTrial asks, by a new connection, whether the runner of a trial goes on whose
+// answer has ended with its connection. If all prompts of a service share the part, no
+// other request would show that.
+func (r *request) probeAfterTrial(runner *placement.RunnerState) {
+	if len(r.trials) == 0 {
+		return
+	}
+	time.AfterFunc(trialProbeDelay, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), trialProbeTimeout)
+		defer cancel()
+		openedAt, err := r.g.opts.Upstreams.Connect(ctx, runner.Addr)
+		r.g.log.Info().Err(err).Str("id", r.call.ID).Str("runner", runner.ID).Msg("gateway: the runner of a trial was asked whether it goes on")
+		if err == nil {
+			r.g.evidence.RecordAlive(time.Now(), quarantine.Exchange{Runner: runner.Name(), ConnectedAt: openedAt, SentAt: openedAt})
+		}
+	})
+}
+
 // settleLosses decides by the list which of the runners that were lost have crashed.
 func (g *Gateway) settleLosses(s *directory.State) {
 	unsettled := g.evidence.UnsettledRunners()
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -201,6 +201,68 @@
 		Expect(g.CrashReport(time.Now(), g.state.Load().Quarantined).Answered).To(Equal([]quarantine.Part{bad}))
 	})
 
+	// Guards against a trial that is used up by a request which no runner has got.
+	ginkgo.It("may be tried by another request if no runner has executed the trial", func() {
+		g, f := newTestGateway()
+		setTrial(g, "self", 1)
+		f.any = []reply{{status: 503, notExecuted: true}}
+		Expect(serve(g, withPart(call("stream"), "bad")).refusal.Executed).To(BeFalse())
+		Expect(f.sends()).To(HaveLen(1))
+		Eventually(func() int {
+			f.any = []reply{{status: 200, body: events(1, 1)}}
+			return serve(g, withPart(call("stream"), "bad")).status
+		}).WithTimeout(10 * time.Second).Should(Equal(200))
+
+		g, f = newTestGateway()
+		setTrial(g, "self", 1)
+		f.any = []reply{{lost: true}}
+		serve(g, withPart(call("stream"), "bad"))
+		Expect(serve(g, withPart(call("stream"), "bad")).refusal.Reason).To(Equal(PromptQuarantined))
+
+		g, f = newTestGateway()
+		setTrial(g, "self", 1)
+		ctx, leave := context.WithCancel(context.Background())
+		f.any = []reply{{hang: true, onSent: leave}}
+		g.Serve(ctx, withPart(call("stream"), "bad"), &fakeResponder{})
+		Expect(serve(g, withPart(call("stream"), "bad")).refusal.Reason).To(Equal(PromptQuarantined), "a runner may execute it")
+	})
+
+	// Guards against a service that stays refused because all of its prompts share a part
+	// and its short answers have no end mark.
+	ginkgo.DescribeTable("is contested after a trial whose answer ended with its connection, if the runner goes on",
+		func(id string, down, contested bool) {
+			g, f := newTestGateway()
+			update := func(asOf time.Time) {
+				next := *g.state.Load()
+				next.ListsAsOf = map[string]time.Time{"z": asOf}
+				next.List = &directory.RunnerList{Seq: 2, Runners: []directory.Runner{{ID: "engines1", Service: "engines", Addr: "engines1:80", Zone: "z", StartedUnixMS: 1}}}
+				g.Update(&next)
+			}
+			update(time.Now())
+			setTrial(g, "self", 1)
+			f.down = down
+			f.any = []reply{{status: 200, body: events(1, 1), endsWithConnection: true}}
+			Expect(serve(g, withPart(call("stream"), id)).status).To(Equal(200))
+			if id != "bad" {
+				Consistently(f.connected).WithTimeout(2 * trialProbeDelay).Should(BeEmpty())
+				return
+			}
+			Eventually(f.connected).WithTimeout(10 * time.Second).Should(Equal([]string{"engines1:80"}))
+			answered := func() []quarantine.Part {
+				update(time.Now())
+				return g.CrashReport(time.Now(), g.state.Load().Quarantined).Answered
+			}
+			if contested {
+				Eventually(answered).WithTimeout(10 * time.Second).Should(Equal([]quarantine.Part{bad}))
+				return
+			}
+			Consistently(answered).WithTimeout(300 * time.Millisecond).Should(BeEmpty())
+		},
+		ginkgo.Entry("and it does", "bad", false, true),
+		ginkgo.Entry("and it does not", "bad", true, false),
+		ginkgo.Entry("but only a trial's runner is asked", "sound", false, false),
+	)
+
 	// Guards against sound parts of long answers that are quarantined in an outage
 	// because none of these answers has ended yet.
 	ginkgo.It("is contested by an answer that goes on, before its end", func() {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,8 +38,9 @@
 	// attempts.
 	priorWait time.Duration
 
-	// trials are the quarantined parts of the prompt that this request tries.
-	trials quarantine.Set
+	// trials are the quarantined parts of the prompt that this request tries, with the
+	// numbers of their trials.
+	trials map[quarantine.Part]uint32
 	stages *stageRun
 	// cacheAddr is the address of a runner that may cache shared parts of the
 	// prompt.
@@ -101,6 +102,7 @@
 		ctx, cancel = context.WithDeadline(ctx, r.deadline)
 		defer cancel()
 		refusal = r.run(ctx)
+		r.releaseTrials()
 	}
 	if refusal != nil {
 		// Executed covers all attempts together.
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -98,6 +98,9 @@
 	// room in a Dispatch, and what the answer says about later requests, also with
 	// an error. Nothing is executed.
 	Reserve(ctx context.Context, r *Reservation) (handle string, said advice.Advice, err error)
+	// Connect opens a connection to a runner and closes it, without a request. It returns
+	// when the opening began.
+	Connect(ctx context.Context, addr string) (openedAt time.Time, err error)
 	// RunPieces sends one call to a stage runner.
 	RunPieces(ctx context.Context, c *batch.Call) batch.CallResult
 	// FreePieces tells a stage runner that results are no longer needed. It returns
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -221,6 +221,16 @@
 	return true
 }
 
+// ReleaseTrial gives back a trial that this VM has claimed and that no runner has got.
+// Another request may claim it.
+func (e *Evidence) ReleaseTrial(p Part, number uint32) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.claimed[p] == number {
+		delete(e.claimed, p)
+	}
+}
+
 // Report returns the report of this VM, to which the given parts are known as
 // quarantined.
 func (e *Evidence) Report(now time.Time, quarantined Known) *Report {
