quarantine, gateway: a quarantine that was founded on broken connections ends with them

Cause: a quarantine outlived the losses that it was decided on even if these turned out to be none; where all prompts share the part, no request could show that the runners go on; and a trial whose connection broke counted as failed.

Change: entry VMs report which processes go on that they have taken for lost, and the leader takes these losses back. While a part is quarantined, entry VMs ask the runners with unsettled losses or answers of it by a connection.

Why it works: every loss is settled within seconds, also when no request goes through, and what is founded on it follows.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,7 @@
 	}
 	g.runners.settleLeaving(g.listTruth(s))
 	g.settleLosses(s)
+	g.probeRunners(s)
 	if len(s.Entries) != len(old.Entries) {
 		g.budgets.setVMs(len(s.Entries))
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,23 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"damaskbridge.example/damaskbridge/directory"
 	"damaskbridge.example/damaskbridge/placement"
 	"damaskbridge.example/damaskbridge/quarantine"
+	"damaskbridge.example/damaskbridge/residency"
 )
 
 // quarantineRetryDelay is when a caller may come back whose prompt has a
 // quarantined part. A part that was quarantined by mistake is free again before.
 const quarantineRetryDelay = 5 * time.Second
 
-const (
-	// trialProbeDelay is the time from the end of a trial's answer to the question
-	// whether its runner goes on.
-	trialProbeDelay   = 200 * time.Millisecond
-	trialProbeTimeout = time.Second
-)
+// probeTimeout bounds the opening of a connection that shows whether a runner goes on.
+const probeTimeout = time.Second
 
 // refuseQuarantined refuses a request whose prompt has a part that crashes
 // runners. Parts with which this VM has had an answer are not refused: it
@@ -69,24 +67,6 @@
 	}
 }
 
-// probeAfterTrial asks, by a new connection, whether the runner of a trial goes on whose
-// answer has ended with its connection. If all prompts of a service share the part, no
-// other request would show that.
-func (r *request) probeAfterTrial(runner *placement.RunnerState) {
-	if len(r.trials) == 0 {
-		return
-	}
-	time.AfterFunc(trialProbeDelay, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), trialProbeTimeout)
-		defer cancel()
-		openedAt, err := r.g.opts.Upstreams.Connect(ctx, runner.Addr)
-		r.g.log.Info().Err(err).Str("id", r.call.ID).Str("runner", runner.ID).Msg("gateway: the runner of a trial was asked whether it goes on")
-		if err == nil {
-			r.g.evidence.RecordAlive(time.Now(), quarantine.Exchange{Runner: runner.Name(), ConnectedAt: openedAt, SentAt: openedAt})
-		}
-	})
-}
-
 // settleLosses decides by the list which of the runners that were lost have crashed.
 func (g *Gateway) settleLosses(s *directory.State) {
 	unsettled := g.evidence.UnsettledRunners()
@@ -94,7 +74,7 @@
 		return
 	}
 	g.runners.fillListed(unsettled, g.listTruth(s))
-	crashes, broken := g.evidence.RecordListed(unsettled)
+	crashes, broken := g.evidence.RecordListed(time.Now(), unsettled)
 	if crashes+broken == 0 {
 		return
 	}
@@ -103,6 +83,47 @@
 	g.log.Info().Int("crashes", crashes).Int("broken_connections", broken).Msg("gateway: the list tells what runners were lost by")
 }
 
+// probeRunners asks, by a connection each, whether runners go on with which requests were
+// lost, or whose answers have ended with their connections, if a part of them is
+// quarantined. Where all prompts of a service share the part, no request would show it.
+func (g *Gateway) probeRunners(s *directory.State) {
+	if len(s.Quarantined) == 0 {
+		return
+	}
+	names := g.evidence.RunnersToProbe(time.Now(), s.Quarantined)
+	for _, runner := range g.runners.named(names) {
+		go g.probe(runner)
+	}
+}
+
+// probe records whether a runner lets a connection be opened.
+func (g *Gateway) probe(runner *placement.RunnerState) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	openedAt, err := g.opts.Upstreams.Connect(ctx, runner.Addr)
+	g.log.Info().Err(err).Str("runner", runner.ID).Str("addr", runner.Addr).Msg("gateway: a runner was asked whether it goes on")
+	if err != nil {
+		return
+	}
+	g.evidence.RecordAlive(time.Now(), quarantine.Exchange{Runner: runner.Name(), ConnectedAt: openedAt, SentAt: openedAt})
+}
+
+// named returns the listed runners with the given names whose data centres are not
+// evacuated.
+func (r *runnerSet) named(names []string) []*placement.RunnerState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var runners []*placement.RunnerState
+	for _, list := range r.byService {
+		for i := range list {
+			if slices.Contains(names, list[i].state.Name()) && r.eligible(&list[i], residency.Regions{}) {
+				runners = append(runners, list[i].state)
+			}
+		}
+	}
+	return runners
+}
+
 // fillListed fills in what the list shows of the runners. asOf returns, for a data
 // centre, a time at which its runners were as the list shows them.
 func (r *runnerSet) fillListed(runners quarantine.Runners, asOf func(zone string) time.Time) {
--- a/gateway/runner_evidence.go
+++ b/gateway/runner_evidence.go
@@ -57,7 +57,6 @@
 		r.g.evidence.RecordAnswer(now, r.sharedParts())
 	case foundEnded:
 		r.g.evidence.RecordEnded(now, r.g.runners.exchangeWith(runner, attempt), r.sharedParts())
-		r.probeAfterTrial(runner)
 	case foundNothing, foundMisdirected:
 	}
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -76,6 +76,7 @@
 	for p, state := range d.parts {
 		state.recordLosses(now, runnersLostWith(crashes, p))
 	}
+	changes = append(changes, d.withdraw(reports, crashes)...)
 	for p := range d.parts {
 		removeExplained(crashes, p)
 	}
@@ -106,6 +107,28 @@
 	return changes
 }
 
+// withdraw takes back the loss of processes that go on after all, and ends the quarantine
+// of parts that was founded on them.
+func (d *Detector) withdraw(reports []*Report, crashes map[string]Set) []Change {
+	var changes []Change
+	for _, p := range d.sortedParts() {
+		var withdrawn []string
+		for _, r := range reports {
+			for _, process := range r.Withdrawn {
+				// Another VM, or a later request, may have lost it all the same.
+				if !crashes[process][p] {
+					withdrawn = append(withdrawn, process)
+				}
+			}
+		}
+		if d.parts[p].withdraw(withdrawn) {
+			delete(d.parts, p)
+			changes = append(changes, Change{Part: p})
+		}
+	}
+	return changes
+}
+
 // quarantine quarantines the parts with the most crashes as long as these are
 // enough. The part with the most crashes comes first: the others may only have
 // been in flight beside it. Of several with the most, those come first that the fewest
@@ -121,6 +144,10 @@
 		worst = leastShared(worst, requests)
 		for _, p := range worst {
 			d.parts[p] = newPartState(now)
+			d.parts[p].known = true
+			for _, process := range runnersLostWith(crashes, p) {
+				d.parts[p].lost[process] = true
+			}
 			changes = append(changes, Change{Part: p, Quarantined: true, Crashes: count})
 		}
 		for _, p := range worst {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -12,6 +12,11 @@
 	// of the requests that were lost with them, all runners together.
 	maxCrashes   = 32
 	maxLostParts = 32768
+	// probeDelay is how long a runner that may have crashed is left alone.
+	probeDelay = 300 * time.Millisecond
+	// withdrawalTime is how long a VM reports that a process goes on which it has taken
+	// for lost. It covers a change of the control VM and of the leader.
+	withdrawalTime = 15 * time.Second
 )
 
 // Evidence collects what one entry VM observes. It is safe for concurrent use.
@@ -23,6 +28,8 @@
 	// first loss. At most two of a runner are not settled: a second one stands for all
 	// losses on connections that are newer than the first loss.
 	lost []lostProcess
+	// withdrawn holds when it turned out that processes go on that were taken for lost.
+	withdrawn map[string]time.Time
 	// ended are the answers of which it is not decided yet whether they were whole, in
 	// the order of their first ones.
 	ended []endedAnswers
@@ -42,7 +49,7 @@
 // NewEvidence returns empty evidence. maxDoubt is how long the list of runners takes to
 // show this VM whether a runner that was lost has started again.
 func NewEvidence(maxDoubt time.Duration) *Evidence {
-	return &Evidence{maxDoubt: maxDoubt, answered: newAnswerTimes(), contested: map[Part]bool{}, claimed: map[Part]uint32{}}
+	return &Evidence{maxDoubt: maxDoubt, answered: newAnswerTimes(), contested: map[Part]bool{}, withdrawn: map[string]time.Time{}, claimed: map[Part]uint32{}}
 }
 
 // RecordAnswer records the complete answer to a request with these parts.
@@ -115,7 +122,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lost = slices.DeleteFunc(e.lost, func(l lostProcess) bool {
-		return l.runner == x.Runner && !l.settled && l.at.Before(x.SentAt) && !x.ConnectedAt.After(l.firstAt)
+		goesOn := l.runner == x.Runner && !l.settled && l.at.Before(x.SentAt) && !x.ConnectedAt.After(l.firstAt)
+		if goesOn {
+			e.withdrawn[l.process] = now
+		}
+		return goesOn
 	})
 	for i := range e.lost {
 		if l := &e.lost[i]; l.runner == x.Runner && !l.settled && l.at.Before(x.SentAt) && l.answeredAt.IsZero() {
@@ -143,6 +154,29 @@
 	return runners
 }
 
+// RunnersToProbe returns the runners that have lost requests with a quarantined part, or
+// ended answers to some with their connections, and have not answered for a while since.
+func (e *Evidence) RunnersToProbe(now time.Time, quarantined Known) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runners := map[string]bool{}
+	probe := func(runner string, at, answeredAt time.Time, parts map[Part]bool) {
+		if answeredAt.IsZero() && now.Sub(at) >= probeDelay && quarantined.hasAny(parts) {
+			runners[runner] = true
+		}
+	}
+	for i := range e.lost {
+		if l := &e.lost[i]; !l.settled {
+			probe(l.runner, l.at, l.answeredAt, l.parts)
+		}
+	}
+	for i := range e.ended {
+		a := &e.ended[i]
+		probe(a.runner, a.at, a.answeredAt, a.parts)
+	}
+	return slices.Sorted(maps.Keys(runners))
+}
+
 // Runners holds what the list shows, by the names of runners.
 type Runners map[string]Listed
 
@@ -158,7 +192,7 @@
 // RecordListed records what the list shows of the runners of UnsettledRunners. It returns how many
 // losses turn out to be crashes, and how many to be broken connections of processes that
 // go on.
-func (e *Evidence) RecordListed(runners Runners) (crashes, broken int) {
+func (e *Evidence) RecordListed(now time.Time, runners Runners) (crashes, broken int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lost = slices.DeleteFunc(e.lost, func(l lostProcess) bool {
@@ -166,6 +200,7 @@
 		if l.settled || !asked || l.process != shown.Process || l.answeredAt.IsZero() || shown.AsOf.Before(l.answeredAt) {
 			return false
 		}
+		e.withdrawn[l.process] = now
 		broken++
 		return true
 	})
@@ -249,6 +284,8 @@
 	}
 	maps.DeleteFunc(e.contested, func(p Part, _ bool) bool { return !e.answered.has(now, p) })
 	maps.DeleteFunc(e.claimed, func(p Part, _ uint32) bool { _, ok := quarantined[p]; return !ok })
+	maps.DeleteFunc(e.withdrawn, func(_ string, at time.Time) bool { return now.Sub(at) > withdrawalTime })
+	r.Withdrawn = slices.Sorted(maps.Keys(e.withdrawn))
 	r.Answered = slices.Sorted(maps.Keys(e.contested))
 	r.Quarantined = quarantined.WithoutTrials()
 	return r
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -15,6 +15,8 @@
 	// Quarantined are the parts that are quarantined at this VM, from which a
 	// control VM learns them that knows of none.
 	Quarantined []Quarantined `cbor:"3,keyasint,omitempty"`
+	// Withdrawn are processes that this VM has taken for lost and that go on, sorted.
+	Withdrawn []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Crash is the loss of one runner with requests in flight.
@@ -74,7 +76,7 @@
 
 // IsEmpty reports whether there is nothing to report.
 func (r *Report) IsEmpty() bool {
-	return r == nil || len(r.Crashes) == 0 && len(r.Answered) == 0 && len(r.Quarantined) == 0
+	return r == nil || len(r.Crashes) == 0 && len(r.Answered) == 0 && len(r.Quarantined) == 0 && len(r.Withdrawn) == 0
 }
 
 // Equal reports whether two reports have the same content, but for Sharing: a count that
@@ -85,5 +87,5 @@
 	}
 	sameCrash := func(a, b Crash) bool { return a.Runner == b.Runner && slices.Equal(a.Parts, b.Parts) }
 	return slices.EqualFunc(r.Crashes, other.Crashes, sameCrash) && slices.Equal(r.Answered, other.Answered) &&
-		slices.Equal(r.Quarantined, other.Quarantined)
+		slices.Equal(r.Quarantined, other.Quarantined) && slices.Equal(r.Withdrawn, other.Withdrawn)
 }
