quarantine: losses are taken back only while it matters, and never one that came again

A process that was lost once more after its loss had been taken back was still reported as going on for up to 15 s; a leader could have ended a quarantine by it. And VMs reported each such process while nothing was quarantined, which has every control VM look at the reports again.

Change: a new loss ends the withdrawal of the one before; reports name withdrawn processes only while a part is quarantined. The counts of requests with each part are joined only if crashes leave several parts.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -80,7 +80,7 @@
 	for p := range d.parts {
 		removeExplained(crashes, p)
 	}
-	changes = append(changes, d.quarantine(now, crashes, joinSharing(reports))...)
+	changes = append(changes, d.quarantine(now, crashes, reports)...)
 	return append(changes, d.updateTrials(now, vms)...)
 }
 
@@ -133,7 +133,7 @@
 // enough. The part with the most crashes comes first: the others may only have
 // been in flight beside it. Of several with the most, those come first that the fewest
 // requests have had: if they are not to blame, the fewest callers are refused.
-func (d *Detector) quarantine(now time.Time, crashes map[string]Set, requests map[Part]uint64) []Change {
+func (d *Detector) quarantine(now time.Time, crashes map[string]Set, reports []*Report) []Change {
 	var changes []Change
 	removeRare(crashes)
 	for {
@@ -141,10 +141,12 @@
 		if count < minCrashes {
 			return changes
 		}
-		worst = leastShared(worst, requests)
+		if len(worst) > 1 {
+			worst = leastShared(worst, joinSharing(reports))
+		}
 		for _, p := range worst {
 			d.parts[p] = newPartState(now)
-			d.parts[p].known = true
+			d.parts[p].knowsAll = true
 			for _, process := range runnersLostWith(crashes, p) {
 				d.parts[p].lost[process] = true
 			}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -74,6 +74,7 @@
 	e.forgetCrashes(now)
 	l := e.lostProcessOf(now, x)
 	l.at, l.answeredAt = now, time.Time{}
+	delete(e.withdrawn, l.process)
 	l.add(parts)
 	e.forgetOldest()
 }
@@ -189,9 +190,9 @@
 	AsOf time.Time
 }
 
-// RecordListed records what the list shows of the runners of UnsettledRunners. It returns how many
-// losses turn out to be crashes, and how many to be broken connections of processes that
-// go on.
+// RecordListed records what the list shows of the runners of UnsettledRunners. It returns
+// how many losses turn out to be crashes, and how many to be broken connections of
+// processes that go on.
 func (e *Evidence) RecordListed(now time.Time, runners Runners) (crashes, broken int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -285,7 +286,9 @@
 	maps.DeleteFunc(e.contested, func(p Part, _ bool) bool { return !e.answered.has(now, p) })
 	maps.DeleteFunc(e.claimed, func(p Part, _ uint32) bool { _, ok := quarantined[p]; return !ok })
 	maps.DeleteFunc(e.withdrawn, func(_ string, at time.Time) bool { return now.Sub(at) > withdrawalTime })
-	r.Withdrawn = slices.Sorted(maps.Keys(e.withdrawn))
+	if len(quarantined) > 0 {
+		r.Withdrawn = slices.Sorted(maps.Keys(e.withdrawn))
+	}
 	r.Answered = slices.Sorted(maps.Keys(e.contested))
 	r.Quarantined = quarantined.WithoutTrials()
 	return r
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -109,8 +109,12 @@
 		Expect(e.Report(sentAt, nil).Crashes).To(HaveLen(1))
 		alive("r1", sentAt.Add(3*time.Second))
 		Expect(e.Report(sentAt, nil).Crashes).To(BeEmpty())
-		Expect(e.Report(sentAt, nil).Withdrawn).To(Equal([]string{"r1"}))
-		Expect(e.Report(sentAt.Add(3*time.Second+withdrawalTime+1), nil).IsEmpty()).To(BeTrue())
+		Expect(e.Report(sentAt, nil).IsEmpty()).To(BeTrue(), "nothing is quarantined")
+		Expect(e.Report(sentAt, Known{bad: {}}).Withdrawn).To(Equal([]string{"r1"}))
+		e.RecordLoss(sentAt.Add(4*time.Second), on("r1"), []Part{bad})
+		Expect(e.Report(sentAt, Known{bad: {}}).Withdrawn).To(BeEmpty(), "it is lost again")
+		alive("r1", sentAt.Add(5*time.Second))
+		Expect(e.Report(sentAt.Add(5*time.Second+withdrawalTime+1), Known{bad: {}}).Withdrawn).To(BeEmpty())
 	})
 
 	ginkgo.It("forgets crashes and answers after the window", func() {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -15,7 +15,8 @@
 	// Quarantined are the parts that are quarantined at this VM, from which a
 	// control VM learns them that knows of none.
 	Quarantined []Quarantined `cbor:"3,keyasint,omitempty"`
-	// Withdrawn are processes that this VM has taken for lost and that go on, sorted.
+	// Withdrawn are processes that this VM has taken for lost and that go on, sorted. They
+	// matter only while parts are quarantined.
 	Withdrawn []string `cbor:"4,keyasint,omitempty"`
 }
 
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -83,10 +83,10 @@
 type partState struct {
 	// since is when the part was quarantined or last ended another runner.
 	since time.Time
-	// lost holds the processes of runners that were lost with the part. known is false
-	// if there were others, of which this leader does not know.
-	lost  map[string]bool
-	known bool
+	// lost holds the processes of runners that were lost with the part, as far as this
+	// leader knows. It knows of all of them if it has begun the quarantine.
+	lost     map[string]bool
+	knowsAll bool
 	// failed is the number of trials that have ended another runner.
 	failed uint32
 	trial  Trial
@@ -133,7 +133,7 @@
 			s.since, s.endedBy = s.sinceBefore, ""
 		}
 	}
-	return s.known && len(s.lost) < minCrashes
+	return s.knowsAll && len(s.lost) < minCrashes
 }
 
 // updateTrial begins a trial, or the next turn of one, if that is due. It reports
