--- a/quarantine/ended_answers_test.go
+++ b/quarantine/ended_answers_test.go
@@ -12,13 +12,7 @@
 	const part Part = 1
 	var e *Evidence
 	ginkgo.BeforeEach(func() { e = NewEvidence(testDoubt) })
-	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	exchange := func(process string, connected, sent float64) Exchange {
-		return Exchange{Runner: "r", Process: process, ConnectedAt: at(connected), SentAt: at(sent)}
-	}
-	lists := func(process string, asOf float64) {
-		e.RecordListed(start, Runners{"r": {Process: process, AsOf: at(asOf)}})
-	}
+	lists := func(process string, asOf float64) { list(e, process, asOf) }
 	answered := func() bool { return e.HasAnswer(at(20), part) }
 
 	// Guards against sound parts that never count as answered because their short answers
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -18,6 +18,21 @@
 	return Exchange{Runner: runner, Process: runner, ConnectedAt: start, SentAt: start}
 }
 
+// at is a time in seconds after start.
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+// exchange is one with the runner r at a time at which the list shows a process of it.
+// It was sent, and its connection was opened, at times in seconds after start.
+func exchange(process string, connected, sent float64) Exchange {
+	return Exchange{Runner: "r", Process: process, ConnectedAt: at(connected), SentAt: at(sent)}
+}
+
+// list records that the list shows a process of the runner r, as of a time in seconds
+// after start.
+func list(e *Evidence, process string, asOf float64) {
+	e.RecordListed(start, Runners{"r": {Process: process, AsOf: at(asOf)}})
+}
+
 // partsFrom returns n parts from first on.
 func partsFrom(first, n int) []Part {
 	parts := make([]Part, n)
--- a/quarantine/lost_process_test.go
+++ b/quarantine/lost_process_test.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"time"
-
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -11,15 +9,7 @@
 	const bad Part = 1
 	var e *Evidence
 	ginkgo.BeforeEach(func() { e = NewEvidence(testDoubt) })
-	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	// exchange is one with the runner r, at a time at which the list shows a process of
-	// it, on a connection of some age.
-	exchange := func(process string, connected, sent float64) Exchange {
-		return Exchange{Runner: "r", Process: process, ConnectedAt: at(connected), SentAt: at(sent)}
-	}
-	lists := func(process string, asOf float64) {
-		e.RecordListed(start, Runners{"r": {Process: process, AsOf: at(asOf)}})
-	}
+	lists := func(process string, asOf float64) { list(e, process, asOf) }
 	crashed := func(now float64) []string {
 		var processes []string
 		for _, c := range e.Report(at(now), nil).Crashes {
--- a/quarantine/withdraw_test.go
+++ b/quarantine/withdraw_test.go
@@ -1,15 +1,12 @@
 package quarantine
 
 import (
-	"time"
-
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
 var _ = ginkgo.Describe("a loss that is withdrawn", func() {
 	const bad Part = 1
-	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 	lost := func(runners ...string) *Report {
 		r := &Report{}
 		for _, name := range runners {
