quarantine: five losses are enough, also while some are in doubt

Change: doubtful losses are reported as such; three certain ones or five of any kind quarantine a part. Losses that are taken back end it, as before.

Specs that looked for no crash while in doubt look for no certain one now, and one of them for the doubtful one.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -11,6 +11,10 @@
 	// is quarantined. A prompt may be in flight at one or two runners that end for
 	// other reasons.
 	minCrashes = 3
+	// minDoubtfulCrashes is that number if some of the losses are still in doubt. The
+	// list takes a while to decide about runners that are back soon; engines are not to
+	// be ended one after the other meanwhile.
+	minDoubtfulCrashes = 5
 	// quarantineTime is how long a part stays quarantined after the last loss of a
 	// runner with it. A part that is still in use is tried again before that.
 	quarantineTime = 30 * time.Minute
@@ -72,15 +76,13 @@
 		d.adopt(now, reports)
 	}
 	changes := d.free(now, answered)
-	crashes := joinCrashes(reports, answered)
+	crashes, all := joinCrashes(reports, answered, false), joinCrashes(reports, answered, true)
 	for p, state := range d.parts {
 		state.recordLosses(now, runnersLostWith(crashes, p))
 	}
-	changes = append(changes, d.withdraw(reports, crashes)...)
-	for p := range d.parts {
-		removeExplained(crashes, p)
-	}
-	changes = append(changes, d.quarantine(now, crashes, reports)...)
+	changes = append(changes, d.withdraw(reports, all)...)
+	changes = append(changes, d.quarantine(now, crashes, reports, minCrashes)...)
+	changes = append(changes, d.quarantine(now, all, reports, minDoubtfulCrashes)...)
 	return append(changes, d.updateTrials(now, vms)...)
 }
 
@@ -130,15 +132,18 @@
 }
 
 // quarantine quarantines the parts with the most crashes as long as these are
-// enough. The part with the most crashes comes first: the others may only have
+// enough, that is, least or more that no quarantined part explains. The part with the most crashes comes first: the others may only have
 // been in flight beside it. Of several with the most, those come first that the fewest
 // requests have had: if they are not to blame, the fewest callers are refused.
-func (d *Detector) quarantine(now time.Time, crashes map[string]Set, reports []*Report) []Change {
+func (d *Detector) quarantine(now time.Time, crashes map[string]Set, reports []*Report, least int) []Change {
 	var changes []Change
-	removeRare(crashes)
+	for p := range d.parts {
+		removeExplained(crashes, p)
+	}
+	removeRare(crashes, least)
 	for {
 		worst, count := mostFrequent(crashes)
-		if count < minCrashes {
+		if count < least {
 			return changes
 		}
 		if len(worst) > 1 {
@@ -181,11 +186,15 @@
 }
 
 // joinCrashes returns the parts that were in flight at each lost runner, over all
-// entry VMs and without those with an answer.
-func joinCrashes(reports []*Report, answered Set) map[string]Set {
+// entry VMs and without those with an answer. Doubtful crashes are left out unless they
+// are asked for.
+func joinCrashes(reports []*Report, answered Set, doubtful bool) map[string]Set {
 	crashes := map[string]Set{}
 	for _, r := range reports {
 		for _, c := range r.Crashes {
+			if c.Doubtful && !doubtful {
+				continue
+			}
 			if crashes[c.Runner] == nil {
 				crashes[c.Runner] = Set{}
 			}
@@ -215,11 +224,11 @@
 	maps.DeleteFunc(crashes, func(_ string, parts Set) bool { return parts[p] })
 }
 
-// removeRare removes the parts that were lost with fewer than minCrashes runners.
-func removeRare(crashes map[string]Set) {
+// removeRare removes the parts that were lost with fewer than least runners.
+func removeRare(crashes map[string]Set, least int) {
 	counts := countRunners(crashes)
 	for _, parts := range crashes {
-		maps.DeleteFunc(parts, func(p Part, _ bool) bool { return counts[p] < minCrashes })
+		maps.DeleteFunc(parts, func(p Part, _ bool) bool { return counts[p] < least })
 	}
 }
 
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -26,6 +26,32 @@
 		Expect(d.Update(start, reports, nil)).To(BeEmpty())
 	})
 
+	// Guards against engines that are ended one after the other while the list does not
+	// show yet that they have started again (soak seed 60000214).
+	ginkgo.It("waits for no doubt once five runners may have been lost", func() {
+		doubtful := func(n int) Crash {
+			c := crash(n, bad)
+			c.Doubtful = true
+			return c
+		}
+		d := NewDetector(start, nil)
+		reports := []*Report{{Crashes: []Crash{crash(1, bad, beside), crash(2, bad), doubtful(3), doubtful(4)}}}
+		Expect(d.Update(start, reports, nil)).To(BeEmpty())
+		reports = append(reports, &Report{Crashes: []Crash{doubtful(4)}})
+		Expect(d.Update(start, reports, nil)).To(BeEmpty())
+		reports = append(reports, &Report{Crashes: []Crash{doubtful(5)}})
+		Expect(d.Update(start, reports, nil)).To(Equal([]Change{{Part: bad, Quarantined: true, Crashes: 5}}))
+		Expect(d.Update(start, []*Report{{Crashes: reports[0].Crashes, Withdrawn: []string{"r5", "r4"}}}, nil)).To(BeEmpty(), "one of them is lost all the same")
+		Expect(d.Update(start, []*Report{{Withdrawn: []string{"r3", "r4", "r5"}}}, nil)).To(Equal([]Change{{Part: bad}}))
+	})
+
+	ginkgo.It("takes the word of the VM without a doubt", func() {
+		c := crash(3, bad)
+		c.Doubtful = true
+		d := NewDetector(start, nil)
+		Expect(d.Update(start, []*Report{{Crashes: []Crash{crash(1, bad), crash(2, bad), c}}, {Crashes: []Crash{crash(3, bad)}}}, nil)).To(HaveLen(1))
+	})
+
 	// Guards against a quarantine of all parts that were in flight at lost runners.
 	ginkgo.It("leaves parts free whose crashes a quarantined part explains", func() {
 		d := NewDetector(start, nil)
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -294,22 +294,24 @@
 	return r
 }
 
-// crashes returns the losses that count as crashes, one for each process.
+// crashes returns the losses that may be crashes, one for each process.
 func (e *Evidence) crashes(now time.Time) []Crash {
 	var list []Crash
 	for i := range e.lost {
 		l := &e.lost[i]
 		parts := e.withoutAnswered(now, slices.Sorted(maps.Keys(l.parts)))
-		if len(parts) == 0 || !l.isCrash(now, e.maxDoubt) {
+		if len(parts) == 0 {
 			continue
 		}
+		doubtful := l.isDoubtful(now, e.maxDoubt)
 		if known := slices.IndexFunc(list, func(c Crash) bool { return c.Runner == l.process }); known >= 0 {
 			parts = append(list[known].Parts, parts...)
 			slices.Sort(parts)
 			list[known].Parts = slices.Compact(parts)
+			list[known].Doubtful = list[known].Doubtful && doubtful
 			continue
 		}
-		list = append(list, Crash{Runner: l.process, Parts: parts})
+		list = append(list, Crash{Runner: l.process, Parts: parts, Doubtful: doubtful})
 	}
 	return list
 }
--- a/quarantine/lost_process.go
+++ b/quarantine/lost_process.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// isCrash reports whether the loss counts as a crash by now. While it is in doubt it
-// does not, for as long as the list may take to decide.
-func (l *lostProcess) isCrash(now time.Time, maxDoubt time.Duration) bool {
-	return l.settled || l.answeredAt.IsZero() || now.Sub(l.answeredAt) >= maxDoubt
+// isDoubtful reports whether nobody knows yet if the loss was a crash: the runner has
+// answered since, and the list may still decide.
+func (l *lostProcess) isDoubtful(now time.Time, maxDoubt time.Duration) bool {
+	return !l.settled && !l.answeredAt.IsZero() && now.Sub(l.answeredAt) < maxDoubt
 }
--- a/quarantine/lost_process_test.go
+++ b/quarantine/lost_process_test.go
@@ -14,7 +14,9 @@
 		var processes []string
 		for _, c := range e.Report(at(now), nil).Crashes {
 			Expect(c.Parts).To(Equal([]Part{bad}))
-			processes = append(processes, c.Runner)
+			if !c.Doubtful {
+				processes = append(processes, c.Runner)
+			}
 		}
 		return processes
 	}
@@ -26,6 +28,7 @@
 		e.RecordAlive(at(13), exchange("1", 12.9, 13))
 		lists("1", 12)
 		Expect(crashed(13)).To(BeEmpty(), "in doubt")
+		Expect(e.Report(at(13), nil).Crashes).To(Equal([]Crash{{Runner: "1", Parts: []Part{bad}, Sharing: []uint8{1}, Doubtful: true}}))
 		lists("2", 13)
 		Expect(crashed(13)).To(Equal([]string{"1"}))
 		e.RecordAlive(at(14), exchange("2", 12.9, 14))
@@ -63,6 +66,7 @@
 		lists("1", 20.5)
 		Expect(crashed(21.5)).To(BeEmpty(), "in doubt")
 		e.RecordLoss(at(22), exchange("1", 21.5, 22), []Part{bad})
+		Expect(crashed(22)).To(Equal([]string{"1"}), "one in doubt and one not, in one process")
 		lists("1", 21)
 		Expect(crashed(22)).To(Equal([]string{"1"}), "the later loss")
 		e.RecordAlive(at(23), exchange("1", 22.5, 22.6))
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -29,6 +29,9 @@
 	// Sharing holds, for each of Parts, how many binary digits the number of this VM's
 	// recent requests with it has. VMs of earlier releases send none.
 	Sharing []uint8 `cbor:"3,keyasint,omitempty"`
+	// Doubtful is true if the runner has answered since on a new connection and the list
+	// has not shown yet whether it has started again.
+	Doubtful bool `cbor:"4,keyasint,omitempty"`
 }
 
 // maxReportedParts bounds the parts of all crashes of a report together. A prompt whose
@@ -86,7 +89,9 @@
 	if r.IsEmpty() || other.IsEmpty() {
 		return r.IsEmpty() == other.IsEmpty()
 	}
-	sameCrash := func(a, b Crash) bool { return a.Runner == b.Runner && slices.Equal(a.Parts, b.Parts) }
+	sameCrash := func(a, b Crash) bool {
+		return a.Runner == b.Runner && a.Doubtful == b.Doubtful && slices.Equal(a.Parts, b.Parts)
+	}
 	return slices.EqualFunc(r.Crashes, other.Crashes, sameCrash) && slices.Equal(r.Answered, other.Answered) &&
 		slices.Equal(r.Quarantined, other.Quarantined) && slices.Equal(r.Withdrawn, other.Withdrawn)
 }
