quarantine: a comment that a newcomer stumbles on

The comment of Detector.quarantine had been edited three times into a line that cannot be read. No code has changed; the package's tests pass.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -131,10 +131,11 @@
 	return changes
 }
 
-// quarantine quarantines the parts with the most crashes as long as these are
-// enough, that is, least or more that no quarantined part explains. The part with the most crashes comes first: the others may only have
-// been in flight beside it. Of several with the most, those come first that the fewest
-// requests have had: if they are not to blame, the fewest callers are refused.
+// quarantine quarantines the parts with the most crashes, as long as at least least of
+// them are left that no quarantined part explains. The part with the most comes first:
+// the others may only have been in flight beside it. Of several with the most, those come
+// first that the fewest requests have had: if they are not to blame, the fewest callers
+// are refused.
 func (d *Detector) quarantine(now time.Time, crashes map[string]Set, reports []*Report, least int) []Change {
 	var changes []Change
 	for p := range d.parts {
